--- /dev/null
+++ b/cmd/benchlink/main.go
@@ -0,0 +1,191 @@
+// Command benchlink puts the decision module on the simulator's wire. It maps
+// wire messages to the module's events and its actions back, and decides nothing.
+package main
+
+import (
+	"bufio"
+	"encoding/base64"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"time"
+
+	"maddergap/internal/wire"
+	"maddergap/logic"
+)
+
+func main() {
+	if err := run(os.Stdin, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "benchlink:", err)
+		os.Exit(1)
+	}
+}
+
+// run answers batches from in until it ends.
+func run(in io.Reader, out io.Writer) error {
+	r, w := wire.NewReader(in), bufio.NewWriterSize(out, 1<<20)
+	heads := map[string]*logic.Head{}
+	for {
+		b, err := r.Read()
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		answer(w, heads, b)
+		fmt.Fprintf(w, "next %s\n", b.Number)
+		if err := w.Flush(); err != nil {
+			return err
+		}
+	}
+}
+
+// answer hands each instance its events of the batch, split where it is stopped
+// or started, and writes what it does.
+func answer(w io.Writer, heads map[string]*logic.Head, b wire.Batch) {
+	var order []string
+	events := map[string][]wire.Event{}
+	for _, e := range b.Events {
+		if _, seen := events[e.Head]; !seen {
+			order = append(order, e.Head)
+		}
+		events[e.Head] = append(events[e.Head], e)
+	}
+	for _, id := range order {
+		if text := serve(w, heads, id, us(b.Clock), events[id]); text != "" {
+			delete(heads, id)
+			fmt.Fprintf(w, "broken %s %s\n", id, strings.ReplaceAll(text, "\n", " "))
+		}
+	}
+}
+
+// serve runs one instance over its events; it returns the text of a fault.
+func serve(w io.Writer, heads map[string]*logic.Head, id string, now logic.Time, evs []wire.Event) (fault string) {
+	defer func() {
+		if p := recover(); p != nil {
+			fault = fmt.Sprint("panic: ", p)
+		}
+	}()
+	var pending []logic.Event
+	flush := func() {
+		if h := heads[id]; h != nil && len(pending) > 0 {
+			for _, a := range h.Handle(now, pending) {
+				writeAction(w, id, a)
+			}
+		}
+		pending = nil
+	}
+	for _, e := range evs {
+		switch e.Kind {
+		case "boot":
+			pending = nil // meant for the life before
+			h, err := logic.New(settings(e.Facts), e.Entropy, now)
+			if err != nil {
+				return err.Error()
+			}
+			heads[id] = h
+		case "shutdown":
+			pending = nil
+			delete(heads, id)
+		default:
+			if ev := event(e); ev != nil {
+				pending = append(pending, ev)
+			}
+		}
+	}
+	flush()
+	return ""
+}
+
+func us(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
+
+func event(e wire.Event) logic.Event {
+	switch e.Kind {
+	case "registry":
+		l := logic.List{Full: e.How == "F" || e.How == "C", Failed: e.How == "X"}
+		for _, it := range e.Items {
+			l.Entries = append(l.Entries, logic.Entry{Node: it.Shelf, Zone: it.Zone, Shard: it.Cluster,
+				State: states[it.Condition], Weight: it.Power, Started: us(it.UpSince)})
+		}
+		return l
+	case "job_in":
+		return logic.Arrival{ID: e.Job, Shard: e.Cell, Plan: e.Plan, Class: e.Service, Key: e.Key,
+			Volume: e.User, Left: us(e.Grace), Units: e.Weight, Hosts: e.Writers}
+	case "ended":
+		o, known := outcomes[e.How]
+		if !known {
+			o = logic.Failed
+		}
+		return logic.Ended{ID: e.Job, Attempt: e.N, Node: e.Shelf, Outcome: o, Took: us(e.Took),
+			Closed: e.Terminal, Elsewhere: e.Elsewhere, Load: e.Telemetry}
+	case "begun":
+		return logic.Begun{ID: e.Job, Attempt: e.N}
+	case "dropped":
+		return logic.Dropped{ID: e.Job}
+	case "bell":
+		return logic.Wake{}
+	case "peer_data":
+		return logic.Message{From: e.Neighbour, Data: e.Msg}
+	}
+	return nil // probe results: the module sends no probes
+}
+
+var states = map[string]logic.NodeState{"SERVING": logic.Serving, "DRAINING": logic.Draining,
+	"DELETED": logic.Gone}
+
+var outcomes = map[string]logic.Outcome{"done": logic.OK, "err": logic.Failed, "busy": logic.Full,
+	"etimedout": logic.TimedOut, "econnrefused": logic.ConnectFailed, "econnreset": logic.Reset,
+	"ecanceled": logic.Cancelled, "skipped": logic.Moot}
+
+var effects = map[string]logic.Effect{"retryable": logic.Safe, "dedup": logic.Keyed, "fragile": logic.Unsafe}
+
+var groups = map[string]logic.Group{"all": logic.GroupAll, "zone": logic.GroupZone, "cell": logic.GroupCell}
+
+func settings(f wire.Facts) logic.Settings {
+	g, l := f.Guarantees, f.Limits
+	s := logic.Settings{
+		Self: f.SelfIndex, Heads: f.FleetSize, AskDiscovery: f.Discovery == "ask", MustAskWithin: us(g.MustAskIn),
+		MostUnits: f.FamilyInfo.UnitsTop, MeanUnits: f.FamilyInfo.UsualUnits, ColdUnits: f.FamilyInfo.ColdUnits,
+		TellsElsewhere: f.FamilyInfo.SaysOthers,
+		FallWindow:     us(g.OverloadFor), Cold: us(g.Cold), ColdFrom: g.ColdFrom, OrderRest: us(g.OrderSettle),
+		BudgetOver: us(g.CountedOver), Budget: g.CountedOver > 0,
+		MaxAttempts: l.MaxAttempts, ParallelTries: l.ParallelTries, Peers: l.MayTell,
+	}
+	if g.FreeResends != nil {
+		s.BudgetFree = *g.FreeResends
+	}
+	if g.FurtherRatio != nil {
+		s.BudgetShare = *g.FurtherRatio
+	}
+	if l.RetryAfter {
+		s.MaxRetryAfter = us(l.MaxRetryAfter)
+	}
+	for _, c := range f.Classes {
+		s.Classes = append(s.Classes, logic.Class{Name: c.Name, Aim: us(c.Target), Effect: effects[c.Effect],
+			Group: groups[c.Group], Window: us(c.Window), InOrder: c.InTurn, Worth: c.Gain, Stream: c.Stream})
+	}
+	for _, p := range f.Grades {
+		s.Plans = append(s.Plans, logic.Plan{Name: p.Name, Rate: p.Nominal, Reserve: p.Guaranteed,
+			Weight: p.Shares, Price: p.ValueFactor, Limit: p.CeilingRate, LimitBurst: p.LimitBurst})
+	}
+	return s
+}
+
+func writeAction(w io.Writer, id string, a logic.Action) {
+	switch a := a.(type) {
+	case logic.Send:
+		fmt.Fprintf(w, "dispatch %s %d %s 0\n", id, a.ID, a.Node)
+	case logic.Refuse:
+		fmt.Fprintf(w, "shed %s %d %d\n", id, a.ID, a.RetryAfter.Microseconds())
+	case logic.Fail:
+		fmt.Fprintf(w, "drop_request %s %d\n", id, a.ID)
+	case logic.WakeIn:
+		fmt.Fprintf(w, "arm %s %d w\n", id, a.In.Microseconds())
+	case logic.Watch:
+		fmt.Fprintf(w, "track %s 1\n", id)
+	case logic.Tell:
+		fmt.Fprintf(w, "memo_to %s * %s\n", id, base64.StdEncoding.EncodeToString(a.Data))
+	}
+}
--- /dev/null
+++ b/logic/logic.go
@@ -0,0 +1,788 @@
+// The decisions of a head; the interface (settings, events, actions) is in
+// logic/api.go. The ordinary path is HYBRID-DSFQ: every request gets a start
+// tag at its node (tag), waits in the head's queue for that node, and leaves
+// in start-tag order while fewer than the node's window are out (pump, pick).
+// docs/design.md says what departs from the paper and when; docs/oncall.md
+// says what each kind of trouble looks like.
+package logic
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"time"
+)
+
+// All constants. Times that depend on the classes are multiples of the
+// shortest aim (h.aim), so that no deployment's figures are built in.
+const (
+	minShare    = 0.5              // φmin, as a part of φ
+	windowMax   = 8.0              // D of the design: most requests out at a node
+	windowStart = 2.0              // D at a node of which nothing is known
+	congested   = 0.5              // an answer later than this part of its aim shrinks the window
+	relaxed     = 0.35             // one sooner than this part may widen it
+	shrink      = 0.7              // multiplicative decrease
+	smooth      = 0.15             // weight of the newest answer in running means
+	idleFor     = 10 * time.Second // idle volumes are forgotten after this
+	lastCall    = 10 * time.Millisecond
+	poll        = 10 * time.Millisecond // look again at requests held by a bucket or a rest
+	silentAims  = 2.0                   // silence of so many shortest aims opens the breaker
+	silentLats  = 4.0                   // but not before so many usual answer times
+	trialMax    = time.Second           // longest gap between trials of an open breaker
+	listRetry   = time.Second           // after a failed call for the list
+)
+
+type request struct {
+	Arrival
+	seq             int
+	class           *Class
+	vol             *volume
+	due, aimAt      Time
+	start           float64 // start tag
+	node            *node   // whose queue it waits in, nil if none
+	tries, live     int     // attempts made, attempts without an outcome
+	ran             *node   // where an attempt may have run
+	ranAt           Time    // when the first such attempt was sent
+	notBefore       Time
+	done, streaming bool
+}
+
+type attempt struct {
+	r          *request
+	node       *node
+	sent       Time
+	full       bool // the window was full with it
+	writtenOff bool // no longer counted against the window
+}
+
+type attemptID struct {
+	id uint64
+	n  int
+}
+
+// entry is a volume's state at one node.
+type entry struct {
+	finish float64 // last finish tag
+	seen   float64 // the volume's total when it last came to this node
+	used   Time
+}
+
+type volume struct {
+	plan      *Plan
+	phi       float64
+	at        map[*node]*entry
+	total     float64 // units asked of all nodes
+	reserve   bucket
+	limit     bucket
+	used      Time
+	lastHosts int
+}
+
+// bucket is a token bucket.
+type bucket struct {
+	level, rate, cap float64
+	at               Time
+}
+
+func (b *bucket) fill(now Time) {
+	b.level = min(b.cap, b.level+b.rate*(now-b.at).Seconds())
+	b.at = now
+}
+
+type spent struct {
+	at    Time
+	units float64
+}
+
+type node struct {
+	Entry
+	queue      []*request
+	v          float64 // virtual time: the start tag last sent
+	window     float64
+	shrunk     Time
+	outs       []*attempt // in order of sending, not written off
+	lat, units float64    // running means of answered attempts: seconds, units
+	heard      Time       // last answer
+	open       bool       // circuit breaker
+	trialAt    Time
+	trialGap   time.Duration
+	pauseUntil Time // after a 'full'
+	cold       []spent
+	recent     []string // keys last sent
+	wake       Time
+	dirty      bool
+}
+
+// turn is the order of one key's requests.
+type turn struct {
+	queue  []*request
+	rest   Time
+	restOf *request
+}
+
+// Head decides for one host. It is not safe for concurrent use.
+type Head struct {
+	s        Settings
+	now      Time
+	boot     Time
+	aim      time.Duration // shortest aim
+	weights  float64
+	seq      int
+	acts     []Action
+	nodes    []*node
+	reqs     map[uint64]*request
+	attempts map[attemptID]*attempt
+	vols     map[string]*volume
+	turns    map[string]*turn
+	homeless []*request // no node of the list may take them
+	taken    []Time     // requests, within the budget's window
+	further  []Time     // attempts past the first, likewise
+	swept    Time
+	watchAt  Time
+	armed    Time
+}
+
+// New returns a head that knows nothing yet. The seed is kept for decisions by
+// chance; at present there are none.
+func New(s Settings, seed uint64, now Time) (*Head, error) {
+	if err := check(&s); err != nil {
+		return nil, err
+	}
+	h := &Head{s: s, now: now, boot: now, swept: now, watchAt: -1, armed: now, reqs: map[uint64]*request{},
+		attempts: map[attemptID]*attempt{}, vols: map[string]*volume{}, turns: map[string]*turn{}}
+	h.aim = s.Classes[0].Aim
+	for _, c := range s.Classes {
+		h.aim = min(h.aim, c.Aim)
+	}
+	for _, p := range s.Plans {
+		h.weights += p.Weight
+	}
+	if s.AskDiscovery {
+		h.watchAt = now
+	}
+	return h, nil
+}
+
+func check(s *Settings) error {
+	bad := func(x float64) bool { return x < 0 || math.IsNaN(x) || math.IsInf(x, 0) }
+	switch {
+	case s.Heads < 1:
+		return fmt.Errorf("settings: Heads is %d, want at least 1", s.Heads)
+	case len(s.Classes) == 0:
+		return fmt.Errorf("settings: Classes is empty")
+	case len(s.Plans) == 0:
+		return fmt.Errorf("settings: Plans is empty")
+	case bad(s.ColdUnits) || bad(s.ColdFrom) || s.Cold < 0 || s.FallWindow < 0:
+		return fmt.Errorf("settings: ColdUnits, ColdFrom, Cold or FallWindow is negative or not a number")
+	case s.Budget && (s.BudgetOver <= 0 || bad(s.BudgetFree) || bad(s.BudgetShare)):
+		return fmt.Errorf("settings: BudgetOver, BudgetFree or BudgetShare is out of range")
+	}
+	for i, c := range s.Classes {
+		if c.Aim <= 0 {
+			return fmt.Errorf("settings: Classes[%d].Aim is %v, want more than 0", i, c.Aim)
+		}
+	}
+	for i, p := range s.Plans {
+		if bad(p.Weight) || bad(p.Reserve) || bad(p.Limit) || bad(p.LimitBurst) {
+			return fmt.Errorf("settings: Plans[%d] has a negative Weight, Reserve, Limit or LimitBurst", i)
+		}
+	}
+	return nil
+}
+
+// Handle takes the events of one moment and returns what to do about them, in order.
+func (h *Head) Handle(now Time, events []Event) []Action {
+	h.now, h.acts = max(now, h.now), nil
+	for _, e := range events {
+		switch e := e.(type) {
+		case Arrival:
+			h.arrive(e)
+		case List:
+			h.list(e)
+		case Ended:
+			h.ended(e)
+		case Begun:
+			if r := h.reqs[e.ID]; r != nil {
+				r.streaming = true
+			}
+		case Dropped:
+			if r := h.reqs[e.ID]; r != nil {
+				h.close(r)
+			}
+		}
+	}
+	h.settle()
+	return h.acts
+}
+
+func (h *Head) do(a Action) { h.acts = append(h.acts, a) }
+
+// ---- requests ----
+
+func (h *Head) arrive(a Arrival) {
+	if h.reqs[a.ID] != nil || a.Class < 0 || a.Class >= len(h.s.Classes) || math.IsNaN(a.Units) {
+		h.do(Refuse{ID: a.ID}) // nothing known may be promised of it but that it never ran
+		return
+	}
+	if h.s.Budget {
+		h.taken = append(h.taken, h.now)
+	}
+	h.seq++
+	a.Units = max(a.Units, 0)
+	r := &request{Arrival: a, seq: h.seq, class: &h.s.Classes[a.Class], vol: h.volume(a)}
+	r.due, r.aimAt = h.now+a.Left, h.now+r.class.Aim
+	h.reqs[a.ID] = r
+	if r.class.InOrder && a.Key != "" {
+		t := h.turns[a.Key]
+		if t == nil {
+			t = &turn{}
+			h.turns[a.Key] = t
+		}
+		t.queue = append(t.queue, r)
+	}
+	h.queue(r)
+}
+
+// volume returns the state of the request's volume. The bucket of its limit is
+// this host's even part, and fills from nothing since the head's start: what
+// was spent before a restart cannot be known (rule on limits).
+func (h *Head) volume(a Arrival) *volume {
+	v := h.vols[a.Volume]
+	if v == nil {
+		p := &h.s.Plans[min(max(a.Plan, 0), len(h.s.Plans)-1)]
+		v = &volume{plan: p, phi: 1 / float64(len(h.s.Plans)), at: map[*node]*entry{}}
+		if h.weights > 0 {
+			v.phi = max(p.Weight/h.weights, 1e-6)
+		}
+		v.reserve = bucket{rate: p.Reserve, cap: p.Reserve + h.s.MostUnits, at: h.now}
+		v.reserve.level = v.reserve.cap
+		v.limit.at = h.boot
+		h.vols[a.Volume] = v
+	}
+	hosts := float64(a.Hosts)
+	if a.Hosts < 1 || a.Hosts > h.s.Heads {
+		hosts = float64(h.s.Heads)
+	}
+	v.limit.rate, v.limit.cap = v.plan.Limit/hosts, v.plan.LimitBurst/hosts
+	v.used = h.now
+	return v
+}
+
+// queue places a held request in the queue of the node that may take it.
+func (h *Head) queue(r *request) {
+	n := h.target(r)
+	if n == nil {
+		r.node = nil
+		h.homeless = append(h.homeless, r)
+		return
+	}
+	if r.node != n || r.tries == 0 {
+		h.tag(r, n)
+	}
+	r.node = n
+	n.queue = append(n.queue, r)
+	n.dirty = true
+}
+
+// target returns the serving node that holds the request's shard; a new object
+// goes to the node that should have room for it soonest. Nodes whose breaker is
+// open or that are cold come last.
+func (h *Head) target(r *request) (best *node) {
+	var bestLoad float64
+	for _, n := range h.nodes {
+		if n.State != Serving || (r.Shard >= 0 && n.Shard != r.Shard) || !h.mayRepeat(r, n) {
+			continue
+		}
+		load := max(n.lat, h.aim.Seconds()/10) * (1 + float64(len(n.queue)+len(n.outs))) / n.window
+		if n.open {
+			load += 1e6
+		}
+		if h.isCold(n) {
+			load += 1e3
+		}
+		if best == nil || load < bestLoad {
+			best, bestLoad = n, load
+		}
+	}
+	return best
+}
+
+// mayRepeat tells whether another attempt may go to n, given where an earlier
+// one may have run (rule on effects).
+func (h *Head) mayRepeat(r *request, n *node) bool {
+	if r.ran == nil || r.class.Effect == Safe {
+		return true
+	}
+	if r.class.Effect == Unsafe || h.now >= r.ranAt+r.class.Window {
+		return false
+	}
+	return r.class.Group == GroupAll || (r.class.Group == GroupZone && n.Zone == r.ran.Zone) ||
+		(r.class.Group == GroupCell && n.Shard == r.ran.Shard)
+}
+
+// tag is HYBRID-DSFQ: S = max(v, F + delay/φ), F = S + cost/φ, the delay being
+// the volume's units sent elsewhere since it last came to this node, clipped so
+// that φmin of the node stays its own. Departure: units inside the volume's
+// reserve leave at v with no delay and are not booked on F, as in mClock.
+func (h *Head) tag(r *request, n *node) {
+	e := r.vol.at[n]
+	if e == nil {
+		e = &entry{seen: r.vol.total}
+		r.vol.at[n] = e
+	}
+	delay := r.vol.total - e.seen
+	if phi := r.vol.phi; phi < 1 {
+		delay = min(delay, (1/minShare-1)/(1-phi)*r.Units)
+	} else {
+		delay = 0
+	}
+	r.vol.total += r.Units
+	e.seen, e.used = r.vol.total, h.now
+	r.vol.reserve.fill(h.now)
+	if r.vol.reserve.level >= r.Units {
+		r.vol.reserve.level -= r.Units
+		r.start = n.v
+		return
+	}
+	r.start = max(n.v, e.finish+delay/r.vol.phi)
+	e.finish = r.start + r.Units/r.vol.phi
+}
+
+// told books service that a volume got at this node through other heads: it
+// draws on the reserve first, and what is beyond moves the finish tag on.
+func (h *Head) told(v *volume, n *node, units float64) {
+	v.reserve.fill(h.now)
+	v.reserve.level -= units
+	if e := v.at[n]; e != nil && v.reserve.level < 0 {
+		e.finish = max(e.finish, n.v) - v.reserve.level/v.phi
+	}
+	v.reserve.level = max(v.reserve.level, 0)
+}
+
+// finish gives the final answer: a refusal where it is true that trying again
+// does no harm, else a failure.
+func (h *Head) finish(r *request) {
+	switch {
+	case r.done:
+		return
+	case r.ran == nil || r.class.Effect == Safe || (r.class.Effect == Keyed && r.class.Group == GroupAll):
+		h.do(Refuse{ID: r.ID, RetryAfter: h.s.MaxRetryAfter})
+	default:
+		h.do(Fail{ID: r.ID})
+	}
+	h.close(r)
+}
+
+// close forgets a request that has its final answer; its key stays taken while
+// an attempt is without an outcome.
+func (h *Head) close(r *request) {
+	r.done = true
+	delete(h.reqs, r.ID)
+	if r.node != nil {
+		r.node.dirty = true
+	}
+	h.endTurn(r)
+}
+
+func (h *Head) endTurn(r *request) {
+	t := h.turns[r.Key]
+	if t == nil || !r.done || r.live > 0 {
+		return
+	}
+	if i := slices.Index(t.queue, r); i >= 0 {
+		t.queue = slices.Delete(t.queue, i, i+1)
+		for _, n := range h.nodes {
+			n.dirty = true
+		}
+	}
+}
+
+// hasTurn keeps the order of a key (rule on order).
+func (h *Head) hasTurn(r *request) bool {
+	t := h.turns[r.Key]
+	if !r.class.InOrder || t == nil {
+		return true
+	}
+	return len(t.queue) > 0 && t.queue[0] == r && (t.restOf == r || h.now >= t.rest)
+}
+
+// ---- outcomes ----
+
+func (h *Head) ended(e Ended) {
+	id := attemptID{e.ID, e.Attempt}
+	a := h.attempts[id]
+	if a == nil {
+		return
+	}
+	delete(h.attempts, id)
+	r, n := a.r, a.node
+	r.live--
+	n.outs = slices.DeleteFunc(n.outs, func(o *attempt) bool { return o == a })
+	n.dirty = true
+	h.health(n, a, e)
+	if e.Elsewhere > 0 {
+		h.told(r.vol, n, e.Elsewhere)
+	}
+	proven := e.Outcome == Full || e.Outcome == ConnectFailed || e.Outcome == Moot
+	if !proven && e.Outcome != OK && r.ran == nil {
+		r.ran, r.ranAt = n, a.sent
+	}
+	if t := h.turns[r.Key]; t != nil && r.class.InOrder && !proven && e.Outcome != OK && e.Outcome != Failed {
+		t.rest, t.restOf = h.now+h.s.OrderRest, r
+	}
+	switch {
+	case r.done:
+		h.endTurn(r)
+	case e.Closed:
+		h.close(r)
+	case r.live > 0:
+	case r.streaming || h.now+lastCall >= r.due || (h.s.MaxAttempts > 0 && r.tries >= h.s.MaxAttempts):
+		h.finish(r)
+	case !proven && (r.class.Effect == Unsafe || r.target(h) == nil):
+		h.finish(r)
+	default:
+		r.notBefore = h.now + h.aim/10
+		h.queue(r)
+	}
+}
+
+func (r *request) target(h *Head) *node { return h.target(r) }
+
+// health moves the node's window and breaker by what an attempt told.
+//
+// The window is delay-based AIMD: guards against a long first-in-first-out
+// queue at the node, where tags no longer order anything. One decrease an
+// answer time, so a pause or a flush of deferred writes costs one step.
+//
+// The breaker opens on failed connections and resets here, on silence in pump.
+func (h *Head) health(n *node, a *attempt, e Ended) {
+	took := (h.now - a.sent).Seconds()
+	switch e.Outcome {
+	case OK, Failed:
+		n.heard, n.open, n.trialGap = h.now, false, 0
+		if n.lat == 0 {
+			n.lat, n.units = took, a.r.Units
+		}
+		n.lat += smooth * (took - n.lat)
+		n.units += smooth * (a.r.Units - n.units)
+		part := took / a.r.class.Aim.Seconds()
+		if part > congested && a.sent >= n.shrunk {
+			n.window, n.shrunk = max(1, n.window*shrink), h.now
+		} else if part < relaxed && a.full {
+			n.window = min(windowMax, n.window+1/n.window)
+		}
+	case Full:
+		n.heard, n.window, n.shrunk = h.now, 1, h.now
+		n.pauseUntil = h.now + h.aim/4
+	case ConnectFailed, Reset:
+		h.openBreaker(n)
+	case TimedOut:
+		n.window, n.shrunk = 1, h.now
+	}
+}
+
+// openBreaker stops ordinary sends to a node that is silent or unreachable.
+// Guards against: hung, dead, cut off or restarting nodes, whatever the list
+// says. What is out there is written off, so that trials are not held up.
+func (h *Head) openBreaker(n *node) {
+	if !n.open {
+		n.open, n.window, n.trialGap = true, 1, h.aim
+		n.trialAt = h.now + n.trialGap
+	}
+	for _, a := range n.outs {
+		a.writtenOff = true
+	}
+	n.outs = nil
+}
+
+// ---- the node list ----
+
+func (h *Head) list(l List) {
+	if l.Failed {
+		h.watchAt = h.now + listRetry
+		return
+	}
+	seen := map[string]bool{}
+	for _, e := range l.Entries {
+		seen[e.Node] = true
+		i := slices.IndexFunc(h.nodes, func(n *node) bool { return n.Node == e.Node })
+		if i < 0 {
+			h.nodes = append(h.nodes, &node{Entry: e, window: windowStart, heard: h.now})
+			continue
+		}
+		n := h.nodes[i]
+		if e.Started != n.Started && e.State == Serving { // a restart: nothing known of it holds any more
+			n.window, n.lat, n.open, n.heard = 1, 0, false, h.now
+		}
+		n.Entry = e
+	}
+	for _, n := range h.nodes {
+		if l.Full && !seen[n.Node] {
+			n.State = Gone
+		}
+	}
+	// Requests held for a node that no longer serves, or for none, find their next node.
+	moved := h.homeless
+	h.homeless = nil
+	for _, n := range h.nodes {
+		n.dirty = true
+		if n.State != Serving {
+			moved = append(moved, n.queue...)
+			n.queue = nil
+		}
+	}
+	for _, r := range moved {
+		if !r.done {
+			h.queue(r)
+		}
+	}
+}
+
+func (h *Head) isCold(n *node) bool {
+	return n.Started > 0 && h.s.Cold > 0 && h.now < n.Started+h.s.Cold
+}
+
+// coldRoom tells whether a cold node may be sent so many units (rule on cold
+// nodes): this head's even part of what is always borne, growing as capacity
+// must; all sends of the window count, turned away or not. After the head's own
+// start a window passes first, as its life before may have spent it.
+func (h *Head) coldRoom(n *node, units float64) bool {
+	if !h.isCold(n) {
+		return true
+	}
+	if h.now < h.boot+h.s.FallWindow {
+		return false
+	}
+	part := h.s.ColdUnits
+	if part == 0 {
+		part = h.s.MeanUnits
+	}
+	if from := h.s.ColdFrom; from > 0 && from < 1 {
+		age := float64(h.now-n.Started-h.s.FallWindow) / float64(h.s.Cold)
+		part *= 1 + max(0, age)*(1-from)/from
+	}
+	sum := units
+	for _, s := range n.cold {
+		if s.at > h.now-h.s.FallWindow {
+			sum += s.units
+		}
+	}
+	return sum <= part/float64(h.s.Heads)
+}
+
+// ---- sending ----
+
+// expected is how long an answer should take, from the node's recent ones; a
+// request that is out for longer already counts as one.
+func (h *Head) expected(n *node, r *request) time.Duration {
+	t := n.lat
+	if n.units > 0 {
+		t *= 0.5 + 0.5*r.Units/n.units
+	}
+	if len(n.outs) > 0 {
+		t = max(t, (h.now-n.outs[0].sent).Seconds()/2)
+	}
+	return time.Duration(t * float64(time.Second))
+}
+
+// sendable tells whether nothing but the window keeps a held request.
+func (h *Head) sendable(r *request, n *node) bool {
+	if h.now < r.notBefore || h.now+h.expected(n, r) > r.due || !h.hasTurn(r) || !h.mayRepeat(r, n) {
+		return false
+	}
+	if r.tries > 0 && !h.withinBudget() {
+		return false
+	}
+	if r.tries == 0 && r.vol.plan.Limit > 0 {
+		r.vol.limit.fill(h.now)
+		if r.vol.limit.level < r.Units {
+			return false
+		}
+	}
+	return h.coldRoom(n, r.Units)
+}
+
+// withinBudget keeps the budget of attempts past the first.
+func (h *Head) withinBudget() bool {
+	if !h.s.Budget {
+		return true
+	}
+	old := func(t Time) bool { return t <= h.now-h.s.BudgetOver }
+	h.taken = slices.DeleteFunc(h.taken, old)
+	// An attempt just at the edge still counts, a request there does not.
+	h.further = slices.DeleteFunc(h.further, func(t Time) bool { return t < h.now-h.s.BudgetOver })
+	return float64(len(h.further)+1) <= h.s.BudgetFree+h.s.BudgetShare*float64(len(h.taken))
+}
+
+// pick returns the held request that goes next: the volume with the lowest
+// start tag, and of its requests one whose key the node has just had (it costs
+// less), else the one with the nearest aim, which trades tags with the first.
+// Departure: what can no longer meet its aim goes only when nothing else can.
+func (h *Head) pick(n *node) (best *request) {
+	late := func(r *request) bool { return h.now+h.expected(n, r) > r.aimAt }
+	var bestLate bool
+	var ready []*request
+	for _, r := range n.queue {
+		if !h.sendable(r, n) {
+			continue
+		}
+		ready = append(ready, r)
+		l := late(r)
+		if best == nil || (bestLate && !l) || (bestLate == l && (r.start < best.start ||
+			(r.start == best.start && r.seq < best.seq))) {
+			best, bestLate = r, l
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	first := best
+	warm := func(r *request) bool { return r.tries == 0 && slices.Contains(n.recent, r.Key) }
+	for _, r := range ready {
+		if r.vol != first.vol || late(r) != bestLate || r == best {
+			continue
+		}
+		if w := warm(r); w != warm(best) {
+			if w {
+				best = r
+			}
+		} else if r.aimAt < best.aimAt {
+			best = r
+		}
+	}
+	best.start, first.start = first.start, best.start
+	return best
+}
+
+// pump refuses what is out of time and sends while the window has room.
+func (h *Head) pump(n *node) {
+	n.dirty = false
+	for len(n.outs) > 0 {
+		patience := max(silentAims*h.aim.Seconds(), silentLats*n.lat)
+		since := max(n.heard, n.outs[0].sent)
+		if (h.now - since).Seconds() < patience {
+			break
+		}
+		h.openBreaker(n)
+	}
+	n.queue = slices.DeleteFunc(n.queue, func(r *request) bool {
+		if !r.done && h.now+lastCall >= r.due {
+			h.finish(r)
+		}
+		return r.done
+	})
+	for len(n.queue) > 0 && h.now >= n.pauseUntil {
+		if n.open && h.now < n.trialAt {
+			break
+		}
+		if n.open { // half-open: one trial, at growing gaps
+			h.openBreaker(n)
+		}
+		if float64(len(n.outs))+1 > n.window {
+			break
+		}
+		r := h.pick(n)
+		if r == nil {
+			break
+		}
+		if n.open {
+			n.trialGap = min(2*n.trialGap, trialMax)
+			n.trialAt = h.now + n.trialGap
+		}
+		h.send(n, r)
+	}
+	n.wake = math.MaxInt64
+	if len(n.outs) > 0 {
+		n.wake = h.now + h.aim/4
+	}
+	for _, r := range n.queue {
+		n.wake = min(n.wake, r.due-lastCall)
+	}
+	if len(n.queue) > 0 && float64(len(n.outs))+1 <= n.window {
+		n.wake = min(n.wake, h.now+poll)
+	}
+}
+
+func (h *Head) send(n *node, r *request) {
+	n.queue = slices.DeleteFunc(n.queue, func(o *request) bool { return o == r })
+	n.v = max(n.v, r.start)
+	if r.tries == 0 {
+		r.vol.limit.fill(h.now)
+		r.vol.limit.level -= r.Units
+	} else if h.s.Budget {
+		h.further = append(h.further, h.now)
+	}
+	if h.isCold(n) {
+		n.cold = slices.DeleteFunc(n.cold, func(s spent) bool { return s.at <= h.now-h.s.FallWindow })
+		n.cold = append(n.cold, spent{h.now, r.Units})
+	}
+	if r.Key != "" {
+		n.recent = append(n.recent, r.Key)
+		n.recent = n.recent[max(0, len(n.recent)-2):]
+	}
+	a := &attempt{r: r, node: n, sent: h.now}
+	n.outs = append(n.outs, a)
+	a.full = float64(len(n.outs))+1 > n.window
+	h.attempts[attemptID{r.ID, r.tries}] = a
+	r.tries++
+	r.live++
+	h.do(Send{ID: r.ID, Node: n.Node})
+}
+
+// settle lets every node that something happened to send, and sets the timer.
+func (h *Head) settle() {
+	wake := Time(math.MaxInt64)
+	if h.watchAt >= 0 {
+		if h.now >= h.watchAt {
+			h.do(Watch{})
+			h.watchAt = -1
+		} else {
+			wake = h.watchAt
+		}
+	}
+	for _, n := range h.nodes {
+		if n.dirty || h.now >= n.wake {
+			h.pump(n)
+		}
+		wake = min(wake, n.wake)
+	}
+	h.homeless = slices.DeleteFunc(h.homeless, func(r *request) bool {
+		if !r.done && h.now+lastCall >= r.due {
+			h.finish(r)
+		}
+		return r.done
+	})
+	for _, r := range h.homeless {
+		wake = min(wake, r.due-lastCall)
+	}
+	if h.now >= h.swept+idleFor/2 {
+		h.sweep()
+	}
+	if wake < math.MaxInt64 && (h.armed <= h.now || wake < h.armed) {
+		h.armed = max(wake, h.now+time.Millisecond)
+		h.do(WakeIn{In: h.armed - h.now})
+	}
+}
+
+// sweep forgets idle volumes. A volume whose limit's bucket is not full yet is
+// kept: forgotten, it would come back with more than it has.
+func (h *Head) sweep() {
+	h.swept = h.now
+	for name, v := range h.vols {
+		for n, e := range v.at {
+			if h.now-e.used > idleFor {
+				delete(v.at, n)
+			}
+		}
+		v.limit.fill(h.now)
+		if h.now-v.used > idleFor && len(v.at) == 0 && v.limit.level >= v.limit.cap {
+			delete(h.vols, name)
+		}
+	}
+	for key, t := range h.turns {
+		if len(t.queue) == 0 && h.now >= t.rest {
+			delete(h.turns, key)
+		}
+	}
+	h.taken = slices.DeleteFunc(h.taken, func(t Time) bool { return t <= h.now-h.s.BudgetOver })
+}
