Equal start tags go by worth, then by the nearest aim

Expected also to help: any mix of classes under overload. Could harm: the least worth class, which now waits behind the others within a volume's reserve.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -616,10 +616,17 @@
 
 // pick returns the held request that goes next: the volume with the lowest
 // start tag, and of its requests one whose key the node has just had (it costs
-// less), else the one with the nearest aim, which trades tags with the first.
+// less), else the one of most worth, then with the nearest aim, which trades tags
+// with the first. Equal tags, as in the reserves, are told apart in the same way.
 // Departure: what can no longer meet its aim goes only when nothing else can.
 func (h *Head) pick(n *node) (best *request) {
 	late := func(r *request) bool { return h.now+h.expected(n, r) > r.aimAt }
+	before := func(a, b *request) bool { // more worth a unit, then the nearer aim
+		if wa, wb := a.class.Worth*a.vol.plan.Price, b.class.Worth*b.vol.plan.Price; wa != wb {
+			return wa > wb
+		}
+		return a.aimAt < b.aimAt || (a.aimAt == b.aimAt && a.seq < b.seq)
+	}
 	var bestLate bool
 	var ready []*request
 	for _, r := range n.queue {
@@ -629,7 +636,7 @@
 		ready = append(ready, r)
 		l := late(r)
 		if best == nil || (bestLate && !l) || (bestLate == l && (r.start < best.start ||
-			(r.start == best.start && r.seq < best.seq))) {
+			(r.start == best.start && before(r, best)))) {
 			best, bestLate = r, l
 		}
 	}
@@ -646,7 +653,7 @@
 			if w {
 				best = r
 			}
-		} else if r.aimAt < best.aimAt {
+		} else if before(r, best) {
 			best = r
 		}
 	}
