Late requests wait while the node answers slowly for the aims

Change: a running mean of answer time over aim per node; above 'yield' what can no longer meet its aim is held, unless nothing was heard for an aim. Should also catch: slow nodes, costly requests, any overload another head causes. Could harm: late worth is lost on a node that is slow but not crowded.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -21,6 +21,7 @@
 	windowStart = 2.0              // D at a node of which nothing is known
 	congested   = 0.5              // an answer later than this part of its aim shrinks the window
 	relaxed     = 0.35             // one sooner than this part may widen it
+	yield       = 0.35             // what is late waits while answers take this part of their aims
 	shrink      = 0.7              // multiplicative decrease
 	smooth      = 0.15             // weight of the newest answer in running means
 	idleFor     = 10 * time.Second // idle volumes are forgotten after this
@@ -102,6 +103,7 @@
 	shrunk     Time
 	outs       []*attempt // in order of sending, not written off
 	lat, units float64    // running means of answered attempts: seconds, units
+	pressure   float64    // running mean of answer times, as parts of the aims
 	heard      Time       // last answer
 	open       bool       // circuit breaker
 	trialAt    Time
@@ -466,6 +468,7 @@
 		n.lat += smooth * (took - n.lat)
 		n.units += smooth * (a.r.Units - n.units)
 		part := took / a.r.class.Aim.Seconds()
+		n.pressure += smooth * (min(part, 2) - n.pressure)
 		if part > congested && a.sent >= n.shrunk {
 			n.window, n.shrunk = max(1, n.window*shrink), h.now
 		} else if part < relaxed && a.full {
@@ -633,8 +636,11 @@
 		if !h.sendable(r, n) {
 			continue
 		}
-		ready = append(ready, r)
 		l := late(r)
+		if l && n.pressure > yield && h.now-n.heard < h.aim {
+			continue
+		}
+		ready = append(ready, r)
 		if best == nil || (bestLate && !l) || (bestLate == l && (r.start < best.start ||
 			(r.start == best.start && before(r, best)))) {
 			best, bestLate = r, l
