What is beyond the reserve stands back too while a node is slow for its aims

Cause: a head that holds only excess sends it into a node where other heads hold reserves. Change: the same pressure test with a higher bound, folded with the one for late requests into yields. Could harm: share worth on a node that is slow without being crowded.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -21,7 +21,8 @@
 	windowStart = 2.0              // D at a node of which nothing is known
 	congested   = 0.5              // an answer later than this part of its aim shrinks the window
 	relaxed     = 0.35             // one sooner than this part may widen it
-	yield       = 0.35             // what is late waits while answers take this part of their aims
+	yieldLate   = 0.35             // what is late waits while answers take this part of their aims
+	yieldExcess = 0.5              // likewise what is beyond its volume's reserve
 	shrink      = 0.7              // multiplicative decrease
 	smooth      = 0.15             // weight of the newest answer in running means
 	idleFor     = 10 * time.Second // idle volumes are forgotten after this
@@ -40,6 +41,7 @@
 	vol             *volume
 	due, aimAt      Time
 	start           float64 // start tag
+	excess          bool    // the tag is beyond the volume's reserve
 	node            *node   // whose queue it waits in, nil if none
 	tries, live     int     // attempts made, attempts without an outcome
 	ran             *node   // where an attempt may have run
@@ -343,9 +345,10 @@
 	r.vol.reserve.fill(h.now)
 	if r.vol.reserve.level >= r.Units {
 		r.vol.reserve.level -= r.Units
-		r.start = n.v
+		r.start, r.excess = n.v, false
 		return
 	}
+	r.excess = true
 	r.start = max(n.v, e.finish+delay/r.vol.phi)
 	e.finish = r.start + r.Units/r.vol.phi
 }
@@ -617,6 +620,20 @@
 	return float64(len(h.further)+1) <= h.s.BudgetFree+h.s.BudgetShare*float64(len(h.taken))
 }
 
+// yields tells whether a request stands back for those of other heads at the
+// node, which cannot be seen but in how slowly the node answers: what is late
+// soonest, then what is beyond its volume's reserve. Departure from "no slot
+// idled": a slot is left open then, for an aim after the last answer at most.
+func (h *Head) yields(r *request, n *node, late bool) bool {
+	limit := math.Inf(1)
+	if late {
+		limit = yieldLate
+	} else if r.excess {
+		limit = yieldExcess
+	}
+	return n.pressure > limit && h.now-n.heard < h.aim
+}
+
 // pick returns the held request that goes next: the volume with the lowest
 // start tag, and of its requests one whose key the node has just had (it costs
 // less), else the one of most worth, then with the nearest aim, which trades tags
@@ -637,7 +654,7 @@
 			continue
 		}
 		l := late(r)
-		if l && n.pressure > yield && h.now-n.heard < h.aim {
+		if h.yields(r, n, l) {
 			continue
 		}
 		ready = append(ready, r)
@@ -664,6 +681,7 @@
 		}
 	}
 	best.start, first.start = first.start, best.start
+	best.excess, first.excess = first.excess, best.excess
 	return best
 }
 
