--- a/logic/logic.go
+++ b/logic/logic.go
@@ -267,11 +267,6 @@
 	if a.Hosts < 1 || a.Hosts > h.s.Heads {
 		hosts = float64(h.s.Heads)
 	}
-	if !h.s.TellsElsewhere {
-		part := (1 + 1/hosts) / 2
-		v.reserve.rate = v.plan.Reserve * part
-		v.reserve.cap = v.plan.Reserve*part + h.s.MostUnits
-	}
 	v.limit.rate, v.limit.cap = v.plan.Limit/hosts, v.plan.LimitBurst/hosts
 	v.used = h.now
 	return v
