--- a/logic/logic.go
+++ b/logic/logic.go
@@ -30,6 +30,7 @@
 	poll        = 10 * time.Millisecond // look again at requests held by a bucket or a rest
 	silentAims  = 2.0                   // silence of so many shortest aims opens the breaker
 	silentLats  = 4.0                   // but not before so many usual answer times
+	failuresMax = 3                     // so do so many failed connections or resets in a row
 	trialMax    = time.Second           // longest gap between trials of an open breaker
 	listRetry   = time.Second           // after a failed call for the list
 )
@@ -110,6 +111,7 @@
 	open       bool       // circuit breaker
 	trialAt    Time
 	trialGap   time.Duration
+	failures   int  // failed connections and resets since an answer
 	pauseUntil Time // after a 'full'
 	cold       []spent
 	recent     []string // keys last sent
@@ -459,12 +461,13 @@
 // queue at the node, where tags no longer order anything. One decrease an
 // answer time, so a pause or a flush of deferred writes costs one step.
 //
-// The breaker opens on failed connections and resets here, on silence in pump.
+// The breaker opens here on failed connections and resets in a row (a node that
+// resets a part of its work still serves the rest), on silence in pump.
 func (h *Head) health(n *node, a *attempt, e Ended) {
 	took := (h.now - a.sent).Seconds()
 	switch e.Outcome {
 	case OK, Failed:
-		n.heard, n.open, n.trialGap = h.now, false, 0
+		n.heard, n.open, n.trialGap, n.failures = h.now, false, 0, 0
 		if n.lat == 0 {
 			n.lat, n.units = took, a.r.Units
 		}
@@ -481,7 +484,9 @@
 		n.heard, n.window, n.shrunk = h.now, 1, h.now
 		n.pauseUntil = h.now + h.aim/4
 	case ConnectFailed, Reset:
-		h.openBreaker(n)
+		if n.failures++; n.failures >= failuresMax {
+			h.openBreaker(n)
+		}
 	case TimedOut:
 		n.window, n.shrunk = 1, h.now
 	}
