--- a/logic/logic.go
+++ b/logic/logic.go
@@ -260,8 +260,10 @@
 		if h.weights > 0 {
 			v.phi = max(p.Weight/h.weights, 1e-6)
 		}
-		v.reserve = bucket{rate: p.Reserve, cap: p.Reserve + h.s.MostUnits, at: h.now}
-		v.reserve.level = v.reserve.cap
+		if p.Reserve > 0 {
+			v.reserve = bucket{rate: p.Reserve, cap: p.Reserve + h.s.MostUnits, at: h.now}
+			v.reserve.level = v.reserve.cap
+		}
 		v.limit.at = h.boot
 		h.vols[a.Volume] = v
 	}
@@ -743,8 +745,10 @@
 	n.queue = slices.DeleteFunc(n.queue, func(o *request) bool { return o == r })
 	n.v = max(n.v, r.start)
 	if r.tries == 0 {
-		r.vol.limit.fill(h.now)
-		r.vol.limit.level -= r.Units
+		if r.vol.plan.Limit > 0 {
+			r.vol.limit.fill(h.now)
+			r.vol.limit.level -= r.Units
+		}
 	} else if h.s.Budget {
 		h.further = append(h.further, h.now)
 	}
--- /dev/null
+++ b/logic/logic_test.go
@@ -0,0 +1,545 @@
+package logic
+
+import (
+	"math"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+// site returns settings that the tests change to their needs: one head, one
+// plan without reserve or limit, three classes of the three effects.
+func site(change ...func(*Settings)) Settings {
+	s := Settings{Heads: 1, MostUnits: 6, MeanUnits: 2, MaxAttempts: 4,
+		Classes: []Class{
+			{Name: "read", Aim: 200 * ms, Effect: Safe, Worth: 2},
+			{Name: "write", Aim: 400 * ms, Effect: Unsafe, Worth: 2},
+			{Name: "put", Aim: 400 * ms, Effect: Keyed, Group: GroupAll, Window: 5 * time.Second, Worth: 2},
+		},
+		Plans: []Plan{{Name: "one", Weight: 1, Price: 1}}}
+	for _, c := range change {
+		c(&s)
+	}
+	return s
+}
+
+// rig drives a head in the way the bench does and keeps what it did.
+type rig struct {
+	t     *testing.T
+	h     *Head
+	now   Time
+	acts  []Action
+	sends []Send
+	tries map[uint64]int
+}
+
+func start(t *testing.T, s Settings, nodes ...Entry) *rig {
+	t.Helper()
+	h, err := New(s, 1, time.Minute)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &rig{t: t, h: h, now: time.Minute, tries: map[uint64]int{}}
+	r.at(0, List{Full: true, Entries: nodes})
+	return r
+}
+
+// at moves the clock on, gives the events and returns what the head did.
+func (r *rig) at(after time.Duration, events ...Event) []Action {
+	r.now += after
+	r.acts = r.h.Handle(r.now, events)
+	for _, a := range r.acts {
+		if s, ok := a.(Send); ok {
+			r.sends = append(r.sends, s)
+			r.tries[s.ID]++
+		}
+	}
+	return r.acts
+}
+
+// wait steps through an interval as timers would and returns all actions.
+func (r *rig) wait(d time.Duration) (all []Action) {
+	for end := r.now + d; r.now < end; {
+		all = append(all, r.at(min(5*ms, end-r.now), Wake{})...)
+	}
+	return all
+}
+
+func (r *rig) end(id uint64, o Outcome) []Action {
+	return r.at(0, Ended{ID: id, Attempt: r.tries[id] - 1, Outcome: o, Closed: o == OK})
+}
+
+func (r *rig) sent() (ids []uint64) {
+	for _, s := range r.sends {
+		ids = append(ids, s.ID)
+	}
+	return ids
+}
+
+// answers returns the final answers among actions: 'r' or 'f' by request.
+func answers(acts []Action) map[uint64]string {
+	m := map[uint64]string{}
+	for _, a := range acts {
+		switch a := a.(type) {
+		case Refuse:
+			m[a.ID] += "r"
+		case Fail:
+			m[a.ID] += "f"
+		}
+	}
+	return m
+}
+
+func req(id uint64, change ...func(*Arrival)) Arrival {
+	a := Arrival{ID: id, Volume: "v", Left: time.Second, Units: 2, Hosts: 1}
+	for _, c := range change {
+		c(&a)
+	}
+	return a
+}
+
+func class(n int) func(*Arrival)              { return func(a *Arrival) { a.Class = n } }
+func shard(n int) func(*Arrival)              { return func(a *Arrival) { a.Shard = n } }
+func ofVolume(v string, p int) func(*Arrival) { return func(a *Arrival) { a.Volume, a.Plan = v, p } }
+func units(u float64) func(*Arrival)          { return func(a *Arrival) { a.Units = u } }
+func key(k string) func(*Arrival)             { return func(a *Arrival) { a.Key = k } }
+
+var nodeA, nodeB = Entry{Node: "A", Shard: 0}, Entry{Node: "B", Shard: 1}
+
+func want[T any](t *testing.T, what string, got, want T) {
+	t.Helper()
+	if !reflect.DeepEqual(got, want) {
+		t.Errorf("%s: got %v, want %v", what, got, want)
+	}
+}
+
+// Tags worked by hand: S = max(v, F + delay/φ), F = S + cost/φ.
+func TestTags(t *testing.T) {
+	two := func(s *Settings) { s.Plans = []Plan{{Weight: 1, Price: 1}, {Weight: 3, Price: 1}} }
+	type step struct {
+		vol    string
+		plan   int
+		node   int
+		units  float64
+		start  float64
+		finish float64
+	}
+	for _, c := range []struct {
+		name  string
+		s     Settings
+		steps []step
+	}{
+		{"one volume on one node, single plan", site(), []step{{"f", 0, 0, 2, 0, 2}, {"f", 0, 0, 3, 2, 5}}},
+		{"a single plan has no delay", site(), []step{{"f", 0, 0, 2, 0, 2}, {"f", 0, 1, 4, 0, 4}, {"f", 0, 0, 2, 2, 4}}},
+		// φ = 1/4: cost 1 is 4; two units elsewhere are under the clip 2/(3/4) = 2.67.
+		{"two nodes", site(two), []step{{"f", 0, 0, 1, 0, 4}, {"f", 0, 1, 2, 0, 8}, {"f", 0, 0, 2, 4 + 8, 20}}},
+		// Nine units elsewhere, clipped at 1/(3/4) = 4/3, over φ 16/3.
+		{"the clip", site(two), []step{{"f", 0, 0, 1, 0, 4}, {"f", 0, 1, 9, 0, 36}, {"f", 0, 0, 1, 4 + 16.0/3, 8 + 16.0/3}}},
+		{"weights", site(two), []step{{"f", 0, 0, 3, 0, 12}, {"g", 1, 0, 3, 0, 4}, {"g", 1, 0, 3, 4, 8}}},
+		{"zero weights count as equal", site(two, func(s *Settings) { s.Plans[0].Weight, s.Plans[1].Weight = 0, 0 }),
+			[]step{{"f", 0, 0, 1, 0, 2}, {"g", 1, 0, 1, 0, 2}}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := start(t, c.s, nodeA, nodeB)
+			for i, s := range c.steps {
+				q := &request{Arrival: req(uint64(i), ofVolume(s.vol, s.plan), units(s.units))}
+				q.vol = r.h.volume(q.Arrival)
+				q.vol.reserve = bucket{level: -1, at: r.now} // all of it beyond the reserve
+				r.h.tag(q, r.h.nodes[s.node])
+				e := q.vol.at[r.h.nodes[s.node]]
+				if math.Abs(q.start-s.start) > 1e-9 || math.Abs(e.finish-s.finish) > 1e-9 {
+					t.Errorf("step %d: S %v F %v, want %v %v", i, q.start, e.finish, s.start, s.finish)
+				}
+			}
+		})
+	}
+}
+
+func TestVolumeBackFromIdleStartsAtVirtualTime(t *testing.T) {
+	r := start(t, site(), nodeA)
+	r.h.nodes[0].v = 50
+	r.at(0, req(1, units(6)), req(2, units(6)), req(3, units(6)))
+	e := r.h.vols["v"].at[r.h.nodes[0]]
+	if e.finish < 50 {
+		t.Errorf("finish tag %v lies before virtual time 50", e.finish)
+	}
+	for id := uint64(1); id <= 3; id++ {
+		r.end(id, OK)
+	}
+	r.wait(idleFor * 2)
+	want(t, "idle volumes", len(r.h.vols), 0)
+}
+
+func TestWithinReserveLeavesBeforeExcess(t *testing.T) {
+	s := site(func(s *Settings) {
+		s.Plans = []Plan{{Weight: 1, Price: 1}, {Weight: 1, Price: 1, Reserve: 10}}
+	})
+	r := start(t, s, nodeA)
+	r.h.nodes[0].window = 1
+	r.at(0, req(1, ofVolume("heavy", 0)), req(2, ofVolume("heavy", 0)), req(3, ofVolume("reserved", 1)))
+	r.at(90*ms, Wake{})
+	r.end(1, OK)
+	if got := r.sent(); len(got) < 2 || got[1] != 3 {
+		t.Errorf("sent %v, want the reserved request 3 second", got)
+	}
+}
+
+func TestWorthThenNearestAimBetweenEqualTags(t *testing.T) {
+	s := site(func(s *Settings) {
+		s.Classes[1].Worth = 1
+		s.Plans[0].Reserve = 100
+	})
+	r := start(t, s, nodeA)
+	r.h.nodes[0].window = 1
+	r.at(0, req(1), req(2, class(1)), req(3, ofVolume("w", 0)))
+	r.at(90*ms, Wake{})
+	r.end(1, OK)
+	want(t, "sent", r.sent(), []uint64{1, 3})
+}
+
+func TestWindowHoldsTheRest(t *testing.T) {
+	r := start(t, site(), nodeA)
+	var evs []Event
+	for id := uint64(1); id <= 20; id++ {
+		evs = append(evs, req(id))
+	}
+	r.at(0, evs...)
+	want(t, "out at once", len(r.sends), int(windowStart))
+	r.at(180*ms, Ended{ID: r.sends[0].ID, Outcome: OK, Closed: true}) // slow for its aim
+	if w := r.h.nodes[0].window; w >= windowStart {
+		t.Errorf("window %v did not shrink", w)
+	}
+}
+
+func TestEveryRequestIsAnsweredOnce(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		nodes []Entry
+		play  func(*rig) []Action
+		want  map[uint64]string
+	}{
+		{"no node at all", nil, func(r *rig) []Action { return append(r.at(0, req(1)), r.wait(time.Second)...) },
+			map[uint64]string{1: "r"}},
+		{"held to the end", []Entry{nodeA}, func(r *rig) []Action {
+			r.h.nodes[0].pauseUntil = r.now + time.Hour
+			return append(r.at(0, req(1, class(1))), r.wait(time.Second)...)
+		}, map[uint64]string{1: "r"}},
+		{"unsafe timed out", []Entry{nodeA}, func(r *rig) []Action {
+			r.at(0, req(1, class(1)))
+			return r.at(time.Second, Ended{ID: 1, Outcome: TimedOut})
+		}, map[uint64]string{1: "f"}},
+		{"client left", []Entry{nodeA}, func(r *rig) []Action {
+			r.at(0, req(1))
+			r.at(0, Dropped{ID: 1})
+			return append(r.end(1, TimedOut), r.wait(time.Second)...)
+		}, map[uint64]string{}},
+		{"unknown class", []Entry{nodeA}, func(r *rig) []Action { return r.at(0, req(1, class(9))) },
+			map[uint64]string{1: "r"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			want(t, "answers", answers(c.play(start(t, site(), c.nodes...))), c.want)
+		})
+	}
+}
+
+// What follows the first outcome, by effect and by whether it proves that
+// nothing ran: sent again, failed at once.
+func TestEffects(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		class int
+		o     Outcome
+		again bool
+		final string
+	}{
+		{"safe, error", 0, Failed, true, ""},
+		{"safe, reset", 0, Reset, true, ""},
+		{"unsafe, error", 1, Failed, false, "f"},
+		{"unsafe, reset", 1, Reset, false, "f"},
+		{"unsafe, cancelled", 1, Cancelled, false, "f"},
+		{"unsafe, full", 1, Full, true, ""},
+		{"unsafe, not connected", 1, ConnectFailed, true, ""},
+		{"unsafe, moot", 1, Moot, true, ""},
+		{"keyed, reset", 2, Reset, true, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := start(t, site(), nodeA)
+			r.at(0, req(1, class(c.class)))
+			acts := r.end(1, c.o)
+			want(t, "answer", answers(acts)[1], c.final)
+			r.wait(400 * ms)
+			want(t, "sent again", r.tries[1] > 1, c.again)
+		})
+	}
+}
+
+func TestKeyedStaysInItsGroupAndWindow(t *testing.T) {
+	other := Entry{Node: "A2", Shard: 0, Zone: 1}
+	for _, c := range []struct {
+		name   string
+		group  Group
+		window time.Duration
+		again  bool
+		final  string
+	}{
+		{"all", GroupAll, time.Second, true, ""},
+		{"cell", GroupCell, time.Second, true, ""},
+		{"zone", GroupZone, time.Second, false, "f"},
+		{"window over", GroupAll, 50 * ms, false, "r"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := site(func(s *Settings) { s.Classes[2].Group, s.Classes[2].Window = c.group, c.window })
+			r := start(t, s, nodeA)
+			r.at(0, req(1, class(2)))
+			r.at(60*ms, List{Entries: []Entry{{Node: "A", Shard: 0, State: Gone}, other}})
+			acts := r.end(1, Reset)
+			acts = append(acts, r.wait(1100*ms)...)
+			want(t, "sent again", r.tries[1] > 1, c.again)
+			if !c.again {
+				want(t, "answer", answers(acts)[1], c.final)
+			}
+		})
+	}
+}
+
+func TestAttemptMaximum(t *testing.T) {
+	r := start(t, site(func(s *Settings) { s.MaxAttempts = 2 }), nodeA)
+	r.at(0, req(1))
+	r.end(1, Full)
+	r.wait(200 * ms)
+	want(t, "attempts", r.tries[1], 2)
+	want(t, "answer", answers(r.end(1, Full))[1], "r")
+}
+
+func TestDrainStopsAtOnceAndTheNextNodeTakesOver(t *testing.T) {
+	r := start(t, site(), nodeA)
+	r.h.nodes[0].window = 1
+	r.at(0, req(1), req(2))
+	r.at(10*ms, List{Entries: []Entry{{Node: "A", Shard: 0, State: Draining}}})
+	r.end(1, OK)
+	want(t, "sent to the draining node", len(r.sends), 1)
+	r.at(10*ms, List{Entries: []Entry{{Node: "A2", Shard: 0}}})
+	want(t, "next node", r.sends[len(r.sends)-1], Send{ID: 2, Node: "A2"})
+}
+
+func TestColdNodeGetsAnEvenPart(t *testing.T) {
+	s := site(func(s *Settings) {
+		s.Heads, s.ColdUnits, s.FallWindow, s.Cold, s.ColdFrom = 2, 12, time.Second, 10*time.Second, 0.25
+	})
+	r := start(t, s)
+	r.wait(2 * time.Second)
+	r.at(0, List{Entries: []Entry{{Node: "A", Shard: 0, Started: r.now}}})
+	r.h.nodes[0].window = 8
+	var evs []Event
+	for id := uint64(1); id <= 9; id++ {
+		evs = append(evs, req(id, units(2)))
+	}
+	r.at(0, evs...)
+	want(t, "half of 12 units in twos", len(r.sends), 3)
+	for _, x := range r.sends { // turned away counts as well
+		r.at(0, Ended{ID: x.ID, Node: "A", Outcome: Full})
+	}
+	r.wait(500 * ms)
+	want(t, "nothing more in the window", len(r.sends), 3)
+}
+
+func TestColdWindowCountsAsSpentAfterARestart(t *testing.T) {
+	s := site(func(s *Settings) {
+		s.ColdUnits, s.FallWindow, s.Cold, s.ColdFrom = 12, time.Second, 10*time.Second, 0.25
+	})
+	r := start(t, s, Entry{Node: "A", Shard: 0, Started: time.Minute - time.Second})
+	r.at(0, req(1, func(a *Arrival) { a.Left = 3 * time.Second }))
+	r.wait(900 * ms)
+	want(t, "sent in the first window", len(r.sends), 0)
+	r.wait(300 * ms)
+	want(t, "sent after it", len(r.sends), 1)
+}
+
+func TestOrderByKey(t *testing.T) {
+	s := site(func(s *Settings) { s.Classes[0].InOrder, s.OrderRest = true, 300*ms })
+	r := start(t, s, nodeA)
+	r.h.nodes[0].window = 8
+	r.at(0, req(1, key("k")), req(2, key("k")), req(3, key("other")))
+	want(t, "one at a time", r.sent(), []uint64{1, 3})
+	r.end(3, OK)
+	r.at(0, Dropped{ID: 1})
+	r.wait(50 * ms)
+	want(t, "attempt of a finished one still out", len(r.sends), 2)
+	r.at(0, Ended{ID: 1, Outcome: TimedOut, Closed: true})
+	r.wait(250 * ms)
+	want(t, "key at rest", len(r.sends), 2)
+	r.wait(100 * ms)
+	want(t, "after the rest", r.sent(), []uint64{1, 3, 2})
+}
+
+func TestBudgetOfFurtherAttempts(t *testing.T) {
+	s := site(func(s *Settings) {
+		s.Budget, s.BudgetFree, s.BudgetShare, s.BudgetOver = true, 1, 0.5, 5*time.Second
+		s.MaxAttempts = 0
+	})
+	r := start(t, s, nodeA)
+	r.h.nodes[0].window = 8
+	long := func(a *Arrival) { a.Left = time.Minute }
+	r.at(0, req(1, long), req(2, long))
+	for range 20 { // two taken: 1 + 0.5*2 further attempts in five seconds
+		for id := range r.tries {
+			r.end(id, Full)
+		}
+		r.wait(100 * ms)
+	}
+	want(t, "attempts", r.tries[1]+r.tries[2], 4)
+}
+
+func TestLimitIsSplitAndEmptyAtBoot(t *testing.T) {
+	s := site(func(s *Settings) { s.Heads, s.Plans[0].Limit, s.Plans[0].LimitBurst = 2, 20, 24 })
+	r := start(t, s, nodeA)
+	r.h.nodes[0].window = 8
+	long := func(a *Arrival) { a.Left, a.Hosts = time.Minute, 2 }
+	r.at(0, req(1, long), req(2, long), req(3, long))
+	want(t, "sent from an empty bucket", len(r.sends), 0)
+	r.wait(250 * ms) // 10 units a second: 2.5 units
+	want(t, "after a quarter of a second", len(r.sends), 1)
+	r.end(1, OK)
+	r.wait(500 * ms)
+	for _, x := range r.sends {
+		r.end(x.ID, OK)
+	}
+	r.at(10*time.Second, req(4, long, ofVolume("late", 0), units(6)), req(5, long, ofVolume("late", 0), units(6)),
+		req(6, long, ofVolume("late", 0), units(6)))
+	sent := r.sent()
+	if !slices.Contains(sent, 5) || slices.Contains(sent, 6) {
+		t.Errorf("sent %v: a volume first seen later has the burst of 12 units, no more", sent)
+	}
+}
+
+func TestBreaker(t *testing.T) {
+	r := start(t, site(), nodeA, nodeB)
+	r.at(0, req(1), req(2))
+	r.wait(450 * ms) // silence of more than two aims
+	if !r.h.nodes[0].open {
+		t.Fatal("breaker closed after silence")
+	}
+	r.at(0, req(3), req(4), req(5), req(6, shard(1)))
+	want(t, "sent to the other node", r.sends[len(r.sends)-1].ID, uint64(6))
+	n := len(r.sends)
+	r.wait(500 * ms)
+	if trials := len(r.sends) - n; trials < 1 || trials > 2 {
+		t.Errorf("%d trials in half a second, want one or two", trials)
+	}
+	last := r.sends[len(r.sends)-1].ID
+	r.end(last, OK)
+	want(t, "open after an answer", r.h.nodes[0].open, false)
+}
+
+func TestSomeResetsDoNotOpenTheBreaker(t *testing.T) {
+	r := start(t, site(), nodeA)
+	for id := uint64(1); id <= 6; id++ {
+		r.at(10*ms, req(id, class(1)))
+		r.end(id, []Outcome{Reset, Reset, OK}[id%3])
+	}
+	want(t, "open", r.h.nodes[0].open, false)
+	for id := uint64(10); id <= 13; id++ {
+		r.at(10*ms, req(id, class(1)))
+		if r.tries[id] > 0 {
+			r.end(id, Reset)
+		}
+	}
+	want(t, "open after resets in a row", r.h.nodes[0].open, true)
+}
+
+func TestLateAndExcessYieldWhileTheNodeIsSlow(t *testing.T) {
+	r := start(t, site(func(s *Settings) { s.Plans[0].Reserve = 100 }), nodeA)
+	n := r.h.nodes[0]
+	n.pressure, n.heard = 0.9, r.now
+	want(t, "late", r.h.yields(&request{}, n, true), true)
+	want(t, "excess", r.h.yields(&request{excess: true}, n, false), true)
+	want(t, "in time, within the reserve", r.h.yields(&request{}, n, false), false)
+	n.pressure = 0.1
+	want(t, "late at a quick node", r.h.yields(&request{}, n, true), false)
+	n.pressure, n.heard = 0.9, r.now-time.Second
+	want(t, "late, nothing heard for an aim", r.h.yields(&request{}, n, true), false)
+}
+
+func TestNewObjectGoesToTheLeastLoaded(t *testing.T) {
+	r := start(t, site(), nodeA, nodeB)
+	r.at(0, req(1), req(2), req(3), req(4))
+	r.at(0, req(5, shard(-1)))
+	want(t, "node", r.sends[len(r.sends)-1], Send{ID: 5, Node: "B"})
+}
+
+func TestAskedDiscovery(t *testing.T) {
+	r := start(t, site(func(s *Settings) { s.AskDiscovery = true }))
+	count := func(acts []Action) (n int) {
+		for _, a := range acts {
+			if _, ok := a.(Watch); ok {
+				n++
+			}
+		}
+		return n
+	}
+	want(t, "at boot", count(r.acts), 1)
+	r.at(0, List{Failed: true})
+	want(t, "after a failed call", count(r.wait(1100*ms)), 1)
+}
+
+func TestSettings(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(*Settings)
+		field  string // named in the error; empty: accepted
+	}{
+		{"as they are", func(*Settings) {}, ""},
+		{"no heads", func(s *Settings) { s.Heads = 0 }, "Heads"},
+		{"no classes", func(s *Settings) { s.Classes = nil }, "Classes"},
+		{"no plans", func(s *Settings) { s.Plans = nil }, "Plans"},
+		{"no aim", func(s *Settings) { s.Classes[1].Aim = 0 }, "Classes[1].Aim"},
+		{"negative weight", func(s *Settings) { s.Plans[0].Weight = -1 }, "Plans[0]"},
+		{"negative cold units", func(s *Settings) { s.ColdUnits = -1 }, "ColdUnits"},
+		{"budget over no time", func(s *Settings) { s.Budget = true }, "BudgetOver"},
+		{"zero weights", func(s *Settings) { s.Plans[0].Weight = 0 }, ""},
+		{"no attempts told", func(s *Settings) { s.MaxAttempts = 0 }, ""},
+		{"no unit figures", func(s *Settings) { s.MostUnits, s.MeanUnits = 0, 0 }, ""},
+		{"cold without units", func(s *Settings) { s.Cold, s.FallWindow = time.Second, time.Second }, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := site(c.change)
+			_, err := New(s, 1, 0)
+			if c.field == "" {
+				r := start(t, s, nodeA)
+				acts := append(r.at(0, req(1)), r.end(1, OK)...)
+				want(t, "answers", len(answers(acts)), 0)
+				want(t, "sent", len(r.sends), 1)
+			} else if err == nil || !strings.Contains(err.Error(), c.field) {
+				t.Errorf("error %v does not name %s", err, c.field)
+			}
+		})
+	}
+}
+
+func TestStrangeEventsAreTakenCalmly(t *testing.T) {
+	r := start(t, site(), nodeA)
+	acts := r.at(0, Ended{ID: 77}, Dropped{ID: 77}, Begun{ID: 77}, Wake{}, Message{Data: []byte("?")},
+		Ended{ID: 1, Outcome: Outcome(99)}, List{Entries: []Entry{{Node: "Z", State: Gone}}})
+	want(t, "answers", len(answers(acts)), 0)
+	r.at(0, req(1), req(1))
+}
+
+func TestSameEventsSameActions(t *testing.T) {
+	play := func() (all []Action) {
+		r := start(t, site(func(s *Settings) { s.Plans[0].Reserve, s.Heads = 5, 3 }), nodeA, nodeB)
+		for id := uint64(1); id <= 300; id++ {
+			vol := string(rune('a' + id%17))
+			all = append(all, r.at(3*ms, req(id, class(int(id%3)), shard(int(id%2)), ofVolume(vol, 0)))...)
+			if id%2 == 0 && len(r.sends) > int(id/4) {
+				x := r.sends[id/4].ID
+				all = append(all, r.end(x, []Outcome{OK, Full, Reset, TimedOut}[id%4])...)
+			}
+		}
+		return append(all, r.wait(12*time.Second)...)
+	}
+	want(t, "second run", play(), play())
+}
