One yield bound, by what a unit earns, in place of two

Change: bound = yieldAt + yieldWorth x (class worth x price x late x share). Folds the bounds for late and for excess. Could harm: the least-worth class on a node that is slow but not crowded.

--- a/cmd/benchlink/main.go
+++ b/cmd/benchlink/main.go
@@ -148,8 +148,8 @@
 	s := logic.Settings{
 		Self: f.SelfIndex, Heads: f.FleetSize, AskDiscovery: f.Discovery == "ask", MustAskWithin: us(g.MustAskIn),
 		MostUnits: f.FamilyInfo.UnitsTop, MeanUnits: f.FamilyInfo.UsualUnits, ColdUnits: f.FamilyInfo.ColdUnits,
-		TellsElsewhere: f.FamilyInfo.SaysOthers,
-		FallWindow:     us(g.OverloadFor), Cold: us(g.Cold), ColdFrom: g.ColdFrom, OrderRest: us(g.OrderSettle),
+		TellsElsewhere: f.FamilyInfo.SaysOthers, ShareWorth: f.FamilyInfo.FairWorth,
+		FallWindow: us(g.OverloadFor), Cold: us(g.Cold), ColdFrom: g.ColdFrom, OrderRest: us(g.OrderSettle),
 		BudgetOver: us(g.CountedOver), Budget: g.CountedOver > 0,
 		MaxAttempts: l.MaxAttempts, ParallelTries: l.ParallelTries, Peers: l.MayTell,
 	}
@@ -164,7 +164,7 @@
 	}
 	for _, c := range f.Classes {
 		s.Classes = append(s.Classes, logic.Class{Name: c.Name, Aim: us(c.Target), Effect: effects[c.Effect],
-			Group: groups[c.Group], Window: us(c.Window), InOrder: c.InTurn, Worth: c.Gain, Stream: c.Stream})
+			Group: groups[c.Group], Window: us(c.Window), InOrder: c.InTurn, Worth: c.Gain, LateWorth: c.Late, Stream: c.Stream})
 	}
 	for _, p := range f.Grades {
 		s.Plans = append(s.Plans, logic.Plan{Name: p.Name, Rate: p.Nominal, Reserve: p.Guaranteed,
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -26,6 +26,7 @@
 		Window int64   `json:"window"`
 		InTurn bool    `json:"inTurn"`
 		Gain   float64 `json:"gain"`
+		Late   float64 `json:"lateWorth"`
 		Stream bool    `json:"stream"`
 	} `json:"classes"`
 	Grades []struct {
@@ -41,6 +42,7 @@
 		ColdUnits  float64 `json:"coldUnits"`
 		UnitsTop   float64 `json:"unitsTop"`
 		UsualUnits float64 `json:"usualUnits"`
+		FairWorth  float64 `json:"fairWorth"`
 		SaysOthers bool    `json:"saysOthers"`
 	} `json:"familyInfo"`
 	Guarantees struct {
--- a/logic/api.go
+++ b/logic/api.go
@@ -38,7 +38,9 @@
 	Window  time.Duration // how long repeats of a keyed request are dropped
 	InOrder bool          // requests with one key run one at a time, in turn
 	Worth   float64
-	Stream  bool
+	// LateWorth is the part of it that an answer after the aim earns.
+	LateWorth float64
+	Stream    bool
 }
 
 // Plan describes what a volume bought. Its figures count over all heads and nodes.
@@ -60,6 +62,7 @@
 	Plans       []Plan
 	MostUnits   float64 // of one request
 	MeanUnits   float64
+	ShareWorth  float64 // part of the worth that units beyond the reserve earn within the share
 
 	AskDiscovery  bool          // the node list must be asked for
 	MustAskWithin time.Duration // and asked again within this
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -21,8 +21,8 @@
 	windowStart = 2.0              // D at a node of which nothing is known
 	congested   = 0.5              // an answer later than this part of its aim shrinks the window
 	relaxed     = 0.35             // one sooner than this part may widen it
-	yieldLate   = 0.35             // what is late waits while answers take this part of their aims
-	yieldExcess = 0.5              // likewise what is beyond its volume's reserve
+	yieldAt     = 0.25             // what is worth nothing waits while answers take this part of their aims
+	yieldWorth  = 0.7              // and what is worth something from so much more
 	shrink      = 0.7              // multiplicative decrease
 	smooth      = 0.15             // weight of the newest answer in running means
 	idleFor     = 10 * time.Second // idle volumes are forgotten after this
@@ -133,6 +133,7 @@
 	boot     Time
 	aim      time.Duration // shortest aim
 	weights  float64
+	top      float64 // most that a unit may earn
 	seq      int
 	acts     []Action
 	nodes    []*node
@@ -162,6 +163,9 @@
 	}
 	for _, p := range s.Plans {
 		h.weights += p.Weight
+		for _, c := range s.Classes {
+			h.top = max(h.top, c.Worth*p.Price, 1e-9)
+		}
 	}
 	if s.AskDiscovery {
 		h.watchAt = now
@@ -628,19 +632,24 @@
 }
 
 // yields tells whether a request stands back for those of other heads at the
-// node, which cannot be seen but in how slowly the node answers: what is late
-// soonest, then what is beyond its volume's reserve. Departure from "no slot
-// idled": a slot is left open then, for an aim after the last answer at most.
+// node, which cannot be seen but in how slowly the node answers: what earns
+// least a unit soonest (late, beyond the reserve, of a class or plan of little
+// worth). Departure from "no slot idled": a slot is left open then, for an aim
+// after the last answer at most.
 func (h *Head) yields(r *request, n *node, late bool) bool {
-	limit := math.Inf(1)
+	worth := h.worth(r) / h.top
 	if late {
-		limit = yieldLate
-	} else if r.excess {
-		limit = yieldExcess
+		worth *= r.class.LateWorth
+	}
+	if r.excess {
+		worth *= h.s.ShareWorth
 	}
-	return n.pressure > limit && h.now-n.heard < h.aim
+	return n.pressure > yieldAt+yieldWorth*worth && worth < 1 && h.now-n.heard < h.aim
 }
 
+// worth is what a unit of the request earns in time and within the reserve.
+func (h *Head) worth(r *request) float64 { return r.class.Worth * r.vol.plan.Price }
+
 // pick returns the held request that goes next: the volume with the lowest
 // start tag, and of its requests one whose key the node has just had (it costs
 // less), else the one of most worth, then with the nearest aim, which trades tags
@@ -649,7 +658,7 @@
 func (h *Head) pick(n *node) (best *request) {
 	late := func(r *request) bool { return h.now+h.expected(n, r) > r.aimAt }
 	before := func(a, b *request) bool { // more worth a unit, then the nearer aim
-		if wa, wb := a.class.Worth*a.vol.plan.Price, b.class.Worth*b.vol.plan.Price; wa != wb {
+		if wa, wb := h.worth(a), h.worth(b); wa != wb {
 			return wa > wb
 		}
 		return a.aimAt < b.aimAt || (a.aimAt == b.aimAt && a.seq < b.seq)
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -451,17 +451,34 @@
 	want(t, "open after resets in a row", r.h.nodes[0].open, true)
 }
 
-func TestLateAndExcessYieldWhileTheNodeIsSlow(t *testing.T) {
-	r := start(t, site(func(s *Settings) { s.Plans[0].Reserve = 100 }), nodeA)
+// ic23155, ifb7f1d: what earns little must stand back at a crowded node.
+func TestWhatEarnsLittleYieldsWhileTheNodeIsSlow(t *testing.T) {
+	s := site(func(s *Settings) {
+		s.ShareWorth, s.Classes[0].LateWorth, s.Classes[1].Worth = 0.3, 0.1, 1
+	})
+	r := start(t, s, nodeA)
 	n := r.h.nodes[0]
-	n.pressure, n.heard = 0.9, r.now
-	want(t, "late", r.h.yields(&request{}, n, true), true)
-	want(t, "excess", r.h.yields(&request{excess: true}, n, false), true)
-	want(t, "in time, within the reserve", r.h.yields(&request{}, n, false), false)
-	n.pressure = 0.1
-	want(t, "late at a quick node", r.h.yields(&request{}, n, true), false)
-	n.pressure, n.heard = 0.9, r.now-time.Second
-	want(t, "late, nothing heard for an aim", r.h.yields(&request{}, n, true), false)
+	for _, c := range []struct {
+		name     string
+		pressure float64
+		silent   time.Duration
+		class    int
+		excess   bool
+		late     bool
+		want     bool
+	}{
+		{"in time, within the reserve", 2, 0, 0, false, false, false},
+		{"late", 0.9, 0, 0, false, true, true},
+		{"beyond the reserve", 0.9, 0, 0, true, false, true},
+		{"class of half the worth", 0.9, 0, 1, false, false, true},
+		{"half the worth, some pressure", 0.4, 0, 1, false, false, false},
+		{"late at a quick node", 0.1, 0, 0, false, true, false},
+		{"late, nothing heard for long", 0.9, time.Second, 0, false, true, false},
+	} {
+		q := &request{vol: r.h.volume(req(1)), class: &r.h.s.Classes[c.class], excess: c.excess}
+		n.pressure, n.heard = c.pressure, r.now-c.silent
+		want(t, c.name, r.h.yields(q, n, c.late), c.want)
+	}
 }
 
 func TestNewObjectGoesToTheLeastLoaded(t *testing.T) {
