The yield bound is in proportion to the worth

Conclusion: what earns next to nothing should not stand in a node's queue at all, what earns much hardly ever stands back. The intercept is gone.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -21,8 +21,7 @@
 	windowStart = 2.0              // D at a node of which nothing is known
 	congested   = 0.5              // an answer later than this part of its aim shrinks the window
 	relaxed     = 0.35             // one sooner than this part may widen it
-	yieldAt     = 0.25             // what is worth nothing waits while answers take this part of their aims
-	yieldWorth  = 0.7              // and what is worth something from so much more
+	yield       = 1.4              // x worth: the part of their aims that answers take when it stands back
 	shrink      = 0.7              // multiplicative decrease
 	smooth      = 0.15             // weight of the newest answer in running means
 	idleFor     = 10 * time.Second // idle volumes are forgotten after this
@@ -644,7 +643,7 @@
 	if r.excess {
 		worth *= h.s.ShareWorth
 	}
-	return n.pressure > yieldAt+yieldWorth*worth && worth < 1 && h.now-n.heard < h.aim
+	return n.pressure > yield*worth && worth < 1 && h.now-n.heard < h.aim
 }
 
 // worth is what a unit of the request earns in time and within the reserve.
