Pressure fades while nothing is heard, in place of a cut-off after one aim

Cause: once an aim had passed without an answer all low-worth requests went at once into a node that other heads kept busy. Now the remembered pressure halves every two shortest aims, so what earns more goes sooner. Should also catch: any crowd that a head cannot see. Could harm: a node with one head whose own excess slows it; it idles a part of the time.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -22,6 +22,7 @@
 	congested   = 0.5              // an answer later than this part of its aim shrinks the window
 	relaxed     = 0.35             // one sooner than this part may widen it
 	yield       = 1.4              // x worth: the part of their aims that answers take when it stands back
+	calmAims    = 2.0              // pressure halves over so many shortest aims without an answer
 	shrink      = 0.7              // multiplicative decrease
 	smooth      = 0.15             // weight of the newest answer in running means
 	idleFor     = 10 * time.Second // idle volumes are forgotten after this
@@ -643,7 +644,8 @@
 	if r.excess {
 		worth *= h.s.ShareWorth
 	}
-	return n.pressure > yield*worth && worth < 1 && h.now-n.heard < h.aim
+	pressure := n.pressure * math.Exp2(-float64(h.now-n.heard)/float64(h.aim)/calmAims)
+	return pressure > yield*worth && worth < 1
 }
 
 // worth is what a unit of the request earns in time and within the reserve.
