A floor under the yield bound; tries with other measures of pressure

Fault: with a ShareWorth or LateWorth of 0 the bound was 0 and such requests never left even at an idle node (found by the test of the limit).

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -22,6 +22,7 @@
 	congested   = 0.5              // an answer later than this part of its aim shrinks the window
 	relaxed     = 0.35             // one sooner than this part may widen it
 	yield       = 1.4              // x worth: the part of their aims that answers take when it stands back
+	yieldLeast  = 0.05             // what earns nothing goes too where answers take less than this
 	calmAims    = 2.0              // pressure halves over so many shortest aims without an answer
 	shrink      = 0.7              // multiplicative decrease
 	smooth      = 0.15             // weight of the newest answer in running means
@@ -480,7 +481,7 @@
 		n.lat += smooth * (took - n.lat)
 		n.units += smooth * (a.r.Units - n.units)
 		part := took / a.r.class.Aim.Seconds()
-		n.pressure += smooth * (min(part, 2) - n.pressure)
+		n.pressure += smooth * (min(part, 1) - n.pressure)
 		if part > congested && a.sent >= n.shrunk {
 			n.window, n.shrunk = max(1, n.window*shrink), h.now
 		} else if part < relaxed && a.full {
@@ -645,7 +646,7 @@
 		worth *= h.s.ShareWorth
 	}
 	pressure := n.pressure * math.Exp2(-float64(h.now-n.heard)/float64(h.aim)/calmAims)
-	return pressure > yield*worth && worth < 1
+	return pressure > max(yield*worth, yieldLeast) && worth < 1
 }
 
 // worth is what a unit of the request earns in time and within the reserve.
