A cold node's scarce budget counts as pressure

Told apart by the drop starting with the release, not with traffic, and by the worst servers being the new ones. Should also catch: cold nodes after any restart or outage.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -565,27 +565,32 @@
 // must; all sends of the window count, turned away or not. After the head's own
 // start a window passes first, as its life before may have spent it.
 func (h *Head) coldRoom(n *node, units float64) bool {
+	used, room := h.coldBudget(n)
+	return used+units <= room
+}
+
+// coldBudget returns what this head sent a node in the window and what it may.
+func (h *Head) coldBudget(n *node) (used, room float64) {
 	if !h.isCold(n) {
-		return true
+		return 0, math.Inf(1)
 	}
 	if h.now < h.boot+h.s.FallWindow {
-		return false
+		return 0, 0
 	}
-	part := h.s.ColdUnits
-	if part == 0 {
-		part = h.s.MeanUnits
+	room = h.s.ColdUnits
+	if room == 0 {
+		room = h.s.MeanUnits
 	}
 	if from := h.s.ColdFrom; from > 0 && from < 1 {
 		age := float64(h.now-n.Started-h.s.FallWindow) / float64(h.s.Cold)
-		part *= 1 + max(0, age)*(1-from)/from
+		room *= 1 + max(0, age)*(1-from)/from
 	}
-	sum := units
 	for _, s := range n.cold {
 		if s.at > h.now-h.s.FallWindow {
-			sum += s.units
+			used += s.units
 		}
 	}
-	return sum <= part/float64(h.s.Heads)
+	return used, room / float64(h.s.Heads)
 }
 
 // ---- sending ----
@@ -646,6 +651,9 @@
 		worth *= h.s.ShareWorth
 	}
 	pressure := n.pressure * math.Exp2(-float64(h.now-n.heard)/float64(h.aim)/calmAims)
+	if used, room := h.coldBudget(n); room > 0 { // what a cold node bears is for what earns most
+		pressure = max(pressure, used/room)
+	}
 	return pressure > max(yield*worth, yieldLeast) && worth < 1
 }
 
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -560,3 +560,24 @@
 	}
 	want(t, "second run", play(), play())
 }
+
+// ia9f140: during a rolling release a cold node's budget went to exports and
+// excess while reads within reserves waited.
+func TestColdBudgetIsKeptForWhatEarnsMost(t *testing.T) {
+	s := site(func(s *Settings) {
+		s.ColdUnits, s.FallWindow, s.Cold, s.ColdFrom, s.ShareWorth = 12, time.Second, 10*time.Second, 0.25, 0.3
+		s.Plans = append(s.Plans, Plan{Weight: 1, Price: 1, Reserve: 50})
+	})
+	r := start(t, s)
+	r.wait(2 * time.Second)
+	r.at(0, List{Entries: []Entry{{Node: "A", Shard: 0, Started: r.now}}})
+	r.h.nodes[0].window = 8
+	var evs []Event
+	for id := uint64(1); id <= 6; id++ {
+		evs = append(evs, req(id, ofVolume("excess", 0)))
+	}
+	r.at(0, evs...)
+	want(t, "excess sent, of a room of six", len(r.sends), 3)
+	r.at(0, req(10, ofVolume("reserved", 1)), req(11, ofVolume("reserved", 1)))
+	want(t, "reserved sent after it", len(r.sends), 5)
+}
