--- /dev/null
+++ b/cmd/benchlink/main_test.go
@@ -0,0 +1,50 @@
+package main
+
+import (
+	"strings"
+	"testing"
+)
+
+const facts = `{"fleetSize":1,"classes":[{"target":150000,"effect":"retryable","gain":2}],` +
+	`"grades":[{"shares":1,"valueFactor":1}],"unknown":{"x":1}}`
+
+func play(t *testing.T, in string) string {
+	t.Helper()
+	var out strings.Builder
+	if err := run(strings.NewReader(in), &out); err != nil {
+		t.Fatal(err)
+	}
+	return out.String()
+}
+
+func TestRun(t *testing.T) {
+	const boot = "boot head_0 5 " + facts + "\nregistry head_0 C 1 1\nitem s 0 0 0 SERVING 1 -\n"
+	const job = " 0 0 k 0 vol 1000000 2 1 0\n"
+	for _, c := range []struct{ name, in, want string }{
+		{"empty batch", "clock 5 1\nover_to_you\n", "next 1\n"},
+		{"a request is sent", "clock 5 1\n" + boot + "job_in head_0 7" + job + "over_to_you\n",
+			"dispatch head_0 7 s 0\n"},
+		{"stopped and started in one batch", "clock 5 1\n" + boot + "over_to_you\nclock 9 2\njob_in head_0 7" + job +
+			"shutdown head_0\n" + boot + "job_in head_0 8" + job + "over_to_you\n", "dispatch head_0 8 s 0\n"},
+		{"unusable settings", "clock 5 1\nboot head_0 5 {}\nover_to_you\n", "broken head_0 settings: Heads"},
+		{"nothing after a stop", "clock 5 1\n" + boot + "shutdown head_0\nbell head_0 w\nover_to_you\n", "next 1\n"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			got := play(t, c.in)
+			if !strings.Contains(got, c.want) || strings.Contains(got, "dispatch head_0 7") != (c.name == "a request is sent") {
+				t.Errorf("got %q, want %q in it", got, c.want)
+			}
+		})
+	}
+}
+
+func TestMalformedInputIsAnError(t *testing.T) {
+	var out strings.Builder
+	err := run(strings.NewReader("clock 1 1\nnonsense head_0\n"), &out)
+	if err == nil || !strings.Contains(err.Error(), "line 2") {
+		t.Errorf("error %v does not name the line", err)
+	}
+	if out.Len() > 0 {
+		t.Errorf("wrote %q", out.String())
+	}
+}
--- /dev/null
+++ b/internal/wire/wire_test.go
@@ -0,0 +1,58 @@
+package wire
+
+import (
+	"io"
+	"strings"
+	"testing"
+)
+
+func TestRead(t *testing.T) {
+	in := "clock 8412250 12\n" +
+		"registry head_3 C 41 1\nitem shelf_a 0 0 7 SERVING 1.5 6100000\n" +
+		"job_in head_3 43 0 1 c:k 1 pre-c 240000 2 3 0\n" +
+		"ended head_3 43 0 shelf_a done 18500 1 86 3 concurrent:7\n" +
+		"ended head_3 43 1 shelf_a strange - 0 - - -\nbell head_3 w\nshutdown head_3\nover_to_you\n"
+	r := NewReader(strings.NewReader(in))
+	b, err := r.Read()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if b.Clock != 8412250 || b.Number != "12" || len(b.Events) != 6 {
+		t.Fatalf("batch %+v", b)
+	}
+	if it := b.Events[0].Items[0]; it.Shelf != "shelf_a" || it.Cluster != 7 || it.UpSince != 6100000 {
+		t.Errorf("item %+v", it)
+	}
+	if e := b.Events[1]; e.Job != 43 || e.Plan != 1 || e.User != "pre-c" || e.Grace != 240000 || e.Writers != 3 {
+		t.Errorf("job_in %+v", e)
+	}
+	if e := b.Events[2]; !e.Terminal || e.Elsewhere != 3 || e.Telemetry["concurrent"] != 7 {
+		t.Errorf("ended %+v", e)
+	}
+	if _, err := r.Read(); err != io.EOF {
+		t.Errorf("at the end: %v, want EOF", err)
+	}
+}
+
+func TestMalformed(t *testing.T) {
+	for _, c := range []struct{ name, in, want string }{
+		{"no clock", "hello\n", "line 1: a batch starts with clock"},
+		{"clock is no number", "clock x 1\n", "line 1: value 1"},
+		{"unknown message", "clock 1 1\nwhat head_1\n", "line 2: unknown message"},
+		{"missing value", "clock 1 1\ndropped head_1\n", "line 2: dropped: value 2 is missing"},
+		{"bad number", "clock 1 1\ndropped head_1 abc\n", "line 2: dropped: value 2"},
+		{"too many values", "clock 1 1\ndropped head_1 2 3\n", "line 2: dropped: 1 values too many"},
+		{"bad settings", "clock 1 1\nboot head_1 5 {\n", "line 2: boot: facts"},
+		{"missing item", "clock 1 1\nregistry head_1 F 1 1\nover_to_you\n", "line 3: expected an item"},
+		{"truncated", "clock 1 1\nbell head_1 w\n", "line 3: input ends inside a batch"},
+		{"cut inside a line", "clock 1 1\nbell hea", "line 2: input ends inside a batch"},
+		{"bad report", "clock 1 1\nended head_3 43 0 s done 1 1 0 0 x:y\n", "line 2: ended: value 10"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := NewReader(strings.NewReader(c.in)).Read()
+			if err == nil || !strings.HasPrefix(err.Error(), c.want) {
+				t.Errorf("got %v, want %s...", err, c.want)
+			}
+		})
+	}
+}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -329,6 +329,7 @@
 func TestColdNodeGetsAnEvenPart(t *testing.T) {
 	s := site(func(s *Settings) {
 		s.Heads, s.ColdUnits, s.FallWindow, s.Cold, s.ColdFrom = 2, 12, time.Second, 10*time.Second, 0.25
+		s.Plans[0].Reserve = 100
 	})
 	r := start(t, s)
 	r.wait(2 * time.Second)
