--- a/cmd/benchlink/main.go
+++ b/cmd/benchlink/main.go
@@ -148,7 +148,7 @@
 	s := logic.Settings{
 		Self: f.SelfIndex, Heads: f.FleetSize, AskDiscovery: f.Discovery == "ask", MustAskWithin: us(g.MustAskIn),
 		MostUnits: f.FamilyInfo.UnitsTop, MeanUnits: f.FamilyInfo.UsualUnits, ColdUnits: f.FamilyInfo.ColdUnits,
-		TellsElsewhere: f.FamilyInfo.SaysOthers, ShareWorth: f.FamilyInfo.FairWorth, SpareWorth: f.FamilyInfo.BeyondShare,
+		TellsElsewhere: f.FamilyInfo.SaysOthers, ShareWorth: f.FamilyInfo.FairWorth,
 		FallWindow: us(g.OverloadFor), Cold: us(g.Cold), ColdFrom: g.ColdFrom, OrderRest: us(g.OrderSettle),
 		BudgetOver: us(g.CountedOver), Budget: g.CountedOver > 0,
 		MaxAttempts: l.MaxAttempts, ParallelTries: l.ParallelTries, Peers: l.MayTell,
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -39,12 +39,11 @@
 		LimitBurst  float64 `json:"limitBurst"`
 	} `json:"grades"`
 	FamilyInfo struct {
-		ColdUnits   float64 `json:"coldUnits"`
-		UnitsTop    float64 `json:"unitsTop"`
-		UsualUnits  float64 `json:"usualUnits"`
-		BeyondShare float64 `json:"beyondShare"`
-		FairWorth   float64 `json:"fairWorth"`
-		SaysOthers  bool    `json:"saysOthers"`
+		ColdUnits  float64 `json:"coldUnits"`
+		UnitsTop   float64 `json:"unitsTop"`
+		UsualUnits float64 `json:"usualUnits"`
+		FairWorth  float64 `json:"fairWorth"`
+		SaysOthers bool    `json:"saysOthers"`
 	} `json:"familyInfo"`
 	Guarantees struct {
 		Cold         int64    `json:"cold"`
--- a/logic/api.go
+++ b/logic/api.go
@@ -63,7 +63,6 @@
 	MostUnits   float64 // of one request
 	MeanUnits   float64
 	ShareWorth  float64 // part of the worth that units beyond the reserve earn within the share
-	SpareWorth  float64 // and beyond the share
 
 	AskDiscovery  bool          // the node list must be asked for
 	MustAskWithin time.Duration // and asked again within this
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -23,7 +23,6 @@
 	relaxed     = 0.35             // one sooner than this part may widen it
 	yield       = 1.4              // x worth: the part of their aims that answers take when it stands back
 	yieldLeast  = 0.05             // what earns nothing goes too where answers take less than this
-	aheadUnits  = 4.0              // a tag further ahead of v than so many mean requests is beyond the share
 	calmAims    = 2.0              // pressure halves over so many shortest aims without an answer
 	shrink      = 0.7              // multiplicative decrease
 	smooth      = 0.15             // weight of the newest answer in running means
@@ -648,10 +647,8 @@
 	if late {
 		worth *= r.class.LateWorth
 	}
-	if r.excess && r.start > n.v+aheadUnits*h.s.MeanUnits/r.vol.phi {
-		worth *= h.s.SpareWorth
-	} else if r.excess {
-		worth *= h.s.ShareWorth
+	if r.excess {
+		worth *= math.Sqrt(h.s.ShareWorth)
 	}
 	pressure := n.pressure * math.Exp2(-float64(h.now-n.heard)/float64(h.aim)/calmAims)
 	if used, room := h.coldBudget(n); room > 0 { // what a cold node bears is for what earns most
