--- a/logic/logic.go
+++ b/logic/logic.go
@@ -23,9 +23,11 @@
 	relaxed     = 0.35             // one sooner than this part may widen it
 	yield       = 1.4              // x worth: the part of their aims that answers take when it stands back
 	yieldLeast  = 0.05             // what earns nothing goes too where answers take less than this
-	calmAims    = 2.0              // pressure halves over so many shortest aims without an answer
+	calmLate    = 4.0              // the same for what is late
+	calmAims    = 1.5              // pressure halves over so many shortest aims without an answer
 	shrink      = 0.7              // multiplicative decrease
 	smooth      = 0.15             // weight of the newest answer in running means
+	steady      = 0.04             // the same for pressure, so that a pause does not make a calm node crowded
 	idleFor     = 10 * time.Second // idle volumes are forgotten after this
 	lastCall    = 10 * time.Millisecond
 	poll        = 10 * time.Millisecond // look again at requests held by a bucket or a rest
@@ -481,7 +483,7 @@
 		n.lat += smooth * (took - n.lat)
 		n.units += smooth * (a.r.Units - n.units)
 		part := took / a.r.class.Aim.Seconds()
-		n.pressure += smooth * (min(part, 1) - n.pressure)
+		n.pressure += steady * (min(part, 1) - n.pressure)
 		if part > congested && a.sent >= n.shrunk {
 			n.window, n.shrunk = max(1, n.window*shrink), h.now
 		} else if part < relaxed && a.full {
@@ -648,9 +650,13 @@
 		worth *= r.class.LateWorth
 	}
 	if r.excess {
-		worth *= math.Sqrt(h.s.ShareWorth)
+		worth *= h.s.ShareWorth
 	}
-	pressure := n.pressure * math.Exp2(-float64(h.now-n.heard)/float64(h.aim)/calmAims)
+	calm := calmAims
+	if late {
+		calm = calmLate
+	}
+	pressure := n.pressure * math.Exp2(-float64(h.now-n.heard)/float64(h.aim)/calm)
 	if used, room := h.coldBudget(n); room > 0 { // what a cold node bears is for what earns most
 		pressure = max(pressure, used/room)
 	}
