--- a/logic/logic.go
+++ b/logic/logic.go
@@ -117,7 +117,6 @@
 	failures   int  // failed connections and resets since an answer
 	pauseUntil Time // after a 'full'
 	cold       []spent
-	recent     []string // keys last sent
 	wake       Time
 	dirty      bool
 }
@@ -667,10 +666,10 @@
 func (h *Head) worth(r *request) float64 { return r.class.Worth * r.vol.plan.Price }
 
 // pick returns the held request that goes next: the volume with the lowest
-// start tag, and of its requests one whose key the node has just had (it costs
-// less), else the one of most worth, then with the nearest aim, which trades tags
-// with the first. Equal tags, as in the reserves, are told apart in the same way.
-// Departure: what can no longer meet its aim goes only when nothing else can.
+// start tag, and of its requests the one of most worth, then with the nearest
+// aim, which trades tags with the first. Equal tags, as in the reserves, are
+// told apart in the same way. Departure: what can no longer meet its aim goes
+// only when nothing else can.
 func (h *Head) pick(n *node) (best *request) {
 	late := func(r *request) bool { return h.now+h.expected(n, r) > r.aimAt }
 	before := func(a, b *request) bool { // more worth a unit, then the nearer aim
@@ -699,16 +698,11 @@
 		return nil
 	}
 	first := best
-	warm := func(r *request) bool { return r.tries == 0 && slices.Contains(n.recent, r.Key) }
 	for _, r := range ready {
 		if r.vol != first.vol || late(r) != bestLate || r == best {
 			continue
 		}
-		if w := warm(r); w != warm(best) {
-			if w {
-				best = r
-			}
-		} else if before(r, best) {
+		if before(r, best) {
 			best = r
 		}
 	}
@@ -781,10 +775,6 @@
 		n.cold = slices.DeleteFunc(n.cold, func(s spent) bool { return s.at <= h.now-h.s.FallWindow })
 		n.cold = append(n.cold, spent{h.now, r.Units})
 	}
-	if r.Key != "" {
-		n.recent = append(n.recent, r.Key)
-		n.recent = n.recent[max(0, len(n.recent)-2):]
-	}
 	a := &attempt{r: r, node: n, sent: h.now}
 	n.outs = append(n.outs, a)
 	a.full = float64(len(n.outs))+1 > n.window
