--- a/cmd/benchlink/main.go
+++ b/cmd/benchlink/main.go
@@ -4,7 +4,6 @@
 
 import (
 	"bufio"
-	"encoding/base64"
 	"fmt"
 	"io"
 	"os"
@@ -107,7 +106,7 @@
 		l := logic.List{Full: e.How == "F" || e.How == "C", Failed: e.How == "X"}
 		for _, it := range e.Items {
 			l.Entries = append(l.Entries, logic.Entry{Node: it.Shelf, Zone: it.Zone, Shard: it.Cluster,
-				State: states[it.Condition], Weight: it.Power, Started: us(it.UpSince)})
+				State: states[it.Condition], Started: us(it.UpSince)})
 		}
 		return l
 	case "job_in":
@@ -119,17 +118,15 @@
 			o = logic.Failed
 		}
 		return logic.Ended{ID: e.Job, Attempt: e.N, Node: e.Shelf, Outcome: o, Took: us(e.Took),
-			Closed: e.Terminal, Elsewhere: e.Elsewhere, Load: e.Telemetry}
+			Closed: e.Terminal, Elsewhere: e.Elsewhere}
 	case "begun":
 		return logic.Begun{ID: e.Job, Attempt: e.N}
 	case "dropped":
 		return logic.Dropped{ID: e.Job}
 	case "bell":
 		return logic.Wake{}
-	case "peer_data":
-		return logic.Message{From: e.Neighbour, Data: e.Msg}
 	}
-	return nil // probe results: the module sends no probes
+	return nil // probe results and messages: the module sends neither
 }
 
 var states = map[string]logic.NodeState{"SERVING": logic.Serving, "DRAINING": logic.Draining,
@@ -146,12 +143,12 @@
 func settings(f wire.Facts) logic.Settings {
 	g, l := f.Guarantees, f.Limits
 	s := logic.Settings{
-		Self: f.SelfIndex, Heads: f.FleetSize, AskDiscovery: f.Discovery == "ask", MustAskWithin: us(g.MustAskIn),
+		Heads: f.FleetSize, AskDiscovery: f.Discovery == "ask",
 		MostUnits: f.FamilyInfo.UnitsTop, MeanUnits: f.FamilyInfo.UsualUnits, ColdUnits: f.FamilyInfo.ColdUnits,
-		TellsElsewhere: f.FamilyInfo.SaysOthers, ShareWorth: f.FamilyInfo.FairWorth,
+		ShareWorth: f.FamilyInfo.FairWorth,
 		FallWindow: us(g.OverloadFor), Cold: us(g.Cold), ColdFrom: g.ColdFrom, OrderRest: us(g.OrderSettle),
 		BudgetOver: us(g.CountedOver), Budget: g.CountedOver > 0,
-		MaxAttempts: l.MaxAttempts, ParallelTries: l.ParallelTries, Peers: l.MayTell,
+		MaxAttempts: l.MaxAttempts,
 	}
 	if g.FreeResends != nil {
 		s.BudgetFree = *g.FreeResends
@@ -164,7 +161,7 @@
 	}
 	for _, c := range f.Classes {
 		s.Classes = append(s.Classes, logic.Class{Name: c.Name, Aim: us(c.Target), Effect: effects[c.Effect],
-			Group: groups[c.Group], Window: us(c.Window), InOrder: c.InTurn, Worth: c.Gain, LateWorth: c.Late, Stream: c.Stream})
+			Group: groups[c.Group], Window: us(c.Window), InOrder: c.InTurn, Worth: c.Gain, LateWorth: c.Late})
 	}
 	for _, p := range f.Grades {
 		s.Plans = append(s.Plans, logic.Plan{Name: p.Name, Rate: p.Nominal, Reserve: p.Guaranteed,
@@ -185,7 +182,5 @@
 		fmt.Fprintf(w, "arm %s %d w\n", id, a.In.Microseconds())
 	case logic.Watch:
 		fmt.Fprintf(w, "track %s 1\n", id)
-	case logic.Tell:
-		fmt.Fprintf(w, "memo_to %s * %s\n", id, base64.StdEncoding.EncodeToString(a.Data))
 	}
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -15,7 +15,6 @@
 
 // Facts are the settings of the first message, times in microseconds.
 type Facts struct {
-	SelfIndex int    `json:"selfIndex"`
 	FleetSize int    `json:"fleetSize"`
 	Discovery string `json:"discovery"`
 	Classes   []struct {
@@ -27,7 +26,6 @@
 		InTurn bool    `json:"inTurn"`
 		Gain   float64 `json:"gain"`
 		Late   float64 `json:"lateWorth"`
-		Stream bool    `json:"stream"`
 	} `json:"classes"`
 	Grades []struct {
 		Name        string  `json:"name"`
@@ -43,24 +41,20 @@
 		UnitsTop   float64 `json:"unitsTop"`
 		UsualUnits float64 `json:"usualUnits"`
 		FairWorth  float64 `json:"fairWorth"`
-		SaysOthers bool    `json:"saysOthers"`
 	} `json:"familyInfo"`
 	Guarantees struct {
 		Cold         int64    `json:"cold"`
 		ColdFrom     float64  `json:"coldFrom"`
 		OverloadFor  int64    `json:"overloadFor"`
 		OrderSettle  int64    `json:"orderSettle"`
-		MustAskIn    int64    `json:"mustAskIn"`
 		CountedOver  int64    `json:"countedOver"`
 		FreeResends  *float64 `json:"freeResends"`
 		FurtherRatio *float64 `json:"furtherRatio"`
 	} `json:"guarantees"`
 	Limits struct {
 		MaxAttempts   int   `json:"maxAttempts"`
-		ParallelTries bool  `json:"parallelTries"`
 		MaxRetryAfter int64 `json:"maxRetryAfter"`
 		RetryAfter    bool  `json:"retryAfter"`
-		MayTell       bool  `json:"mayTell"`
 	} `json:"limits"`
 }
 
--- a/logic/api.go
+++ b/logic/api.go
@@ -40,7 +40,6 @@
 	Worth   float64
 	// LateWorth is the part of it that an answer after the aim earns.
 	LateWorth float64
-	Stream    bool
 }
 
 // Plan describes what a volume bought. Its figures count over all heads and nodes.
@@ -57,20 +56,17 @@
 // Settings are told once, before the first event. A zero value means that the
 // site does not have the thing, unless the field says otherwise.
 type Settings struct {
-	Self, Heads int // this head's number and how many there are
-	Classes     []Class
-	Plans       []Plan
-	MostUnits   float64 // of one request
-	MeanUnits   float64
-	ShareWorth  float64 // part of the worth that units beyond the reserve earn within the share
-
-	AskDiscovery  bool          // the node list must be asked for
-	MustAskWithin time.Duration // and asked again within this
-
-	MaxAttempts   int // of one request, 0 for no bound
-	ParallelTries bool
+	Heads      int // how many there are
+	Classes    []Class
+	Plans      []Plan
+	MostUnits  float64 // of one request
+	MeanUnits  float64
+	ShareWorth float64 // part of the worth that units beyond the reserve earn within the share
+
+	AskDiscovery bool // the node list must be asked for
+
+	MaxAttempts   int           // of one request, 0 for no bound
 	MaxRetryAfter time.Duration // 0: clients are told nothing
-	Peers         bool          // heads may send each other messages
 
 	ColdUnits   float64       // always borne by a cold node within FallWindow, from all heads
 	FallWindow  time.Duration // the window of the rule on cold nodes
@@ -81,8 +77,6 @@
 	BudgetFree  float64
 	BudgetShare float64
 	BudgetOver  time.Duration
-
-	TellsElsewhere bool // answers tell units served through other heads
 }
 
 // NodeState is a node's state on the list.
@@ -101,7 +95,6 @@
 	Zone    int
 	Shard   int
 	State   NodeState
-	Weight  float64
 	Started Time // when it last started, 0: long ago
 }
 
@@ -120,7 +113,7 @@
 	Moot
 )
 
-// Event is one of Arrival, List, Ended, Begun, Dropped, Wake, Message.
+// Event is one of Arrival, List, Ended, Begun, Dropped, Wake.
 type Event interface{ event() }
 
 // Arrival is a request taken from a client.
@@ -150,9 +143,8 @@
 	Node      string
 	Outcome   Outcome
 	Took      time.Duration
-	Closed    bool               // the request has its final answer
-	Elsewhere float64            // units served here for the volume through other heads
-	Load      map[string]float64 // load report by name, nil without one
+	Closed    bool    // the request has its final answer
+	Elsewhere float64 // units served here for the volume through other heads
 }
 
 // Begun tells that a streamed answer has started.
@@ -167,21 +159,14 @@
 // Wake is a timer that was asked for.
 type Wake struct{}
 
-// Message came from another head.
-type Message struct {
-	From int
-	Data []byte
-}
-
 func (Arrival) event() {}
 func (List) event()    {}
 func (Ended) event()   {}
 func (Begun) event()   {}
 func (Dropped) event() {}
 func (Wake) event()    {}
-func (Message) event() {}
 
-// Action is one of Send, Refuse, Fail, WakeIn, Watch, Tell.
+// Action is one of Send, Refuse, Fail, WakeIn, Watch.
 type Action interface{ action() }
 
 // Send starts an attempt; attempts of a request count from 0.
@@ -205,12 +190,8 @@
 // Watch subscribes to the node list.
 type Watch struct{}
 
-// Tell sends a message to every other head.
-type Tell struct{ Data []byte }
-
 func (Send) action()   {}
 func (Refuse) action() {}
 func (Fail) action()   {}
 func (WakeIn) action() {}
 func (Watch) action()  {}
-func (Tell) action()   {}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -75,14 +75,13 @@
 }
 
 type volume struct {
-	plan      *Plan
-	phi       float64
-	at        map[*node]*entry
-	total     float64 // units asked of all nodes
-	reserve   bucket
-	limit     bucket
-	used      Time
-	lastHosts int
+	plan    *Plan
+	phi     float64
+	at      map[*node]*entry
+	total   float64 // units asked of all nodes
+	reserve bucket
+	limit   bucket
+	used    Time
 }
 
 // bucket is a token bucket.
@@ -453,7 +452,7 @@
 	case r.live > 0:
 	case r.streaming || h.now+lastCall >= r.due || (h.s.MaxAttempts > 0 && r.tries >= h.s.MaxAttempts):
 		h.finish(r)
-	case !proven && (r.class.Effect == Unsafe || r.target(h) == nil):
+	case !proven && (r.class.Effect == Unsafe || h.target(r) == nil):
 		h.finish(r)
 	default:
 		r.notBefore = h.now + h.aim/10
@@ -461,8 +460,6 @@
 	}
 }
 
-func (r *request) target(h *Head) *node { return h.target(r) }
-
 // health moves the node's window and breaker by what an attempt told.
 //
 // The window is delay-based AIMD: guards against a long first-in-first-out
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -540,7 +540,7 @@
 
 func TestStrangeEventsAreTakenCalmly(t *testing.T) {
 	r := start(t, site(), nodeA)
-	acts := r.at(0, Ended{ID: 77}, Dropped{ID: 77}, Begun{ID: 77}, Wake{}, Message{Data: []byte("?")},
+	acts := r.at(0, Ended{ID: 77}, Dropped{ID: 77}, Begun{ID: 77}, Wake{},
 		Ended{ID: 1, Outcome: Outcome(99)}, List{Entries: []Entry{{Node: "Z", State: Gone}}})
 	want(t, "answers", len(answers(acts)), 0)
 	r.at(0, req(1), req(1))
