--- a/logic/logic.go
+++ b/logic/logic.go
@@ -231,7 +231,10 @@
 // ---- requests ----
 
 func (h *Head) arrive(a Arrival) {
-	if h.reqs[a.ID] != nil || a.Class < 0 || a.Class >= len(h.s.Classes) || math.IsNaN(a.Units) {
+	if h.reqs[a.ID] != nil {
+		return // told twice; the first is being dealt with
+	}
+	if a.Class < 0 || a.Class >= len(h.s.Classes) || math.IsNaN(a.Units) {
 		h.do(Refuse{ID: a.ID}) // nothing known may be promised of it but that it never ran
 		return
 	}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -543,7 +543,9 @@
 	acts := r.at(0, Ended{ID: 77}, Dropped{ID: 77}, Begun{ID: 77}, Wake{},
 		Ended{ID: 1, Outcome: Outcome(99)}, List{Entries: []Entry{{Node: "Z", State: Gone}}})
 	want(t, "answers", len(answers(acts)), 0)
-	r.at(0, req(1), req(1))
+	acts = r.at(0, req(1, class(1)), req(1, class(1)))
+	want(t, "an arrival told twice: answers", len(answers(acts)), 0)
+	want(t, "an arrival told twice: sends", len(r.sends), 1)
 }
 
 func TestSameEventsSameActions(t *testing.T) {
