What is held of a node is weighed by age, with all nodes as prior; no answer counts

Cause: at full size a head hears of a node every few seconds, so running means over answers held nothing, and only answers were heard: a full or silent node looked calm. Now sums that halve with time, blended with those of all nodes; a time-out and a 'full' count as a slow answer.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -26,8 +26,8 @@
 	calmLate    = 4.0              // the same for what is late
 	calmAims    = 1.5              // pressure halves over so many shortest aims without an answer
 	shrink      = 0.7              // multiplicative decrease
-	smooth      = 0.15             // weight of the newest answer in running means
-	steady      = 0.04             // the same for pressure, so that a pause does not make a calm node crowded
+	memory      = 3 * time.Second  // what was seen of a node counts half after this
+	prior       = 1.0              // answers that all nodes together count for in what is held of one
 	idleFor     = 10 * time.Second // idle volumes are forgotten after this
 	lastCall    = 10 * time.Millisecond
 	poll        = 10 * time.Millisecond // look again at requests held by a bucket or a rest
@@ -107,8 +107,9 @@
 	window     float64
 	shrunk     Time
 	outs       []*attempt // in order of sending, not written off
-	lat, units float64    // running means of answered attempts: seconds, units
-	pressure   float64    // running mean of answer times, as parts of the aims
+	seen       sight      // of its own
+	lat, units float64    // what is held of it: seconds of an answer, units of a request
+	pressure   float64    // and answer times as parts of the aims, 1 at most
 	heard      Time       // last answer
 	open       bool       // circuit breaker
 	trialAt    Time
@@ -120,6 +121,18 @@
 	dirty      bool
 }
 
+// sight is what answers told, weighed by age: sums over answers that halve with time.
+type sight struct {
+	weight, lat, units, part float64
+	at                       Time
+}
+
+func (s *sight) add(now Time, weight, lat, units, part float64) {
+	f := math.Exp2(-float64(now-s.at) / float64(memory))
+	s.weight, s.lat, s.units, s.part = s.weight*f+weight, s.lat*f+lat, s.units*f+units, s.part*f+part
+	s.at = now
+}
+
 // turn is the order of one key's requests.
 type turn struct {
 	queue  []*request
@@ -138,6 +151,7 @@
 	seq      int
 	acts     []Action
 	nodes    []*node
+	fleet    sight // of all nodes
 	reqs     map[uint64]*request
 	attempts map[attemptID]*attempt
 	vols     map[string]*volume
@@ -463,6 +477,25 @@
 	}
 }
 
+// saw books an answer, or what stands for one: a time-out or a 'full' took all
+// of the request's aim.
+func (h *Head) saw(n *node, r *request, took, part float64) {
+	part = min(part, 1)
+	n.seen.add(h.now, 1, took, r.Units, part)
+	h.fleet.add(h.now, 1, took, r.Units, part)
+}
+
+// look sets what is held of a node: its own answers by age, and as far as these
+// are few or old, those of all nodes. Guards against sparse sight.
+func (h *Head) look(n *node) {
+	n.seen.add(h.now, 0, 0, 0, 0)
+	h.fleet.add(h.now, 0, 0, 0, 0)
+	k := prior / max(h.fleet.weight, prior)
+	w := max(n.seen.weight+k*h.fleet.weight, 1e-9)
+	n.lat, n.units = (n.seen.lat+k*h.fleet.lat)/w, (n.seen.units+k*h.fleet.units)/w
+	n.pressure = (n.seen.part + k*h.fleet.part) / w
+}
+
 // health moves the node's window and breaker by what an attempt told.
 //
 // The window is delay-based AIMD: guards against a long first-in-first-out
@@ -476,19 +509,15 @@
 	switch e.Outcome {
 	case OK, Failed:
 		n.heard, n.open, n.trialGap, n.failures = h.now, false, 0, 0
-		if n.lat == 0 {
-			n.lat, n.units = took, a.r.Units
-		}
-		n.lat += smooth * (took - n.lat)
-		n.units += smooth * (a.r.Units - n.units)
 		part := took / a.r.class.Aim.Seconds()
-		n.pressure += steady * (min(part, 1) - n.pressure)
+		h.saw(n, a.r, took, part)
 		if part > congested && a.sent >= n.shrunk {
 			n.window, n.shrunk = max(1, n.window*shrink), h.now
 		} else if part < relaxed && a.full {
 			n.window = min(windowMax, n.window+1/n.window)
 		}
 	case Full:
+		h.saw(n, a.r, n.lat, 1)
 		n.heard, n.window, n.shrunk = h.now, 1, h.now
 		n.pauseUntil = h.now + h.aim/4
 	case ConnectFailed, Reset:
@@ -496,6 +525,7 @@
 			h.openBreaker(n)
 		}
 	case TimedOut:
+		h.saw(n, a.r, took, 1)
 		n.window, n.shrunk = 1, h.now
 	}
 }
@@ -531,7 +561,7 @@
 		}
 		n := h.nodes[i]
 		if e.Started != n.Started && e.State == Serving { // a restart: nothing known of it holds any more
-			n.window, n.lat, n.open, n.heard = 1, 0, false, h.now
+			n.window, n.seen, n.open, n.heard = 1, sight{}, false, h.now
 		}
 		n.Entry = e
 	}
@@ -714,6 +744,7 @@
 // pump refuses what is out of time and sends while the window has room.
 func (h *Head) pump(n *node) {
 	n.dirty = false
+	h.look(n)
 	for len(n.outs) > 0 {
 		patience := max(silentAims*h.aim.Seconds(), silentLats*n.lat)
 		since := max(n.heard, n.outs[0].sent)
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -14,7 +14,7 @@
 // site returns settings that the tests change to their needs: one head, one
 // plan without reserve or limit, three classes of the three effects.
 func site(change ...func(*Settings)) Settings {
-	s := Settings{Heads: 1, MostUnits: 6, MeanUnits: 2, MaxAttempts: 4,
+	s := Settings{Heads: 1, MostUnits: 6, MeanUnits: 2, MaxAttempts: 4, ShareWorth: 1,
 		Classes: []Class{
 			{Name: "read", Aim: 200 * ms, Effect: Safe, Worth: 2},
 			{Name: "write", Aim: 400 * ms, Effect: Unsafe, Worth: 2},
@@ -361,7 +361,7 @@
 }
 
 func TestOrderByKey(t *testing.T) {
-	s := site(func(s *Settings) { s.Classes[0].InOrder, s.OrderRest = true, 300*ms })
+	s := site(func(s *Settings) { s.Classes[0].InOrder, s.Classes[0].LateWorth, s.OrderRest = true, 1, 300*ms })
 	r := start(t, s, nodeA)
 	r.h.nodes[0].window = 8
 	r.at(0, req(1, key("k")), req(2, key("k")), req(3, key("other")))
@@ -482,6 +482,47 @@
 	}
 }
 
+// At size a head hears of one node every few seconds: what it hears of the
+// others stands in, old answers count less, and what has no answer counts too.
+func TestSparseSightLeansOnAllNodes(t *testing.T) {
+	slow := func(n *node) *attempt {
+		return &attempt{r: &request{Arrival: req(1), class: &Class{Aim: 200 * ms}}, node: n}
+	}
+	for _, c := range []struct {
+		name    string
+		outcome Outcome
+		took    time.Duration
+		age     time.Duration
+		want    float64 // pressure held of node A, about
+	}{
+		{"a quick answer", OK, 20 * ms, 0, 0.1},
+		{"a slow answer", OK, 300 * ms, 0, 1},
+		{"turned away at once", Full, 2 * ms, 0, 1},
+		{"no answer", TimedOut, time.Second, 0, 1},
+		{"a slow answer long ago, others quick since", OK, 300 * ms, 10 * memory, 0.1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := start(t, site(), nodeA, nodeB)
+			n, other := r.h.nodes[0], r.h.nodes[1]
+			a := slow(n)
+			a.sent = r.now - c.took
+			r.h.health(n, a, Ended{Outcome: c.outcome})
+			if c.age > 0 {
+				r.wait(c.age)
+				b := slow(other)
+				b.sent = r.now - 20*ms
+				for range 10 {
+					r.h.health(other, b, Ended{Outcome: OK})
+				}
+			}
+			r.h.look(n)
+			if math.Abs(n.pressure-c.want) > 0.05 {
+				t.Errorf("pressure %.2f, want about %.2f", n.pressure, c.want)
+			}
+		})
+	}
+}
+
 func TestNewObjectGoesToTheLeastLoaded(t *testing.T) {
 	r := start(t, site(), nodeA, nodeB)
 	r.at(0, req(1), req(2), req(3), req(4))
