--- a/logic/logic.go
+++ b/logic/logic.go
@@ -16,26 +16,27 @@
 // All constants. Times that depend on the classes are multiples of the
 // shortest aim (h.aim), so that no deployment's figures are built in.
 const (
-	minShare    = 0.5              // φmin, as a part of φ
-	windowMax   = 8.0              // D of the design: most requests out at a node
-	windowStart = 2.0              // D at a node of which nothing is known
-	congested   = 0.2              // an answer later than this part of its aim shrinks the window
-	relaxed     = 0.13             // one sooner than this part may widen it
-	yield       = 1.4              // x worth: the part of their aims that answers take when it stands back
-	yieldLeast  = 0.05             // what earns nothing goes too where answers take less than this
-	calmLate    = 4.0              // the same for what is late
-	calmAims    = 1.5              // pressure halves over so many shortest aims without an answer
-	shrink      = 0.7              // multiplicative decrease
-	memory      = 3 * time.Second  // what was seen of a node counts half after this
-	prior       = 1.0              // answers that all nodes together count for in what is held of one
-	idleFor     = 10 * time.Second // idle volumes are forgotten after this
-	lastCall    = 10 * time.Millisecond
-	poll        = 10 * time.Millisecond // look again at requests held by a bucket or a rest
-	silentAims  = 2.0                   // silence of so many shortest aims opens the breaker
-	silentLats  = 4.0                   // but not before so many usual answer times
-	failuresMax = 3                     // so do so many failed connections or resets in a row
-	trialMax    = time.Second           // longest gap between trials of an open breaker
-	listRetry   = time.Second           // after a failed call for the list
+	minShare     = 0.5              // φmin, as a part of φ
+	windowMax    = 8.0              // D of the design: most requests out at a node
+	windowStart  = 2.0              // D at a node of which nothing is known
+	congested    = 0.2              // an answer later than this part of its aim shrinks the window
+	relaxed      = 0.13             // one sooner than this part may widen it
+	yield        = 1.4              // x worth: the part of their aims that answers take when it stands back
+	yieldLeast   = 0.05             // what earns nothing goes too where answers take less than this
+	calmLate     = 4.0              // the same for what is late
+	calmAims     = 1.5              // pressure halves over so many shortest aims without an answer
+	shrink       = 0.7              // multiplicative decrease
+	memory       = 3 * time.Second  // what was seen of a node counts half after this
+	prior        = 1.0              // answers that all nodes together count for in what is held of one
+	reserveHosts = 2.0              // a host holds so many even parts of a volume's reserve, all of it at most
+	idleFor      = 10 * time.Second // idle volumes are forgotten after this
+	lastCall     = 10 * time.Millisecond
+	poll         = 10 * time.Millisecond // look again at requests held by a bucket or a rest
+	silentAims   = 2.0                   // silence of so many shortest aims opens the breaker
+	silentLats   = 4.0                   // but not before so many usual answer times
+	failuresMax  = 3                     // so do so many failed connections or resets in a row
+	trialMax     = time.Second           // longest gap between trials of an open breaker
+	listRetry    = time.Second           // after a failed call for the list
 )
 
 type request struct {
@@ -282,10 +283,7 @@
 		if h.weights > 0 {
 			v.phi = max(p.Weight/h.weights, 1e-6)
 		}
-		if p.Reserve > 0 {
-			v.reserve = bucket{rate: p.Reserve, cap: p.Reserve + h.s.MostUnits, at: h.now}
-			v.reserve.level = v.reserve.cap
-		}
+		v.reserve.at = h.boot
 		v.limit.at = h.boot
 		h.vols[a.Volume] = v
 	}
@@ -293,6 +291,12 @@
 	if a.Hosts < 1 || a.Hosts > h.s.Heads {
 		hosts = float64(h.s.Heads)
 	}
+	part := min(1, reserveHosts/hosts)
+	v.reserve.rate, v.reserve.cap = part*v.plan.Reserve, part*(v.plan.Reserve+h.s.MostUnits)
+	v.reserve.cap = max(v.reserve.cap, h.s.MostUnits)
+	if v.used == 0 {
+		v.reserve.level = v.reserve.cap
+	}
 	v.limit.rate, v.limit.cap = v.plan.Limit/hosts, v.plan.LimitBurst/hosts
 	v.used = h.now
 	return v
