Pressure fades slower by the number of heads that a volume works through

Cause: each head tried a crowded node again an aim or two after its last answer; before a node that 24 heads share that alone is more than it can do. A hundred heads now try at the pace of one. Also bounds what all send after any common trouble; could harm where the lead head of a volume carries nearly all of it.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -78,6 +78,7 @@
 type volume struct {
 	plan    *Plan
 	phi     float64
+	hosts   float64
 	at      map[*node]*entry
 	total   float64 // units asked of all nodes
 	reserve bucket
@@ -291,9 +292,12 @@
 	if a.Hosts < 1 || a.Hosts > h.s.Heads {
 		hosts = float64(h.s.Heads)
 	}
+	v.hosts = hosts
 	part := min(1, reserveHosts/hosts)
-	v.reserve.rate, v.reserve.cap = part*v.plan.Reserve, part*(v.plan.Reserve+h.s.MostUnits)
-	v.reserve.cap = max(v.reserve.cap, h.s.MostUnits)
+	if v.plan.Reserve > 0 {
+		v.reserve.rate = part * v.plan.Reserve
+		v.reserve.cap = max(part*(v.plan.Reserve+h.s.MostUnits), h.s.MostUnits)
+	}
 	if v.used == 0 {
 		v.reserve.level = v.reserve.cap
 	}
@@ -689,6 +693,7 @@
 	if late {
 		calm = calmLate
 	}
+	calm *= max(1, r.vol.hosts)
 	pressure := n.pressure * math.Exp2(-float64(h.now-n.heard)/float64(h.aim)/calm)
 	if used, room := h.coldBudget(n); room > 0 { // what a cold node bears is for what earns most
 		pressure = max(pressure, used/room)
