Only answers enter what is held of all nodes, not time-outs and 'full'

Cause: seven hung nodes of 46 made every head hold all nodes for crowded. A sick node now tells of itself alone.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -487,10 +487,12 @@
 
 // saw books an answer, or what stands for one: a time-out or a 'full' took all
 // of the request's aim.
-func (h *Head) saw(n *node, r *request, took, part float64) {
+func (h *Head) saw(n *node, r *request, took, part float64, answered bool) {
 	part = min(part, 1)
 	n.seen.add(h.now, 1, took, r.Units, part)
-	h.fleet.add(h.now, 1, took, r.Units, part)
+	if answered {
+		h.fleet.add(h.now, 1, took, r.Units, part)
+	}
 }
 
 // look sets what is held of a node: its own answers by age, and as far as these
@@ -518,14 +520,14 @@
 	case OK, Failed:
 		n.heard, n.open, n.trialGap, n.failures = h.now, false, 0, 0
 		part := took / a.r.class.Aim.Seconds()
-		h.saw(n, a.r, took, part)
+		h.saw(n, a.r, took, part, true)
 		if part > congested && a.sent >= n.shrunk {
 			n.window, n.shrunk = max(1, n.window*shrink), h.now
 		} else if part < relaxed && a.full {
 			n.window = min(windowMax, n.window+1/n.window)
 		}
 	case Full:
-		h.saw(n, a.r, n.lat, 1)
+		h.saw(n, a.r, n.lat, 1, false)
 		n.heard, n.window, n.shrunk = h.now, 1, h.now
 		n.pauseUntil = h.now + h.aim/4
 	case ConnectFailed, Reset:
@@ -533,7 +535,7 @@
 			h.openBreaker(n)
 		}
 	case TimedOut:
-		h.saw(n, a.r, took, 1)
+		h.saw(n, a.r, took, 1, false)
 		n.window, n.shrunk = 1, h.now
 	}
 }
