--- a/cmd/benchlink/main.go
+++ b/cmd/benchlink/main.go
@@ -146,7 +146,7 @@
 		Heads: f.FleetSize, AskDiscovery: f.Discovery == "ask",
 		MostUnits: f.FamilyInfo.UnitsTop, MeanUnits: f.FamilyInfo.UsualUnits, ColdUnits: f.FamilyInfo.ColdUnits,
 		ShareWorth: f.FamilyInfo.FairWorth,
-		FallWindow: us(g.OverloadFor), Cold: us(g.Cold), ColdFrom: g.ColdFrom, OrderRest: us(g.OrderSettle),
+		FallWindow: us(g.OverloadFor), Cold: us(g.Cold), ColdFrom: g.ColdFrom, FallMultiple: g.FallMultiple, OrderRest: us(g.OrderSettle),
 		BudgetOver: us(g.CountedOver), Budget: g.CountedOver > 0,
 		MaxAttempts: l.MaxAttempts,
 	}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -45,6 +45,7 @@
 	Guarantees struct {
 		Cold         int64    `json:"cold"`
 		ColdFrom     float64  `json:"coldFrom"`
+		FallMultiple float64  `json:"fallMultiple"`
 		OverloadFor  int64    `json:"overloadFor"`
 		OrderSettle  int64    `json:"orderSettle"`
 		CountedOver  int64    `json:"countedOver"`
--- a/logic/api.go
+++ b/logic/api.go
@@ -68,15 +68,16 @@
 	MaxAttempts   int           // of one request, 0 for no bound
 	MaxRetryAfter time.Duration // 0: clients are told nothing
 
-	ColdUnits   float64       // always borne by a cold node within FallWindow, from all heads
-	FallWindow  time.Duration // the window of the rule on cold nodes
-	Cold        time.Duration // a started node is warm after this
-	ColdFrom    float64       // share of its capacity that a started node begins at
-	OrderRest   time.Duration // rest of a key after an attempt that may still run
-	Budget      bool          // further attempts are budgeted
-	BudgetFree  float64
-	BudgetShare float64
-	BudgetOver  time.Duration
+	ColdUnits    float64       // always borne by a cold node within FallWindow, from all heads
+	FallWindow   time.Duration // the window of the rule on cold nodes
+	FallMultiple float64       // of its present capacity, past which a cold node falls over
+	Cold         time.Duration // a started node is warm after this
+	ColdFrom     float64       // share of its capacity that a started node begins at
+	OrderRest    time.Duration // rest of a key after an attempt that may still run
+	Budget       bool          // further attempts are budgeted
+	BudgetFree   float64
+	BudgetShare  float64
+	BudgetOver   time.Duration
 }
 
 // NodeState is a node's state on the list.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -9,6 +9,7 @@
 import (
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"time"
 )
@@ -26,8 +27,12 @@
 	calmLate     = 4.0              // the same for what is late
 	calmAims     = 1.5              // pressure halves over so many shortest aims without an answer
 	shrink       = 0.7              // multiplicative decrease
+	history      = 30 * time.Second // so does what a head was served on a shard
+	coldKeep     = 0.67             // a cold node's bucket fills at this part of the even part, and holds the rest
+	coldPart     = 1.0              // of what it must bear, by what it bore before, to be on the safe side
 	memory       = 3 * time.Second  // what was seen of a node counts half after this
 	prior        = 1.0              // answers that all nodes together count for in what is held of one
+	sharers      = 2.0              // heads before a node, as a multiple of those of a volume
 	reserveHosts = 2.0              // a host holds so many even parts of a volume's reserve, all of it at most
 	idleFor      = 10 * time.Second // idle volumes are forgotten after this
 	lastCall     = 10 * time.Millisecond
@@ -97,9 +102,22 @@
 	b.at = now
 }
 
-type spent struct {
-	at    Time
-	units float64
+// flow is a rate by age: what was counted halves with time.
+type flow struct {
+	sum float64
+	at  Time
+}
+
+func (f *flow) add(now Time, x float64) {
+	f.sum = f.sum*math.Exp2(-float64(now-f.at)/float64(history)) + x
+	f.at = now
+}
+
+// rate is the mean a second since the count began.
+func (f *flow) rate(now, since Time) float64 {
+	f.add(now, 0)
+	span := 1 - math.Exp2(-float64(now-since)/float64(history))
+	return f.sum * math.Ln2 / history.Seconds() / max(span, 1e-3)
 }
 
 type node struct {
@@ -116,10 +134,12 @@
 	open       bool       // circuit breaker
 	trialAt    Time
 	trialGap   time.Duration
-	failures   int  // failed connections and resets since an answer
-	pauseUntil Time // after a 'full'
-	cold       []spent
+	failures   int    // failed connections and resets since an answer
+	pauseUntil Time   // after a 'full'
+	cold       bucket // what it may be sent while it is cold
 	wake       Time
+	sentAt     Time
+	jitter     float64 // of the gap after it
 	dirty      bool
 }
 
@@ -149,11 +169,14 @@
 	boot     Time
 	aim      time.Duration // shortest aim
 	weights  float64
+	crowd    float64 // heads that may stand before one node
 	top      float64 // most that a unit may earn
 	seq      int
 	acts     []Action
 	nodes    []*node
-	fleet    sight // of all nodes
+	fleet    sight         // of all nodes
+	served   map[int]*flow // units, by shard
+	rand     *rand.Rand
 	reqs     map[uint64]*request
 	attempts map[attemptID]*attempt
 	vols     map[string]*volume
@@ -166,14 +189,14 @@
 	armed    Time
 }
 
-// New returns a head that knows nothing yet. The seed is kept for decisions by
-// chance; at present there are none.
+// New returns a head that knows nothing yet. The seed is for what is
+// spread by chance among heads.
 func New(s Settings, seed uint64, now Time) (*Head, error) {
 	if err := check(&s); err != nil {
 		return nil, err
 	}
-	h := &Head{s: s, now: now, boot: now, swept: now, watchAt: -1, armed: now, reqs: map[uint64]*request{},
-		attempts: map[attemptID]*attempt{}, vols: map[string]*volume{}, turns: map[string]*turn{}}
+	h := &Head{s: s, now: now, crowd: 1, boot: now, swept: now, watchAt: -1, armed: now, reqs: map[uint64]*request{},
+		attempts: map[attemptID]*attempt{}, vols: map[string]*volume{}, turns: map[string]*turn{}, served: map[int]*flow{}, rand: rand.New(rand.NewPCG(seed, seed))}
 	h.aim = s.Classes[0].Aim
 	for _, c := range s.Classes {
 		h.aim = min(h.aim, c.Aim)
@@ -293,6 +316,7 @@
 		hosts = float64(h.s.Heads)
 	}
 	v.hosts = hosts
+	h.crowd = max(h.crowd, min(float64(h.s.Heads), sharers*hosts))
 	part := min(1, reserveHosts/hosts)
 	if v.plan.Reserve > 0 {
 		v.reserve.rate = part * v.plan.Reserve
@@ -521,14 +545,20 @@
 		n.heard, n.open, n.trialGap, n.failures = h.now, false, 0, 0
 		part := took / a.r.class.Aim.Seconds()
 		h.saw(n, a.r, took, part, true)
+		f := h.served[n.Shard]
+		if f == nil {
+			f = &flow{}
+			h.served[n.Shard] = f
+		}
+		f.add(h.now, a.r.Units)
 		if part > congested && a.sent >= n.shrunk {
-			n.window, n.shrunk = max(1, n.window*shrink), h.now
+			n.window, n.shrunk = max(1/h.crowd, n.window*shrink), h.now
 		} else if part < relaxed && a.full {
-			n.window = min(windowMax, n.window+1/n.window)
+			n.window = min(windowMax, n.window+min(n.window, 1/n.window))
 		}
 	case Full:
 		h.saw(n, a.r, n.lat, 1, false)
-		n.heard, n.window, n.shrunk = h.now, 1, h.now
+		n.heard, n.window, n.shrunk = h.now, 1/h.crowd, h.now
 		n.pauseUntil = h.now + h.aim/4
 	case ConnectFailed, Reset:
 		if n.failures++; n.failures >= failuresMax {
@@ -536,7 +566,7 @@
 		}
 	case TimedOut:
 		h.saw(n, a.r, took, 1, false)
-		n.window, n.shrunk = 1, h.now
+		n.window, n.shrunk = 1/h.crowd, h.now
 	}
 }
 
@@ -545,7 +575,7 @@
 // says. What is out there is written off, so that trials are not held up.
 func (h *Head) openBreaker(n *node) {
 	if !n.open {
-		n.open, n.window, n.trialGap = true, 1, h.aim
+		n.open, n.window, n.trialGap = true, 1/h.crowd, h.aim
 		n.trialAt = h.now + n.trialGap
 	}
 	for _, a := range n.outs {
@@ -554,6 +584,8 @@
 	n.outs = nil
 }
 
+func (h *Head) windowAtStart() float64 { return min(windowStart, windowMax/h.crowd) }
+
 // ---- the node list ----
 
 func (h *Head) list(l List) {
@@ -566,14 +598,18 @@
 		seen[e.Node] = true
 		i := slices.IndexFunc(h.nodes, func(n *node) bool { return n.Node == e.Node })
 		if i < 0 {
-			h.nodes = append(h.nodes, &node{Entry: e, window: windowStart, heard: h.now})
+			n := &node{Entry: e, window: h.windowAtStart(), heard: h.now}
+			h.nodes = append(h.nodes, n)
+			h.coldStart(n)
 			continue
 		}
 		n := h.nodes[i]
-		if e.Started != n.Started && e.State == Serving { // a restart: nothing known of it holds any more
-			n.window, n.seen, n.open, n.heard = 1, sight{}, false, h.now
-		}
+		restart := e.Started != n.Started && e.State == Serving
 		n.Entry = e
+		if restart { // nothing known of it holds any more
+			n.window, n.seen, n.open, n.heard = min(1, h.windowAtStart()), sight{}, false, h.now
+			h.coldStart(n)
+		}
 	}
 	for _, n := range h.nodes {
 		if l.Full && !seen[n.Node] {
@@ -601,37 +637,53 @@
 	return n.Started > 0 && h.s.Cold > 0 && h.now < n.Started+h.s.Cold
 }
 
-// coldRoom tells whether a cold node may be sent so many units (rule on cold
-// nodes): this head's even part of what is always borne, growing as capacity
-// must; all sends of the window count, turned away or not. After the head's own
-// start a window passes first, as its life before may have spent it.
-func (h *Head) coldRoom(n *node, units float64) bool {
-	used, room := h.coldBudget(n)
-	return used+units <= room
-}
-
-// coldBudget returns what this head sent a node in the window and what it may.
-func (h *Head) coldBudget(n *node) (used, room float64) {
+// coldStart sets a node's bucket for the time that it is cold (rule on cold
+// nodes): this head's even part of what is always borne or, where that is more,
+// a part in proportion to what it was served on the shard before, which over all
+// heads adds up to what the node really bore. At many heads either is less than
+// one request in a window: it accrues, and each starts at a level by chance, so
+// that their turns are spread. After the head's own start a window passes first,
+// as its life before may have spent it.
+func (h *Head) coldStart(n *node) {
 	if !h.isCold(n) {
-		return 0, math.Inf(1)
+		return
 	}
-	if h.now < h.boot+h.s.FallWindow {
-		return 0, 0
+	window := h.s.FallWindow.Seconds()
+	units := h.s.ColdUnits
+	if units == 0 {
+		units = h.s.MeanUnits
 	}
-	room = h.s.ColdUnits
-	if room == 0 {
-		room = h.s.MeanUnits
+	rate := coldKeep * units / float64(h.s.Heads) / max(window, 1e-3)
+	if f := h.served[n.Shard]; f != nil {
+		rate = max(rate, coldPart*h.s.FallMultiple*h.s.ColdFrom*f.rate(h.now, h.boot))
 	}
+	n.cold = bucket{rate: rate, cap: rate * window * (1 - coldKeep) / coldKeep, at: max(h.now, h.boot+h.s.FallWindow)}
+	n.cold.level = n.cold.cap - h.rand.Float64()*h.s.MeanUnits
+}
+
+// coldLevel fills a cold node's bucket, which grows as its capacity must.
+func (h *Head) coldLevel(n *node) bucket {
+	grown := 1.0
 	if from := h.s.ColdFrom; from > 0 && from < 1 {
 		age := float64(h.now-n.Started-h.s.FallWindow) / float64(h.s.Cold)
-		room *= 1 + max(0, age)*(1-from)/from
+		grown += max(0, age) * (1 - from) / from
 	}
-	for _, s := range n.cold {
-		if s.at > h.now-h.s.FallWindow {
-			used += s.units
-		}
+	b := n.cold
+	b.rate, b.cap = b.rate*grown, b.cap*grown
+	if h.now > b.at {
+		b.fill(h.now)
+		n.cold.level, n.cold.at = b.level, b.at
 	}
-	return used, room / float64(h.s.Heads)
+	return b
+}
+
+// coldRoom tells whether a cold node may be sent so many units.
+func (h *Head) coldRoom(n *node, units float64) bool {
+	if !h.isCold(n) {
+		return true
+	}
+	b := h.coldLevel(n)
+	return h.now >= b.at && b.level >= min(units, b.cap)
 }
 
 // ---- sending ----
@@ -697,8 +749,9 @@
 	}
 	calm *= max(1, r.vol.hosts)
 	pressure := n.pressure * math.Exp2(-float64(h.now-n.heard)/float64(h.aim)/calm)
-	if used, room := h.coldBudget(n); room > 0 { // what a cold node bears is for what earns most
-		pressure = max(pressure, used/room)
+	if h.isCold(n) { // what a cold node bears is for what earns most
+		b := h.coldLevel(n)
+		pressure = max(pressure, 1-b.level/max(b.cap, 1e-9))
 	}
 	return pressure > max(yield*worth, yieldLeast) && worth < 1
 }
@@ -777,7 +830,7 @@
 		if n.open { // half-open: one trial, at growing gaps
 			h.openBreaker(n)
 		}
-		if float64(len(n.outs))+1 > n.window {
+		if !h.hasSlot(n) {
 			break
 		}
 		r := h.pick(n)
@@ -785,7 +838,7 @@
 			break
 		}
 		if n.open {
-			n.trialGap = min(2*n.trialGap, trialMax)
+			n.trialGap = min(2*n.trialGap, time.Duration(h.crowd/4*float64(trialMax)))
 			n.trialAt = h.now + n.trialGap
 		}
 		h.send(n, r)
@@ -797,12 +850,26 @@
 	for _, r := range n.queue {
 		n.wake = min(n.wake, r.due-lastCall)
 	}
-	if len(n.queue) > 0 && float64(len(n.outs))+1 <= n.window {
+	if len(n.queue) > 0 && (n.window < 1 || h.hasSlot(n)) {
 		n.wake = min(n.wake, h.now+poll)
 	}
 }
 
+// hasSlot tells whether fewer than D are out. A window under one is a gap
+// between sends: the node's usual answer time over the window.
+func (h *Head) hasSlot(n *node) bool {
+	if n.window >= 1 {
+		return float64(len(n.outs))+1 <= n.window
+	}
+	return len(n.outs) == 0 && h.now >= h.paced(n)
+}
+
+func (h *Head) paced(n *node) Time {
+	return n.sentAt + Time(n.jitter*n.lat/n.window*float64(time.Second))
+}
+
 func (h *Head) send(n *node, r *request) {
+	n.sentAt, n.jitter = h.now, 0.5+h.rand.Float64()
 	n.queue = slices.DeleteFunc(n.queue, func(o *request) bool { return o == r })
 	n.v = max(n.v, r.start)
 	if r.tries == 0 {
@@ -814,8 +881,7 @@
 		h.further = append(h.further, h.now)
 	}
 	if h.isCold(n) {
-		n.cold = slices.DeleteFunc(n.cold, func(s spent) bool { return s.at <= h.now-h.s.FallWindow })
-		n.cold = append(n.cold, spent{h.now, r.Units})
+		n.cold.level -= r.Units
 	}
 	a := &attempt{r: r, node: n, sent: h.now}
 	n.outs = append(n.outs, a)
