--- a/logic/logic.go
+++ b/logic/logic.go
@@ -552,7 +552,7 @@
 		}
 		f.add(h.now, a.r.Units)
 		if part > congested && a.sent >= n.shrunk {
-			n.window, n.shrunk = max(1/h.crowd, n.window*shrink), h.now
+			n.window, n.shrunk = max(min(1, n.window), n.window*shrink), h.now
 		} else if part < relaxed && a.full {
 			n.window = min(windowMax, n.window+min(n.window, 1/n.window))
 		}
@@ -575,16 +575,19 @@
 // says. What is out there is written off, so that trials are not held up.
 func (h *Head) openBreaker(n *node) {
 	if !n.open {
-		n.open, n.window, n.trialGap = true, 1/h.crowd, h.aim
+		n.open, n.window, n.trialGap = true, min(1, n.window), h.aim
 		n.trialAt = h.now + n.trialGap
 	}
+	if len(n.outs) > 0 {
+		n.window = max(1/h.crowd, min(1, n.window)/2)
+	}
 	for _, a := range n.outs {
 		a.writtenOff = true
 	}
 	n.outs = nil
 }
 
-func (h *Head) windowAtStart() float64 { return min(windowStart, windowMax/h.crowd) }
+func (h *Head) windowAtStart() float64 { return windowStart }
 
 // ---- the node list ----
 
@@ -838,7 +841,7 @@
 			break
 		}
 		if n.open {
-			n.trialGap = min(2*n.trialGap, time.Duration(h.crowd/4*float64(trialMax)))
+			n.trialGap = min(2*n.trialGap, trialMax)
 			n.trialAt = h.now + n.trialGap
 		}
 		h.send(n, r)
