--- a/logic/logic.go
+++ b/logic/logic.go
@@ -351,7 +351,12 @@
 // open or that are cold come last.
 func (h *Head) target(r *request) (best *node) {
 	var bestLoad float64
-	for _, n := range h.nodes {
+	first := 0
+	if r.Shard < 0 && len(h.nodes) > 0 {
+		first = h.rand.IntN(len(h.nodes)) // so that nodes alike are not taken in one order by all heads
+	}
+	for i := range h.nodes {
+		n := h.nodes[(first+i)%len(h.nodes)]
 		if n.State != Serving || (r.Shard >= 0 && n.Shard != r.Shard) || !h.mayRepeat(r, n) {
 			continue
 		}
@@ -554,7 +559,7 @@
 		if part > congested && a.sent >= n.shrunk {
 			n.window, n.shrunk = max(min(1, n.window), n.window*shrink), h.now
 		} else if part < relaxed && a.full {
-			n.window = min(windowMax, n.window+min(n.window, 1/n.window))
+			n.window = min(max(1, 4*windowMax/h.crowd), windowMax, n.window+min(n.window, 1/n.window))
 		}
 	case Full:
 		h.saw(n, a.r, n.lat, 1, false)
