--- a/logic/logic.go
+++ b/logic/logic.go
@@ -31,7 +31,8 @@
 	coldKeep     = 0.67             // a cold node's bucket fills at this part of the even part, and holds the rest
 	coldPart     = 1.0              // of what it must bear, by what it bore before, to be on the safe side
 	memory       = 3 * time.Second  // what was seen of a node counts half after this
-	prior        = 1.0              // answers that all nodes together count for in what is held of one
+	drift        = 0.02             // step of the estimate of what a unit takes
+	prior        = 2.0              // answers that all nodes together count for in what is held of one
 	sharers      = 2.0              // heads before a node, as a multiple of those of a volume
 	reserveHosts = 2.0              // a host holds so many even parts of a volume's reserve, all of it at most
 	idleFor      = 10 * time.Second // idle volumes are forgotten after this
@@ -174,6 +175,7 @@
 	seq      int
 	acts     []Action
 	nodes    []*node
+	unit     float64       // seconds that a unit takes where nothing waits
 	fleet    sight         // of all nodes
 	served   map[int]*flow // units, by shard
 	rand     *rand.Rand
@@ -514,10 +516,23 @@
 	}
 }
 
+// service returns what the request should take where nothing waits: its units
+// times what the quickest quarter of answers took a unit.
+func (h *Head) service(took float64, r *request) float64 {
+	if x := took / max(r.Units, 1); h.unit == 0 {
+		h.unit = x
+	} else if x < h.unit {
+		h.unit *= 1 - 3*drift
+	} else {
+		h.unit *= 1 + drift
+	}
+	return h.unit * r.Units
+}
+
 // saw books an answer, or what stands for one: a time-out or a 'full' took all
 // of the request's aim.
 func (h *Head) saw(n *node, r *request, took, part float64, answered bool) {
-	part = min(part, 1)
+	part = min(max(part, 0), 1)
 	n.seen.add(h.now, 1, took, r.Units, part)
 	if answered {
 		h.fleet.add(h.now, 1, took, r.Units, part)
@@ -549,7 +564,7 @@
 	case OK, Failed:
 		n.heard, n.open, n.trialGap, n.failures = h.now, false, 0, 0
 		part := took / a.r.class.Aim.Seconds()
-		h.saw(n, a.r, took, part, true)
+		h.saw(n, a.r, took, part-h.service(took, a.r)/a.r.class.Aim.Seconds(), true)
 		f := h.served[n.Shard]
 		if f == nil {
 			f = &flow{}
