--- a/cmd/benchlink/main.go
+++ b/cmd/benchlink/main.go
@@ -118,7 +118,8 @@
 			o = logic.Failed
 		}
 		return logic.Ended{ID: e.Job, Attempt: e.N, Node: e.Shelf, Outcome: o, Took: us(e.Took),
-			Closed: e.Terminal, Elsewhere: e.Elsewhere}
+			Closed: e.Terminal, Elsewhere: e.Elsewhere,
+			Reported: max(e.Telemetry["concurrent"], e.Telemetry["depth"])}
 	case "begun":
 		return logic.Begun{ID: e.Job, Attempt: e.N}
 	case "dropped":
