--- a/logic/logic.go
+++ b/logic/logic.go
@@ -116,7 +116,10 @@
 
 // rate is the mean a second since the count began.
 func (f *flow) rate(now, since Time) float64 {
-	f.add(now, 0)
+	if now <= since {
+		return 0
+	}
+	f.add(max(now, f.at), 0)
 	span := 1 - math.Exp2(-float64(now-since)/float64(history))
 	return f.sum * math.Ln2 / history.Seconds() / max(span, 1e-3)
 }
@@ -569,12 +572,8 @@
 			wait = (max(wait, 0) + e.Reported*h.unit*h.s.MeanUnits) / 2
 		}
 		h.saw(n, a.r, took, wait/a.r.class.Aim.Seconds(), true)
-		f := h.served[n.Shard]
-		if f == nil {
-			f = &flow{}
-			h.served[n.Shard] = f
-		}
-		f.add(h.now, a.r.Units)
+		h.flow(n.Shard).add(h.now, a.r.Units)
+		h.flow(-1).add(h.now, a.r.Units)
 		if part > congested && a.sent >= n.shrunk {
 			n.window, n.shrunk = max(min(1, n.window), n.window*shrink), h.now
 		} else if part < relaxed && a.full {
@@ -664,6 +663,14 @@
 	return n.Started > 0 && h.s.Cold > 0 && h.now < n.Started+h.s.Cold
 }
 
+// flow returns what this head was served on a shard, -1 for all of them.
+func (h *Head) flow(shard int) *flow {
+	if h.served[shard] == nil {
+		h.served[shard] = &flow{at: h.boot}
+	}
+	return h.served[shard]
+}
+
 // coldStart sets a node's bucket for the time that it is cold (rule on cold
 // nodes): this head's even part of what is always borne or, where that is more,
 // a part in proportion to what it was served on the shard before, which over all
@@ -681,9 +688,9 @@
 		units = h.s.MeanUnits
 	}
 	rate := coldKeep * units / float64(h.s.Heads) / max(window, 1e-3)
-	if f := h.served[n.Shard]; f != nil {
-		rate = max(rate, coldPart*h.s.FallMultiple*h.s.ColdFrom*f.rate(h.now, h.boot))
-	}
+	own, mean := h.flow(n.Shard).rate(n.Started, h.boot), h.flow(-1).rate(n.Started, h.boot)/float64(len(h.nodes))
+	known := min(1, max(0, float64(n.Started-h.boot)/float64(history))) // a short past is noise
+	rate = max(rate, coldPart*h.s.FallMultiple*h.s.ColdFrom*(known*own+(1-known)*mean))
 	n.cold = bucket{rate: rate, cap: rate * window * (1 - coldKeep) / coldKeep, at: max(h.now, h.boot+h.s.FallWindow)}
 	n.cold.level = n.cold.cap - h.rand.Float64()*h.s.MeanUnits
 }
