--- a/logic/api.go
+++ b/logic/api.go
@@ -4,7 +4,11 @@
 // and actions. All decisions are in logic.go.
 package logic
 
-import "time"
+import (
+	"fmt"
+	"math"
+	"time"
+)
 
 // Time is a clock reading: the time since a zero of the caller's choosing.
 type Time = time.Duration
@@ -80,6 +84,34 @@
 	BudgetOver   time.Duration
 }
 
+// check names the first setting that is out of range.
+func (s *Settings) check() error {
+	bad := func(x float64) bool { return x < 0 || math.IsNaN(x) || math.IsInf(x, 0) }
+	switch {
+	case s.Heads < 1:
+		return fmt.Errorf("settings: Heads is %d, want at least 1", s.Heads)
+	case len(s.Classes) == 0:
+		return fmt.Errorf("settings: Classes is empty")
+	case len(s.Plans) == 0:
+		return fmt.Errorf("settings: Plans is empty")
+	case bad(s.ColdUnits) || bad(s.ColdFrom) || s.Cold < 0 || s.FallWindow < 0:
+		return fmt.Errorf("settings: ColdUnits, ColdFrom, Cold or FallWindow is negative or not a number")
+	case s.Budget && (s.BudgetOver <= 0 || bad(s.BudgetFree) || bad(s.BudgetShare)):
+		return fmt.Errorf("settings: BudgetOver, BudgetFree or BudgetShare is out of range")
+	}
+	for i, c := range s.Classes {
+		if c.Aim <= 0 {
+			return fmt.Errorf("settings: Classes[%d].Aim is %v, want more than 0", i, c.Aim)
+		}
+	}
+	for i, p := range s.Plans {
+		if bad(p.Weight) || bad(p.Reserve) || bad(p.Limit) || bad(p.LimitBurst) {
+			return fmt.Errorf("settings: Plans[%d] has a negative Weight, Reserve, Limit or LimitBurst", i)
+		}
+	}
+	return nil
+}
+
 // NodeState is a node's state on the list.
 type NodeState int
 
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -7,7 +7,6 @@
 package logic
 
 import (
-	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -29,7 +28,7 @@
 	shrink       = 0.7              // multiplicative decrease
 	history      = 30 * time.Second // so does what a head was served on a shard
 	coldKeep     = 0.67             // a cold node's bucket fills at this part of the even part, and holds the rest
-	coldPart     = 1.0              // of what it must bear, by what it bore before, to be on the safe side
+	coldPart     = 1.5              // of what it must bear, by what it bore before, to be on the safe side
 	memory       = 3 * time.Second  // what was seen of a node counts half after this
 	drift        = 0.02             // step of the estimate of what a unit takes
 	prior        = 2.0              // answers that all nodes together count for in what is held of one
@@ -37,12 +36,12 @@
 	reserveHosts = 2.0              // a host holds so many even parts of a volume's reserve, all of it at most
 	idleFor      = 10 * time.Second // idle volumes are forgotten after this
 	lastCall     = 10 * time.Millisecond
-	poll         = 10 * time.Millisecond // look again at requests held by a bucket or a rest
-	silentAims   = 2.0                   // silence of so many shortest aims opens the breaker
-	silentLats   = 4.0                   // but not before so many usual answer times
-	failuresMax  = 3                     // so do so many failed connections or resets in a row
-	trialMax     = time.Second           // longest gap between trials of an open breaker
-	listRetry    = time.Second           // after a failed call for the list
+	polls        = 12          // looks at held requests within a shortest aim
+	silentAims   = 2.0         // silence of so many shortest aims opens the breaker
+	silentLats   = 4.0         // but not before so many usual answer times
+	failuresMax  = 3           // so do so many failed connections or resets in a row
+	trialMax     = time.Second // longest gap between trials of an open breaker
+	listRetry    = time.Second // after a failed call for the list
 )
 
 type request struct {
@@ -62,11 +61,10 @@
 }
 
 type attempt struct {
-	r          *request
-	node       *node
-	sent       Time
-	full       bool // the window was full with it
-	writtenOff bool // no longer counted against the window
+	r    *request
+	node *node
+	sent Time
+	full bool // the window was full with it
 }
 
 type attemptID struct {
@@ -103,25 +101,16 @@
 	b.at = now
 }
 
-// flow is a rate by age: what was counted halves with time.
-type flow struct {
+// faded is a sum whose parts count half after some time.
+type faded struct {
 	sum float64
 	at  Time
 }
 
-func (f *flow) add(now Time, x float64) {
-	f.sum = f.sum*math.Exp2(-float64(now-f.at)/float64(history)) + x
-	f.at = now
-}
-
-// rate is the mean a second since the count began.
-func (f *flow) rate(now, since Time) float64 {
-	if now <= since {
-		return 0
-	}
-	f.add(max(now, f.at), 0)
-	span := 1 - math.Exp2(-float64(now-since)/float64(history))
-	return f.sum * math.Ln2 / history.Seconds() / max(span, 1e-3)
+func (f *faded) add(now Time, x float64, half time.Duration) float64 {
+	f.sum = f.sum*math.Exp2(-float64(max(now-f.at, 0))/float64(half)) + x
+	f.at = max(now, f.at)
+	return f.sum
 }
 
 type node struct {
@@ -130,9 +119,9 @@
 	v          float64 // virtual time: the start tag last sent
 	window     float64
 	shrunk     Time
-	outs       []*attempt // in order of sending, not written off
+	outs       []*attempt // in order of sending, less those written off
 	seen       sight      // of its own
-	lat, units float64    // what is held of it: seconds of an answer, units of a request
+	lat        float64    // what is held of it: seconds of an answer
 	pressure   float64    // and answer times as parts of the aims, 1 at most
 	heard      Time       // last answer
 	open       bool       // circuit breaker
@@ -147,16 +136,11 @@
 	dirty      bool
 }
 
-// sight is what answers told, weighed by age: sums over answers that halve with time.
-type sight struct {
-	weight, lat, units, part float64
-	at                       Time
-}
+// sight is what answers told, weighed by age.
+type sight struct{ weight, lat, part faded }
 
-func (s *sight) add(now Time, weight, lat, units, part float64) {
-	f := math.Exp2(-float64(now-s.at) / float64(memory))
-	s.weight, s.lat, s.units, s.part = s.weight*f+weight, s.lat*f+lat, s.units*f+units, s.part*f+part
-	s.at = now
+func (s *sight) add(now Time, weight, lat, part float64) (w, l, p float64) {
+	return s.weight.add(now, weight, memory), s.lat.add(now, lat, memory), s.part.add(now, part, memory)
 }
 
 // turn is the order of one key's requests.
@@ -178,9 +162,9 @@
 	seq      int
 	acts     []Action
 	nodes    []*node
-	unit     float64       // seconds that a unit takes where nothing waits
-	fleet    sight         // of all nodes
-	served   map[int]*flow // units, by shard
+	unit     float64        // seconds that a unit takes where nothing waits
+	fleet    sight          // of all nodes
+	flows    map[int]*faded // units served, by shard
 	rand     *rand.Rand
 	reqs     map[uint64]*request
 	attempts map[attemptID]*attempt
@@ -197,11 +181,11 @@
 // New returns a head that knows nothing yet. The seed is for what is
 // spread by chance among heads.
 func New(s Settings, seed uint64, now Time) (*Head, error) {
-	if err := check(&s); err != nil {
+	if err := s.check(); err != nil {
 		return nil, err
 	}
 	h := &Head{s: s, now: now, crowd: 1, boot: now, swept: now, watchAt: -1, armed: now, reqs: map[uint64]*request{},
-		attempts: map[attemptID]*attempt{}, vols: map[string]*volume{}, turns: map[string]*turn{}, served: map[int]*flow{}, rand: rand.New(rand.NewPCG(seed, seed))}
+		attempts: map[attemptID]*attempt{}, vols: map[string]*volume{}, turns: map[string]*turn{}, flows: map[int]*faded{}, rand: rand.New(rand.NewPCG(seed, seed))}
 	h.aim = s.Classes[0].Aim
 	for _, c := range s.Classes {
 		h.aim = min(h.aim, c.Aim)
@@ -218,33 +202,6 @@
 	return h, nil
 }
 
-func check(s *Settings) error {
-	bad := func(x float64) bool { return x < 0 || math.IsNaN(x) || math.IsInf(x, 0) }
-	switch {
-	case s.Heads < 1:
-		return fmt.Errorf("settings: Heads is %d, want at least 1", s.Heads)
-	case len(s.Classes) == 0:
-		return fmt.Errorf("settings: Classes is empty")
-	case len(s.Plans) == 0:
-		return fmt.Errorf("settings: Plans is empty")
-	case bad(s.ColdUnits) || bad(s.ColdFrom) || s.Cold < 0 || s.FallWindow < 0:
-		return fmt.Errorf("settings: ColdUnits, ColdFrom, Cold or FallWindow is negative or not a number")
-	case s.Budget && (s.BudgetOver <= 0 || bad(s.BudgetFree) || bad(s.BudgetShare)):
-		return fmt.Errorf("settings: BudgetOver, BudgetFree or BudgetShare is out of range")
-	}
-	for i, c := range s.Classes {
-		if c.Aim <= 0 {
-			return fmt.Errorf("settings: Classes[%d].Aim is %v, want more than 0", i, c.Aim)
-		}
-	}
-	for i, p := range s.Plans {
-		if bad(p.Weight) || bad(p.Reserve) || bad(p.Limit) || bad(p.LimitBurst) {
-			return fmt.Errorf("settings: Plans[%d] has a negative Weight, Reserve, Limit or LimitBurst", i)
-		}
-	}
-	return nil
-}
-
 // Handle takes the events of one moment and returns what to do about them, in order.
 func (h *Head) Handle(now Time, events []Event) []Action {
 	h.now, h.acts = max(now, h.now), nil
@@ -536,21 +493,20 @@
 // of the request's aim.
 func (h *Head) saw(n *node, r *request, took, part float64, answered bool) {
 	part = min(max(part, 0), 1)
-	n.seen.add(h.now, 1, took, r.Units, part)
+	n.seen.add(h.now, 1, took, part)
 	if answered {
-		h.fleet.add(h.now, 1, took, r.Units, part)
+		h.fleet.add(h.now, 1, took, part)
 	}
 }
 
 // look sets what is held of a node: its own answers by age, and as far as these
 // are few or old, those of all nodes. Guards against sparse sight.
 func (h *Head) look(n *node) {
-	n.seen.add(h.now, 0, 0, 0, 0)
-	h.fleet.add(h.now, 0, 0, 0, 0)
-	k := prior / max(h.fleet.weight, prior)
-	w := max(n.seen.weight+k*h.fleet.weight, 1e-9)
-	n.lat, n.units = (n.seen.lat+k*h.fleet.lat)/w, (n.seen.units+k*h.fleet.units)/w
-	n.pressure = (n.seen.part + k*h.fleet.part) / w
+	weight, lat, part := n.seen.add(h.now, 0, 0, 0)
+	all, allLat, allPart := h.fleet.add(h.now, 0, 0, 0)
+	k := prior / max(all, prior)
+	weight = max(weight+k*all, 1e-9)
+	n.lat, n.pressure = (lat+k*allLat)/weight, (part+k*allPart)/weight
 }
 
 // health moves the node's window and breaker by what an attempt told.
@@ -572,8 +528,8 @@
 			wait = (max(wait, 0) + e.Reported*h.unit*h.s.MeanUnits) / 2
 		}
 		h.saw(n, a.r, took, wait/a.r.class.Aim.Seconds(), true)
-		h.flow(n.Shard).add(h.now, a.r.Units)
-		h.flow(-1).add(h.now, a.r.Units)
+		h.served(n.Shard, h.now, a.r.Units)
+		h.served(-1, h.now, a.r.Units)
 		if part > congested && a.sent >= n.shrunk {
 			n.window, n.shrunk = max(min(1, n.window), n.window*shrink), h.now
 		} else if part < relaxed && a.full {
@@ -604,14 +560,9 @@
 	if len(n.outs) > 0 {
 		n.window = max(1/h.crowd, min(1, n.window)/2)
 	}
-	for _, a := range n.outs {
-		a.writtenOff = true
-	}
 	n.outs = nil
 }
 
-func (h *Head) windowAtStart() float64 { return windowStart }
-
 // ---- the node list ----
 
 func (h *Head) list(l List) {
@@ -624,7 +575,7 @@
 		seen[e.Node] = true
 		i := slices.IndexFunc(h.nodes, func(n *node) bool { return n.Node == e.Node })
 		if i < 0 {
-			n := &node{Entry: e, window: h.windowAtStart(), heard: h.now}
+			n := &node{Entry: e, window: windowStart, heard: h.now}
 			h.nodes = append(h.nodes, n)
 			h.coldStart(n)
 			continue
@@ -633,7 +584,7 @@
 		restart := e.Started != n.Started && e.State == Serving
 		n.Entry = e
 		if restart { // nothing known of it holds any more
-			n.window, n.seen, n.open, n.heard = min(1, h.windowAtStart()), sight{}, false, h.now
+			n.window, n.seen, n.open, n.heard = 1, sight{}, false, h.now
 			h.coldStart(n)
 		}
 	}
@@ -663,12 +614,19 @@
 	return n.Started > 0 && h.s.Cold > 0 && h.now < n.Started+h.s.Cold
 }
 
-// flow returns what this head was served on a shard, -1 for all of them.
-func (h *Head) flow(shard int) *flow {
-	if h.served[shard] == nil {
-		h.served[shard] = &flow{at: h.boot}
+// served counts units served on a shard (-1: on all) and returns the mean rate
+// up to a time.
+func (h *Head) served(shard int, until Time, units float64) float64 {
+	f := h.flows[shard]
+	if f == nil {
+		f = &faded{}
+		h.flows[shard] = f
 	}
-	return h.served[shard]
+	life := float64(until-h.boot) / float64(history)
+	if sum := f.add(until, units, history); life > 0 {
+		return sum * math.Ln2 / history.Seconds() / (1 - math.Exp2(-life))
+	}
+	return 0
 }
 
 // coldStart sets a node's bucket for the time that it is cold (rule on cold
@@ -688,7 +646,7 @@
 		units = h.s.MeanUnits
 	}
 	rate := coldKeep * units / float64(h.s.Heads) / max(window, 1e-3)
-	own, mean := h.flow(n.Shard).rate(n.Started, h.boot), h.flow(-1).rate(n.Started, h.boot)/float64(len(h.nodes))
+	own, mean := h.served(n.Shard, n.Started, 0), h.served(-1, n.Started, 0)/float64(len(h.nodes))
 	known := min(1, max(0, float64(n.Started-h.boot)/float64(history))) // a short past is noise
 	rate = max(rate, coldPart*h.s.FallMultiple*h.s.ColdFrom*(known*own+(1-known)*mean))
 	n.cold = bucket{rate: rate, cap: rate * window * (1 - coldKeep) / coldKeep, at: max(h.now, h.boot+h.s.FallWindow)}
@@ -725,10 +683,7 @@
 // expected is how long an answer should take, from the node's recent ones; a
 // request that is out for longer already counts as one.
 func (h *Head) expected(n *node, r *request) time.Duration {
-	t := n.lat
-	if n.units > 0 {
-		t *= 0.5 + 0.5*r.Units/n.units
-	}
+	t := max(n.lat+h.unit*(r.Units-h.s.MeanUnits), 0)
 	if len(n.outs) > 0 {
 		t = max(t, (h.now-n.outs[0].sent).Seconds()/2)
 	}
@@ -884,8 +839,10 @@
 	for _, r := range n.queue {
 		n.wake = min(n.wake, r.due-lastCall)
 	}
-	if len(n.queue) > 0 && (n.window < 1 || h.hasSlot(n)) {
-		n.wake = min(n.wake, h.now+poll)
+	if len(n.queue) > 0 && h.hasSlot(n) { // held by what only time changes
+		n.wake = min(n.wake, h.now+h.aim/polls)
+	} else if len(n.queue) > 0 && n.window < 1 && len(n.outs) == 0 {
+		n.wake = min(n.wake, h.paced(n))
 	}
 }
 
