--- a/logic/logic.go
+++ b/logic/logic.go
@@ -913,8 +913,10 @@
 		h.sweep()
 	}
 	if wake < math.MaxInt64 && (h.armed <= h.now || wake < h.armed) {
-		h.armed = max(wake, h.now+time.Millisecond)
-		h.do(WakeIn{In: h.armed - h.now})
+		// Whole milliseconds: a timer that came a fraction early would be taken for another.
+		in := max(wake-h.now+time.Millisecond-1, time.Millisecond).Truncate(time.Millisecond)
+		h.armed = h.now + in
+		h.do(WakeIn{In: in})
 	}
 }
 
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -619,6 +619,37 @@
 	}
 }
 
+// bangna-main-later big-1: a timer told as a fraction of a microsecond came early,
+// no other was set, and a held request was never answered.
+func TestHeldRequestIsAnsweredThoughTimersAreCoarse(t *testing.T) {
+	r := start(t, site(), nodeA)
+	n := r.h.nodes[0]
+	var timers []Time
+	do := func(acts []Action) {
+		for _, a := range acts {
+			if w, ok := a.(WakeIn); ok {
+				timers = append(timers, r.now+w.In.Truncate(time.Microsecond))
+			}
+		}
+		slices.Sort(timers)
+	}
+	do(r.at(0, req(1, func(a *Arrival) { a.Left = 100 * ms })))
+	do(r.end(1, OK))
+	n.window, n.jitter, n.sentAt = 0.1, 1, r.now
+	n.seen.lat.sum = 0.1 + 1e-7/3 // a gap that ends between microseconds
+	do(r.at(0, req(2, func(a *Arrival) { a.Left = 3 * time.Second })))
+	for len(timers) > 0 {
+		next := timers[0]
+		timers = timers[1:]
+		acts := r.at(next-r.now, Wake{})
+		do(acts)
+		if r.tries[2] > 0 || len(answers(acts)) > 0 {
+			return
+		}
+	}
+	t.Error("neither sent nor answered, and no timer set")
+}
+
 func TestStrangeEventsAreTakenCalmly(t *testing.T) {
 	r := start(t, site(), nodeA)
 	acts := r.at(0, Ended{ID: 77}, Dropped{ID: 77}, Begun{ID: 77}, Wake{},
