--- a/cmd/benchlink/main.go
+++ b/cmd/benchlink/main.go
@@ -117,9 +117,11 @@
 		if !known {
 			o = logic.Failed
 		}
+		held, says := e.Telemetry["concurrent"]
+		waiting, saysWaiting := e.Telemetry["depth"]
 		return logic.Ended{ID: e.Job, Attempt: e.N, Node: e.Shelf, Outcome: o, Took: us(e.Took),
 			Closed: e.Terminal, Elsewhere: e.Elsewhere,
-			Reported: max(e.Telemetry["concurrent"], e.Telemetry["depth"])}
+			Reported: max(held, waiting), Reports: says || saysWaiting}
 	case "begun":
 		return logic.Begun{ID: e.Job, Attempt: e.N}
 	case "dropped":
--- a/logic/api.go
+++ b/logic/api.go
@@ -177,7 +177,8 @@
 	Outcome   Outcome
 	Took      time.Duration
 	Closed    bool    // the request has its final answer
-	Reported  float64 // requests that the node said it held or had waiting, 0 where it said nothing
+	Reported  float64 // requests that the node said it held or had waiting
+	Reports   bool    // it said so
 	Elsewhere float64 // units served here for the volume through other heads
 }
 
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -524,7 +524,7 @@
 		n.heard, n.open, n.trialGap, n.failures = h.now, false, 0, 0
 		part := took / a.r.class.Aim.Seconds()
 		wait := took - h.service(took, a.r)
-		if e.Reported > 0 && e.Reported < math.Inf(1) {
+		if e.Reports && e.Reported >= 0 && e.Reported < math.Inf(1) {
 			wait = (max(wait, 0) + e.Reported*h.unit*h.s.MeanUnits) / 2
 		}
 		h.saw(n, a.r, took, wait/a.r.class.Aim.Seconds(), true)
