--- a/logic/logic.go
+++ b/logic/logic.go
@@ -21,7 +21,7 @@
 	windowStart  = 2.0              // D at a node of which nothing is known
 	congested    = 0.2              // an answer later than this part of its aim shrinks the window
 	relaxed      = 0.13             // one sooner than this part may widen it
-	yield        = 1.2              // x worth: the part of their aims that answers take when it stands back
+	yield        = 1.0              // x worth: the part of their aims that answers take when it stands back
 	yieldLeast   = 0.05             // what earns nothing goes too where answers take less than this
 	calmLate     = 4.0              // the same for what is late
 	calmAims     = 1.5              // pressure halves over so many shortest aims without an answer
