--- a/cmd/benchlink/main.go
+++ b/cmd/benchlink/main.go
@@ -120,7 +120,7 @@
 		held, says := e.Telemetry["concurrent"]
 		waiting, saysWaiting := e.Telemetry["depth"]
 		return logic.Ended{ID: e.Job, Attempt: e.N, Node: e.Shelf, Outcome: o, Took: us(e.Took),
-			Closed: e.Terminal, Elsewhere: e.Elsewhere,
+			Closed:   e.Terminal,
 			Reported: max(held, waiting), Reports: says || saysWaiting}
 	case "begun":
 		return logic.Begun{ID: e.Job, Attempt: e.N}
--- a/logic/api.go
+++ b/logic/api.go
@@ -171,15 +171,14 @@
 
 // Ended tells how an attempt ended.
 type Ended struct {
-	ID        uint64
-	Attempt   int
-	Node      string
-	Outcome   Outcome
-	Took      time.Duration
-	Closed    bool    // the request has its final answer
-	Reported  float64 // requests that the node said it held or had waiting
-	Reports   bool    // it said so
-	Elsewhere float64 // units served here for the volume through other heads
+	ID       uint64
+	Attempt  int
+	Node     string
+	Outcome  Outcome
+	Took     time.Duration
+	Closed   bool    // the request has its final answer
+	Reported float64 // requests that the node said it held or had waiting
+	Reports  bool    // it said so
 }
 
 // Begun tells that a streamed answer has started.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -378,17 +378,6 @@
 	e.finish = r.start + r.Units/r.vol.phi
 }
 
-// told books service that a volume got at this node through other heads: it
-// draws on the reserve first, and what is beyond moves the finish tag on.
-func (h *Head) told(v *volume, n *node, units float64) {
-	v.reserve.fill(h.now)
-	v.reserve.level -= units
-	if e := v.at[n]; e != nil && v.reserve.level < 0 {
-		e.finish = max(e.finish, n.v) - v.reserve.level/v.phi
-	}
-	v.reserve.level = max(v.reserve.level, 0)
-}
-
 // finish gives the final answer: a refusal where it is true that trying again
 // does no harm, else a failure.
 func (h *Head) finish(r *request) {
@@ -450,9 +439,6 @@
 	n.outs = slices.DeleteFunc(n.outs, func(o *attempt) bool { return o == a })
 	n.dirty = true
 	h.health(n, a, e)
-	if e.Elsewhere > 0 {
-		h.told(r.vol, n, e.Elsewhere)
-	}
 	proven := e.Outcome == Full || e.Outcome == ConnectFailed || e.Outcome == Moot
 	if !proven && e.Outcome != OK && r.ran == nil {
 		r.ran, r.ranAt = n, a.sent
@@ -538,7 +524,6 @@
 	case Full:
 		h.saw(n, a.r, n.lat, 1, false)
 		n.heard, n.window, n.shrunk = h.now, 1/h.crowd, h.now
-		n.pauseUntil = h.now + h.aim/4
 	case ConnectFailed, Reset:
 		if n.failures++; n.failures >= failuresMax {
 			h.openBreaker(n)
@@ -812,7 +797,7 @@
 		}
 		return r.done
 	})
-	for len(n.queue) > 0 && h.now >= n.pauseUntil {
+	for len(n.queue) > 0 {
 		if n.open && h.now < n.trialAt {
 			break
 		}
