--- a/logic/logic.go
+++ b/logic/logic.go
@@ -90,50 +90,26 @@
 	used    Time
 }
 
-// bucket is a token bucket.
-type bucket struct {
-	level, rate, cap float64
-	at               Time
-}
-
-func (b *bucket) fill(now Time) {
-	b.level = min(b.cap, b.level+b.rate*(now-b.at).Seconds())
-	b.at = now
-}
-
-// faded is a sum whose parts count half after some time.
-type faded struct {
-	sum float64
-	at  Time
-}
-
-func (f *faded) add(now Time, x float64, half time.Duration) float64 {
-	f.sum = f.sum*math.Exp2(-float64(max(now-f.at, 0))/float64(half)) + x
-	f.at = max(now, f.at)
-	return f.sum
-}
-
 type node struct {
 	Entry
-	queue      []*request
-	v          float64 // virtual time: the start tag last sent
-	window     float64
-	shrunk     Time
-	outs       []*attempt // in order of sending, less those written off
-	seen       sight      // of its own
-	lat        float64    // what is held of it: seconds of an answer
-	pressure   float64    // and answer times as parts of the aims, 1 at most
-	heard      Time       // last answer
-	open       bool       // circuit breaker
-	trialAt    Time
-	trialGap   time.Duration
-	failures   int    // failed connections and resets since an answer
-	pauseUntil Time   // after a 'full'
-	cold       bucket // what it may be sent while it is cold
-	wake       Time
-	sentAt     Time
-	jitter     float64 // of the gap after it
-	dirty      bool
+	queue    []*request
+	v        float64 // virtual time: the start tag last sent
+	window   float64
+	shrunk   Time
+	outs     []*attempt // in order of sending, less those written off
+	seen     sight      // of its own
+	lat      float64    // what is held of it: seconds of an answer
+	pressure float64    // and answer times as parts of the aims, 1 at most
+	heard    Time       // last answer
+	open     bool       // circuit breaker
+	trialAt  Time
+	trialGap time.Duration
+	failures int    // failed connections and resets since an answer
+	cold     bucket // what it may be sent while it is cold
+	wake     Time
+	sentAt   Time
+	jitter   float64 // of the gap after it
+	dirty    bool
 }
 
 // sight is what answers told, weighed by age.
@@ -162,6 +138,9 @@
 	seq      int
 	acts     []Action
 	nodes    []*node
+	byShard  map[int][]*node
+	touched  []*node        // something happened to them in this moment
+	nextWake Time           // first of the others' wake times, or before it
 	unit     float64        // seconds that a unit takes where nothing waits
 	fleet    sight          // of all nodes
 	flows    map[int]*faded // units served, by shard
@@ -227,6 +206,14 @@
 	return h.acts
 }
 
+// touch has a node looked at when the events of the moment are taken.
+func (h *Head) touch(n *node) {
+	if n != nil && !n.dirty {
+		n.dirty = true
+		h.touched = append(h.touched, n)
+	}
+}
+
 func (h *Head) do(a Action) { h.acts = append(h.acts, a) }
 
 // ---- requests ----
@@ -247,6 +234,10 @@
 	r := &request{Arrival: a, seq: h.seq, class: &h.s.Classes[a.Class], vol: h.volume(a)}
 	r.due, r.aimAt = h.now+a.Left, h.now+r.class.Aim
 	h.reqs[a.ID] = r
+	if r.vol.plan.Limit > 0 && r.vol.limit.cap < a.Units {
+		h.finish(r) // more than this host's part of the burst ever holds
+		return
+	}
 	if r.class.InOrder && a.Key != "" {
 		t := h.turns[a.Key]
 		if t == nil {
@@ -305,7 +296,7 @@
 	}
 	r.node = n
 	n.queue = append(n.queue, r)
-	n.dirty = true
+	h.touch(n)
 }
 
 // target returns the serving node that holds the request's shard; a new object
@@ -313,13 +304,13 @@
 // open or that are cold come last.
 func (h *Head) target(r *request) (best *node) {
 	var bestLoad float64
-	first := 0
+	nodes, first := h.byShard[r.Shard], 0
 	if r.Shard < 0 && len(h.nodes) > 0 {
-		first = h.rand.IntN(len(h.nodes)) // so that nodes alike are not taken in one order by all heads
+		nodes, first = h.nodes, h.rand.IntN(len(h.nodes)) // lest all heads take nodes alike in one order
 	}
-	for i := range h.nodes {
-		n := h.nodes[(first+i)%len(h.nodes)]
-		if n.State != Serving || (r.Shard >= 0 && n.Shard != r.Shard) || !h.mayRepeat(r, n) {
+	for i := range nodes {
+		n := nodes[(first+i)%len(nodes)]
+		if n.State != Serving || !h.mayRepeat(r, n) {
 			continue
 		}
 		load := max(n.lat, h.aim.Seconds()/10) * (1 + float64(len(n.queue)+len(n.outs))) / n.window
@@ -397,9 +388,7 @@
 func (h *Head) close(r *request) {
 	r.done = true
 	delete(h.reqs, r.ID)
-	if r.node != nil {
-		r.node.dirty = true
-	}
+	h.touch(r.node)
 	h.endTurn(r)
 }
 
@@ -410,8 +399,8 @@
 	}
 	if i := slices.Index(t.queue, r); i >= 0 {
 		t.queue = slices.Delete(t.queue, i, i+1)
-		for _, n := range h.nodes {
-			n.dirty = true
+		for _, next := range t.queue[:min(1, len(t.queue))] {
+			h.touch(next.node)
 		}
 	}
 }
@@ -437,7 +426,7 @@
 	r, n := a.r, a.node
 	r.live--
 	n.outs = slices.DeleteFunc(n.outs, func(o *attempt) bool { return o == a })
-	n.dirty = true
+	h.touch(n)
 	h.health(n, a, e)
 	proven := e.Outcome == Full || e.Outcome == ConnectFailed || e.Outcome == Moot
 	if !proven && e.Outcome != OK && r.ran == nil {
@@ -515,7 +504,6 @@
 		}
 		h.saw(n, a.r, took, wait/a.r.class.Aim.Seconds(), true)
 		h.served(n.Shard, h.now, a.r.Units)
-		h.served(-1, h.now, a.r.Units)
 		if part > congested && a.sent >= n.shrunk {
 			n.window, n.shrunk = max(min(1, n.window), n.window*shrink), h.now
 		} else if part < relaxed && a.full {
@@ -539,13 +527,12 @@
 // says. What is out there is written off, so that trials are not held up.
 func (h *Head) openBreaker(n *node) {
 	if !n.open {
-		n.open, n.window, n.trialGap = true, min(1, n.window), h.aim
-		n.trialAt = h.now + n.trialGap
+		n.open, n.trialGap, n.trialAt = true, h.aim, h.now+h.aim
+		n.window = min(1, n.window)
 	}
 	if len(n.outs) > 0 {
-		n.window = max(1/h.crowd, min(1, n.window)/2)
+		n.window, n.outs = max(1/h.crowd, min(1, n.window)/2), nil
 	}
-	n.outs = nil
 }
 
 // ---- the node list ----
@@ -580,9 +567,10 @@
 	}
 	// Requests held for a node that no longer serves, or for none, find their next node.
 	moved := h.homeless
-	h.homeless = nil
+	h.homeless, h.byShard = nil, map[int][]*node{}
 	for _, n := range h.nodes {
-		n.dirty = true
+		h.touch(n)
+		h.byShard[n.Shard] = append(h.byShard[n.Shard], n)
 		if n.State != Serving {
 			moved = append(moved, n.queue...)
 			n.queue = nil
@@ -599,8 +587,7 @@
 	return n.Started > 0 && h.s.Cold > 0 && h.now < n.Started+h.s.Cold
 }
 
-// served counts units served on a shard (-1: on all) and returns the mean rate
-// up to a time.
+// served counts units served on a shard and returns the mean rate up to a time.
 func (h *Head) served(shard int, until Time, units float64) float64 {
 	f := h.flows[shard]
 	if f == nil {
@@ -631,9 +618,7 @@
 		units = h.s.MeanUnits
 	}
 	rate := coldKeep * units / float64(h.s.Heads) / max(window, 1e-3)
-	own, mean := h.served(n.Shard, n.Started, 0), h.served(-1, n.Started, 0)/float64(len(h.nodes))
-	known := min(1, max(0, float64(n.Started-h.boot)/float64(history))) // a short past is noise
-	rate = max(rate, coldPart*h.s.FallMultiple*h.s.ColdFrom*(known*own+(1-known)*mean))
+	rate = max(rate, coldPart*h.s.FallMultiple*h.s.ColdFrom*h.served(n.Shard, n.Started, 0))
 	n.cold = bucket{rate: rate, cap: rate * window * (1 - coldKeep) / coldKeep, at: max(h.now, h.boot+h.s.FallWindow)}
 	n.cold.level = n.cold.cap - h.rand.Float64()*h.s.MeanUnits
 }
@@ -697,8 +682,7 @@
 	if !h.s.Budget {
 		return true
 	}
-	old := func(t Time) bool { return t <= h.now-h.s.BudgetOver }
-	h.taken = slices.DeleteFunc(h.taken, old)
+	h.taken = slices.DeleteFunc(h.taken, func(t Time) bool { return t <= h.now-h.s.BudgetOver })
 	// An attempt just at the edge still counts, a request there does not.
 	h.further = slices.DeleteFunc(h.further, func(t Time) bool { return t < h.now-h.s.BudgetOver })
 	return float64(len(h.further)+1) <= h.s.BudgetFree+h.s.BudgetShare*float64(len(h.taken))
@@ -710,19 +694,15 @@
 // worth). Departure from "no slot idled": a slot is left open then, for an aim
 // after the last answer at most.
 func (h *Head) yields(r *request, n *node, late bool) bool {
-	worth := h.worth(r) / h.top
+	worth, calm := h.worth(r)/h.top, calmAims
 	if late {
-		worth *= r.class.LateWorth
+		worth, calm = worth*r.class.LateWorth, calmLate
 	}
 	if r.excess {
 		worth *= h.s.ShareWorth
 	}
-	calm := calmAims
-	if late {
-		calm = calmLate
-	}
-	calm *= max(1, r.vol.hosts)
-	pressure := n.pressure * math.Exp2(-float64(h.now-n.heard)/float64(h.aim)/calm)
+	// All heads of a volume together try a crowded node at the pace of one.
+	pressure := n.pressure * math.Exp2(-float64(h.now-n.heard)/float64(h.aim)/calm/max(1, r.vol.hosts))
 	if h.isCold(n) { // what a cold node bears is for what earns most
 		b := h.coldLevel(n)
 		pressure = max(pressure, 1-b.level/max(b.cap, 1e-9))
@@ -767,10 +747,7 @@
 	}
 	first := best
 	for _, r := range ready {
-		if r.vol != first.vol || late(r) != bestLate || r == best {
-			continue
-		}
-		if before(r, best) {
+		if r.vol == first.vol && late(r) == bestLate && before(r, best) {
 			best = r
 		}
 	}
@@ -783,20 +760,11 @@
 func (h *Head) pump(n *node) {
 	n.dirty = false
 	h.look(n)
-	for len(n.outs) > 0 {
-		patience := max(silentAims*h.aim.Seconds(), silentLats*n.lat)
-		since := max(n.heard, n.outs[0].sent)
-		if (h.now - since).Seconds() < patience {
-			break
-		}
+	patience := max(silentAims*h.aim.Seconds(), silentLats*n.lat)
+	if len(n.outs) > 0 && (h.now-max(n.heard, n.outs[0].sent)).Seconds() >= patience {
 		h.openBreaker(n)
 	}
-	n.queue = slices.DeleteFunc(n.queue, func(r *request) bool {
-		if !r.done && h.now+lastCall >= r.due {
-			h.finish(r)
-		}
-		return r.done
-	})
+	n.queue = h.expire(n.queue)
 	for len(n.queue) > 0 {
 		if n.open && h.now < n.trialAt {
 			break
@@ -804,7 +772,7 @@
 		if n.open { // half-open: one trial, at growing gaps
 			h.openBreaker(n)
 		}
-		if !h.hasSlot(n) {
+		if h.slotAt(n) > h.now {
 			break
 		}
 		r := h.pick(n)
@@ -821,26 +789,22 @@
 	if len(n.outs) > 0 {
 		n.wake = h.now + h.aim/4
 	}
-	for _, r := range n.queue {
-		n.wake = min(n.wake, r.due-lastCall)
-	}
-	if len(n.queue) > 0 && h.hasSlot(n) { // held by what only time changes
-		n.wake = min(n.wake, h.now+h.aim/polls)
-	} else if len(n.queue) > 0 && n.window < 1 && len(n.outs) == 0 {
-		n.wake = min(n.wake, h.paced(n))
+	if len(n.queue) > 0 { // held for a slot, or by what time alone changes
+		n.wake = min(n.wake, h.lastCalls(n.queue), max(h.slotAt(n), h.now+h.aim/polls))
 	}
 }
 
-// hasSlot tells whether fewer than D are out. A window under one is a gap
-// between sends: the node's usual answer time over the window.
-func (h *Head) hasSlot(n *node) bool {
-	if n.window >= 1 {
-		return float64(len(n.outs))+1 <= n.window
+// slotAt returns when another request may go out: at once while fewer than D
+// are out, never while D are. A window under one is a gap between sends, the
+// node's usual answer time over the window (as Swift paces), by chance half as
+// long or half as long again.
+func (h *Head) slotAt(n *node) Time {
+	switch {
+	case float64(len(n.outs))+1 <= n.window:
+		return 0
+	case n.window >= 1 || len(n.outs) > 0:
+		return math.MaxInt64
 	}
-	return len(n.outs) == 0 && h.now >= h.paced(n)
-}
-
-func (h *Head) paced(n *node) Time {
 	return n.sentAt + Time(n.jitter*n.lat/n.window*float64(time.Second))
 }
 
@@ -868,6 +832,25 @@
 	h.do(Send{ID: r.ID, Node: n.Node})
 }
 
+// expire answers what is out of time and returns the rest.
+func (h *Head) expire(held []*request) []*request {
+	return slices.DeleteFunc(held, func(r *request) bool {
+		if !r.done && h.now+lastCall >= r.due {
+			h.finish(r)
+		}
+		return r.done
+	})
+}
+
+// lastCalls returns when the first of them must be answered.
+func (h *Head) lastCalls(held []*request) Time {
+	first := Time(math.MaxInt64)
+	for _, r := range held {
+		first = min(first, r.due-lastCall)
+	}
+	return first
+}
+
 // settle lets every node that something happened to send, and sets the timer.
 func (h *Head) settle() {
 	wake := Time(math.MaxInt64)
@@ -879,21 +862,27 @@
 			wake = h.watchAt
 		}
 	}
-	for _, n := range h.nodes {
-		if n.dirty || h.now >= n.wake {
-			h.pump(n)
+	if h.now >= h.nextWake { // else only nodes that something happened to
+		h.nextWake = math.MaxInt64
+		for _, n := range h.nodes {
+			if h.now >= n.wake {
+				h.touch(n)
+			} else {
+				h.nextWake = min(h.nextWake, n.wake)
+			}
 		}
-		wake = min(wake, n.wake)
 	}
-	h.homeless = slices.DeleteFunc(h.homeless, func(r *request) bool {
-		if !r.done && h.now+lastCall >= r.due {
-			h.finish(r)
-		}
-		return r.done
-	})
-	for _, r := range h.homeless {
-		wake = min(wake, r.due-lastCall)
+	touched := h.touched
+	h.touched = nil
+	for _, n := range touched {
+		h.pump(n)
+		h.nextWake = min(h.nextWake, n.wake)
+	}
+	if wake = min(wake, h.nextWake); len(h.touched) > 0 { // by what came of it, as a key's next turn
+		wake = h.now
 	}
+	h.homeless = h.expire(h.homeless)
+	wake = min(wake, h.lastCalls(h.homeless))
 	if h.now >= h.swept+idleFor/2 {
 		h.sweep()
 	}
--- /dev/null
+++ b/logic/sums.go
@@ -0,0 +1,31 @@
+package logic
+
+// Plain arithmetic that logic.go counts with; it holds no decision and no value.
+
+import (
+	"math"
+	"time"
+)
+
+// bucket is a token bucket.
+type bucket struct {
+	level, rate, cap float64
+	at               Time
+}
+
+func (b *bucket) fill(now Time) {
+	b.level = min(b.cap, b.level+b.rate*(now-b.at).Seconds())
+	b.at = now
+}
+
+// faded is a sum whose parts count half after some time.
+type faded struct {
+	sum float64
+	at  Time
+}
+
+func (f *faded) add(now Time, x float64, half time.Duration) float64 {
+	f.sum = f.sum*math.Exp2(-float64(max(now-f.at, 0))/float64(half)) + x
+	f.at = max(now, f.at)
+	return f.sum
+}
