--- a/logic/logic.go
+++ b/logic/logic.go
@@ -7,6 +7,7 @@
 package logic
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -18,20 +19,20 @@
 const (
 	minShare     = 0.5              // φmin, as a part of φ
 	windowMax    = 8.0              // D of the design: most requests out at a node
+	windowSum    = 32.0             // the same of all heads together, one for each at least
 	windowStart  = 2.0              // D at a node of which nothing is known
 	congested    = 0.2              // an answer later than this part of its aim shrinks the window
 	relaxed      = 0.13             // one sooner than this part may widen it
-	yield        = 1.0              // x worth: the part of their aims that answers take when it stands back
 	yieldLeast   = 0.05             // what earns nothing goes too where answers take less than this
 	calmLate     = 4.0              // the same for what is late
 	calmAims     = 1.5              // pressure halves over so many shortest aims without an answer
 	shrink       = 0.7              // multiplicative decrease
-	history      = 30 * time.Second // so does what a head was served on a shard
-	coldKeep     = 0.67             // a cold node's bucket fills at this part of the even part, and holds the rest
-	coldPart     = 1.5              // of what it must bear, by what it bore before, to be on the safe side
+	coldKeep     = 0.67             // part of its budget that a cold node's bucket fills at; it holds the rest
+	coldPart     = 1.5              // x FallMultiple x ColdFrom x what the head was served on the shard before
 	memory       = 3 * time.Second  // what was seen of a node counts half after this
+	history      = 30 * time.Second // so does what a head was served on a shard
 	drift        = 0.02             // step of the estimate of what a unit takes
-	prior        = 2.0              // answers that all nodes together count for in what is held of one
+	prior        = 4.0              // answers that all nodes together count for in what is held of one
 	sharers      = 2.0              // heads before a node, as a multiple of those of a volume
 	reserveHosts = 2.0              // a host holds so many even parts of a volume's reserve, all of it at most
 	idleFor      = 10 * time.Second // idle volumes are forgotten after this
@@ -67,10 +68,7 @@
 	full bool // the window was full with it
 }
 
-type attemptID struct {
-	id uint64
-	n  int
-}
+type attemptID struct{ id, n uint64 }
 
 // entry is a volume's state at one node.
 type entry struct {
@@ -163,8 +161,9 @@
 	if err := s.check(); err != nil {
 		return nil, err
 	}
-	h := &Head{s: s, now: now, crowd: 1, boot: now, swept: now, watchAt: -1, armed: now, reqs: map[uint64]*request{},
-		attempts: map[attemptID]*attempt{}, vols: map[string]*volume{}, turns: map[string]*turn{}, flows: map[int]*faded{}, rand: rand.New(rand.NewPCG(seed, seed))}
+	h := &Head{s: s, now: now, crowd: 1, boot: now, swept: now, watchAt: -1, armed: now,
+		reqs: map[uint64]*request{}, attempts: map[attemptID]*attempt{}, vols: map[string]*volume{},
+		turns: map[string]*turn{}, flows: map[int]*faded{}, rand: rand.New(rand.NewPCG(seed, seed))}
 	h.aim = s.Classes[0].Aim
 	for _, c := range s.Classes {
 		h.aim = min(h.aim, c.Aim)
@@ -260,18 +259,15 @@
 		if h.weights > 0 {
 			v.phi = max(p.Weight/h.weights, 1e-6)
 		}
-		v.reserve.at = h.boot
-		v.limit.at = h.boot
+		v.reserve.at, v.limit.at = h.boot, h.boot
 		h.vols[a.Volume] = v
 	}
-	hosts := float64(a.Hosts)
-	if a.Hosts < 1 || a.Hosts > h.s.Heads {
-		hosts = float64(h.s.Heads)
+	heads, hosts := float64(h.s.Heads), float64(a.Hosts)
+	if hosts < 1 || hosts > heads {
+		hosts = heads
 	}
-	v.hosts = hosts
-	h.crowd = max(h.crowd, min(float64(h.s.Heads), sharers*hosts))
-	part := min(1, reserveHosts/hosts)
-	if v.plan.Reserve > 0 {
+	v.hosts, h.crowd = hosts, max(h.crowd, min(heads, sharers*hosts))
+	if part := min(1, reserveHosts/hosts); v.plan.Reserve > 0 {
 		v.reserve.rate = part * v.plan.Reserve
 		v.reserve.cap = max(part*(v.plan.Reserve+h.s.MostUnits), h.s.MostUnits)
 	}
@@ -294,8 +290,7 @@
 	if r.node != n || r.tries == 0 {
 		h.tag(r, n)
 	}
-	r.node = n
-	n.queue = append(n.queue, r)
+	r.node, n.queue = n, append(n.queue, r)
 	h.touch(n)
 }
 
@@ -417,7 +412,7 @@
 // ---- outcomes ----
 
 func (h *Head) ended(e Ended) {
-	id := attemptID{e.ID, e.Attempt}
+	id := attemptID{e.ID, uint64(e.Attempt)}
 	a := h.attempts[id]
 	if a == nil {
 		return
@@ -466,17 +461,19 @@
 
 // saw books an answer, or what stands for one: a time-out or a 'full' took all
 // of the request's aim.
-func (h *Head) saw(n *node, r *request, took, part float64, answered bool) {
+func (h *Head) saw(n *node, took, part float64, answered bool) {
 	part = min(max(part, 0), 1)
-	n.seen.add(h.now, 1, took, part)
-	if answered {
-		h.fleet.add(h.now, 1, took, part)
+	if n.seen.add(h.now, 1, took, part); answered {
+		h.fleet.add(h.now, 1, took, part) // a sick node tells of itself alone
 	}
 }
 
 // look sets what is held of a node: its own answers by age, and as far as these
-// are few or old, those of all nodes. Guards against sparse sight.
+// are few or old, those of all nodes. Guards against sparse sight. It bounds the
+// window by the heads that may stand before the node: a hundred windows of
+// eight are a full queue, at which a node serves next to nothing.
 func (h *Head) look(n *node) {
+	n.window = min(n.window, windowMax, max(1, windowSum/h.crowd))
 	weight, lat, part := n.seen.add(h.now, 0, 0, 0)
 	all, allLat, allPart := h.fleet.add(h.now, 0, 0, 0)
 	k := prior / max(all, prior)
@@ -502,22 +499,22 @@
 		if e.Reports && e.Reported >= 0 && e.Reported < math.Inf(1) {
 			wait = (max(wait, 0) + e.Reported*h.unit*h.s.MeanUnits) / 2
 		}
-		h.saw(n, a.r, took, wait/a.r.class.Aim.Seconds(), true)
+		h.saw(n, took, wait/a.r.class.Aim.Seconds(), true)
 		h.served(n.Shard, h.now, a.r.Units)
 		if part > congested && a.sent >= n.shrunk {
 			n.window, n.shrunk = max(min(1, n.window), n.window*shrink), h.now
 		} else if part < relaxed && a.full {
-			n.window = min(max(1, 4*windowMax/h.crowd), windowMax, n.window+min(n.window, 1/n.window))
+			n.window += min(n.window, 1/n.window)
 		}
 	case Full:
-		h.saw(n, a.r, n.lat, 1, false)
+		h.saw(n, n.lat, 1, false)
 		n.heard, n.window, n.shrunk = h.now, 1/h.crowd, h.now
 	case ConnectFailed, Reset:
 		if n.failures++; n.failures >= failuresMax {
 			h.openBreaker(n)
 		}
 	case TimedOut:
-		h.saw(n, a.r, took, 1, false)
+		h.saw(n, took, 1, false)
 		n.window, n.shrunk = 1/h.crowd, h.now
 	}
 }
@@ -612,14 +609,11 @@
 	if !h.isCold(n) {
 		return
 	}
-	window := h.s.FallWindow.Seconds()
-	units := h.s.ColdUnits
-	if units == 0 {
-		units = h.s.MeanUnits
-	}
-	rate := coldKeep * units / float64(h.s.Heads) / max(window, 1e-3)
-	rate = max(rate, coldPart*h.s.FallMultiple*h.s.ColdFrom*h.served(n.Shard, n.Started, 0))
-	n.cold = bucket{rate: rate, cap: rate * window * (1 - coldKeep) / coldKeep, at: max(h.now, h.boot+h.s.FallWindow)}
+	window, units := max(h.s.FallWindow.Seconds(), 1e-3), cmp.Or(h.s.ColdUnits, h.s.MeanUnits)
+	rate := max(coldKeep*units/float64(h.s.Heads)/window,
+		coldPart*h.s.FallMultiple*h.s.ColdFrom*h.served(n.Shard, n.Started, 0))
+	n.cold = bucket{rate: rate, cap: rate * window * (1 - coldKeep) / coldKeep}
+	n.cold.at = max(h.now, h.boot+h.s.FallWindow)
 	n.cold.level = n.cold.cap - h.rand.Float64()*h.s.MeanUnits
 }
 
@@ -631,8 +625,7 @@
 		grown += max(0, age) * (1 - from) / from
 	}
 	b := n.cold
-	b.rate, b.cap = b.rate*grown, b.cap*grown
-	if h.now > b.at {
+	if b.rate, b.cap = b.rate*grown, b.cap*grown; h.now > b.at {
 		b.fill(h.now)
 		n.cold.level, n.cold.at = b.level, b.at
 	}
@@ -702,12 +695,12 @@
 		worth *= h.s.ShareWorth
 	}
 	// All heads of a volume together try a crowded node at the pace of one.
-	pressure := n.pressure * math.Exp2(-float64(h.now-n.heard)/float64(h.aim)/calm/max(1, r.vol.hosts))
+	pressure := n.pressure * math.Exp2(-float64(h.now-n.heard)/float64(h.aim)/calm/max(1, 2*r.vol.hosts-2))
 	if h.isCold(n) { // what a cold node bears is for what earns most
 		b := h.coldLevel(n)
 		pressure = max(pressure, 1-b.level/max(b.cap, 1e-9))
 	}
-	return pressure > max(yield*worth, yieldLeast) && worth < 1
+	return pressure > max(worth, yieldLeast) && worth < 1
 }
 
 // worth is what a unit of the request earns in time and within the reserve.
@@ -768,8 +761,7 @@
 	for len(n.queue) > 0 {
 		if n.open && h.now < n.trialAt {
 			break
-		}
-		if n.open { // half-open: one trial, at growing gaps
+		} else if n.open { // half-open: one trial, at growing gaps
 			h.openBreaker(n)
 		}
 		if h.slotAt(n) > h.now {
@@ -823,10 +815,9 @@
 	if h.isCold(n) {
 		n.cold.level -= r.Units
 	}
-	a := &attempt{r: r, node: n, sent: h.now}
+	a := &attempt{r: r, node: n, sent: h.now, full: float64(len(n.outs))+2 > n.window}
 	n.outs = append(n.outs, a)
-	a.full = float64(len(n.outs))+1 > n.window
-	h.attempts[attemptID{r.ID, r.tries}] = a
+	h.attempts[attemptID{r.ID, uint64(r.tries)}] = a
 	r.tries++
 	r.live++
 	h.do(Send{ID: r.ID, Node: n.Node})
@@ -854,13 +845,11 @@
 // settle lets every node that something happened to send, and sets the timer.
 func (h *Head) settle() {
 	wake := Time(math.MaxInt64)
-	if h.watchAt >= 0 {
-		if h.now >= h.watchAt {
-			h.do(Watch{})
-			h.watchAt = -1
-		} else {
-			wake = h.watchAt
-		}
+	if h.watchAt >= 0 && h.now >= h.watchAt {
+		h.do(Watch{})
+		h.watchAt = -1
+	} else if h.watchAt >= 0 {
+		wake = h.watchAt
 	}
 	if h.now >= h.nextWake { // else only nodes that something happened to
 		h.nextWake = math.MaxInt64
