--- a/logic/logic.go
+++ b/logic/logic.go
@@ -14,8 +14,7 @@
 	"time"
 )
 
-// All constants. Times that depend on the classes are multiples of the
-// shortest aim (h.aim), so that no deployment's figures are built in.
+// All constants. Times are multiples of the shortest aim (h.aim) where classes matter.
 const (
 	minShare     = 0.5              // φmin, as a part of φ
 	windowMax    = 8.0              // D of the design: most requests out at a node
@@ -215,8 +214,6 @@
 
 func (h *Head) do(a Action) { h.acts = append(h.acts, a) }
 
-// ---- requests ----
-
 func (h *Head) arrive(a Arrival) {
 	if h.reqs[a.ID] != nil {
 		return // told twice; the first is being dealt with
@@ -369,7 +366,6 @@
 func (h *Head) finish(r *request) {
 	switch {
 	case r.done:
-		return
 	case r.ran == nil || r.class.Effect == Safe || (r.class.Effect == Keyed && r.class.Group == GroupAll):
 		h.do(Refuse{ID: r.ID, RetryAfter: h.s.MaxRetryAfter})
 	default:
@@ -409,8 +405,6 @@
 	return len(t.queue) > 0 && t.queue[0] == r && (t.restOf == r || h.now >= t.rest)
 }
 
-// ---- outcomes ----
-
 func (h *Head) ended(e Ended) {
 	id := attemptID{e.ID, uint64(e.Attempt)}
 	a := h.attempts[id]
@@ -485,7 +479,9 @@
 //
 // The window is delay-based AIMD: guards against a long first-in-first-out
 // queue at the node, where tags no longer order anything. One decrease an
-// answer time, so a pause or a flush of deferred writes costs one step.
+// answer time, so a pause or a flush of deferred writes costs one step. Slow
+// answers stop at one; under it, down to one for all heads together, lead
+// silence, time-outs and 'full', after which a node needs near quiet to recover.
 //
 // The breaker opens here on failed connections and resets in a row (a node that
 // resets a part of its work still serves the rest), on silence in pump.
@@ -532,8 +528,6 @@
 	}
 }
 
-// ---- the node list ----
-
 func (h *Head) list(l List) {
 	if l.Failed {
 		h.watchAt = h.now + listRetry
@@ -641,8 +635,6 @@
 	return h.now >= b.at && b.level >= min(units, b.cap)
 }
 
-// ---- sending ----
-
 // expected is how long an answer should take, from the node's recent ones; a
 // request that is out for longer already counts as one.
 func (h *Head) expected(n *node, r *request) time.Duration {
@@ -684,8 +676,7 @@
 // yields tells whether a request stands back for those of other heads at the
 // node, which cannot be seen but in how slowly the node answers: what earns
 // least a unit soonest (late, beyond the reserve, of a class or plan of little
-// worth). Departure from "no slot idled": a slot is left open then, for an aim
-// after the last answer at most.
+// worth). Departure from "no slot idled": a slot is left open then.
 func (h *Head) yields(r *request, n *node, late bool) bool {
 	worth, calm := h.worth(r)/h.top, calmAims
 	if late {
