--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -696,3 +696,172 @@
 	r.at(20*ms, Wake{})
 	want(t, "sent at all of it", r.sent(), []uint64{10, 1})
 }
+
+func hosts(n int) func(*Arrival) { return func(a *Arrival) { a.Hosts = n } }
+
+// kandy-main-later big-1: one out per head was a hundred out at a node, whose full
+// queue then served nothing for half a minute.
+func TestNoAnswerTakesTheWindowToOneForAllHeads(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		heads   int
+		hosts   int
+		outcome Outcome
+		want    float64
+	}{
+		{"a lone head keeps one out", 1, 1, TimedOut, 1},
+		{"more hosts told than heads", 4, 99, TimedOut, 1.0 / 4},
+		{"time-out before many", 100, 10, TimedOut, 1 / (sharers * 10)},
+		{"full before many", 100, 10, Full, 1 / (sharers * 10)},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := start(t, site(func(s *Settings) { s.Heads = c.heads }), nodeA)
+			r.at(0, req(1, hosts(c.hosts)))
+			r.end(1, c.outcome)
+			want(t, "window", r.h.nodes[0].window, c.want)
+		})
+	}
+}
+
+func TestWindowUnderOneIsAGap(t *testing.T) {
+	r := start(t, site(func(s *Settings) { s.Classes[0].LateWorth = 1 }), nodeA)
+	long := func(a *Arrival) { a.Left = 10 * time.Second }
+	r.at(0, req(1, long))
+	r.at(100*ms, Ended{ID: 1, Outcome: OK, Closed: true})
+	r.h.nodes[0].window = 0.2 // with answers of 100 ms a gap of 250 to 750 ms
+	r.at(0, req(2, long))
+	r.wait(140 * ms) // 240 ms after the first was sent
+	want(t, "sent before the gap is over", r.sent(), []uint64{1})
+	r.wait(520 * ms)
+	want(t, "sent after it", r.sent(), []uint64{1, 2})
+}
+
+func TestWindowsOfAllHeadsAreBounded(t *testing.T) {
+	for _, c := range []struct {
+		heads, hosts int
+		want         float64
+	}{{1, 1, windowMax}, {4, 2, windowMax}, {100, 8, windowSum / 16}, {100, 50, 1}} {
+		r := start(t, site(func(s *Settings) { s.Heads = c.heads }), nodeA)
+		r.at(0, req(1, hosts(c.hosts)))
+		n := r.h.nodes[0]
+		n.window = 100
+		r.h.look(n)
+		if n.window != c.want {
+			t.Errorf("%d heads, %d hosts: window %v, want %v", c.heads, c.hosts, n.window, c.want)
+		}
+	}
+}
+
+func TestReserveIsHeldInPartsByHosts(t *testing.T) {
+	for _, c := range []struct {
+		hosts int
+		rate  float64
+	}{{1, 8}, {2, 8}, {4, 4}, {16, 1}, {0, 8.0 * reserveHosts / 50}, {99, 8.0 * reserveHosts / 50}} {
+		r := start(t, site(func(s *Settings) { s.Heads, s.Plans[0].Reserve = 50, 8 }), nodeA)
+		v := r.h.volume(req(1, hosts(c.hosts)))
+		if math.Abs(v.reserve.rate-c.rate) > 1e-9 || v.reserve.level < r.h.s.MostUnits {
+			t.Errorf("%d hosts: rate %v level %v, want rate %v and one largest request", c.hosts, v.reserve.rate,
+				v.reserve.level, c.rate)
+		}
+	}
+}
+
+func TestMoreThanThePartOfTheLimitIsRefusedAtOnce(t *testing.T) {
+	s := site(func(s *Settings) { s.Heads, s.Plans[0].Limit, s.Plans[0].LimitBurst = 10, 20, 24 })
+	r := start(t, s, nodeA)
+	want(t, "answer", answers(r.at(0, req(1, hosts(10), units(6)))), map[uint64]string{1: "r"})
+	want(t, "what fits waits", answers(r.at(0, req(2, hosts(10), units(2)))), map[uint64]string{})
+}
+
+// A report counts half at most; one that is absent or no number, not at all.
+func TestReportsAreBounded(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		says     bool
+		reported float64
+		took     time.Duration
+		lo, hi   float64
+	}{
+		{"none", false, 0, 110 * ms, 0.45, 0.55},
+		{"not a number", true, math.NaN(), 110 * ms, 0.45, 0.55},
+		{"infinite", true, math.Inf(1), 110 * ms, 0.45, 0.55},
+		{"negative", true, -5, 110 * ms, 0.45, 0.55},
+		{"none waiting halves", true, 0, 110 * ms, 0.2, 0.3},
+		{"stands at zero while answers are slow", true, 0, 500 * ms, 0.95, 1},
+		{"a crowd behind a quick answer", true, 30, 10 * ms, 0.7, 0.8},
+		{"absurd", true, 1e12, 10 * ms, 1, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := start(t, site(), nodeA)
+			r.h.unit = 0.005
+			n := r.h.nodes[0]
+			a := &attempt{r: &request{Arrival: req(1), class: &r.h.s.Classes[0]}, node: n, sent: r.now - c.took}
+			r.h.health(n, a, Ended{Outcome: OK, Reports: c.says, Reported: c.reported})
+			r.h.look(n)
+			if n.pressure < c.lo-0.01 || n.pressure > c.hi+0.01 {
+				t.Errorf("pressure %.3f, want %.2f to %.2f", n.pressure, c.lo, c.hi)
+			}
+		})
+	}
+}
+
+// bangna-main-later big-1: seven hung nodes made every head stand back everywhere.
+func TestASickNodeTellsOfItselfAlone(t *testing.T) {
+	r := start(t, site(), nodeA, nodeB)
+	for id := uint64(1); id <= 6; id++ {
+		r.at(50*ms, req(id, shard(0)))
+		if r.tries[id] > 0 {
+			r.end(id, TimedOut)
+		}
+	}
+	r.h.look(r.h.nodes[0])
+	r.h.look(r.h.nodes[1])
+	if a, b := r.h.nodes[0].pressure, r.h.nodes[1].pressure; a < 0.9 || b > 0.1 {
+		t.Errorf("pressure %.2f at the sick node, %.2f at the other", a, b)
+	}
+}
+
+// All heads of a volume together try a crowded node at the pace of one.
+func TestPressureFadesSlowerWithMoreHosts(t *testing.T) {
+	r := start(t, site(func(s *Settings) { s.Heads, s.ShareWorth = 100, 0.3 }), nodeA)
+	n := r.h.nodes[0]
+	for _, c := range []struct {
+		hosts int
+		after time.Duration
+		want  bool // still stands back
+	}{{1, 200 * ms, true}, {1, time.Second, false}, {20, time.Second, true}, {20, 25 * time.Second, false}} {
+		q := &request{vol: r.h.volume(req(1, hosts(c.hosts))), class: &r.h.s.Classes[0], excess: true}
+		n.pressure, n.heard = 0.9, r.now-c.after
+		if got := r.h.yields(q, n, false); got != c.want {
+			t.Errorf("%d hosts after %v: stands back %v, want %v", c.hosts, c.after, got, c.want)
+		}
+	}
+}
+
+// bangna-main-later: all heads sent new objects to the first of the nodes alike.
+func TestNewObjectsOfManyHeadsAreSpread(t *testing.T) {
+	var nodes []Entry
+	for i := range 10 {
+		nodes = append(nodes, Entry{Node: string(rune('a' + i)), Shard: i})
+	}
+	took := map[string]int{}
+	for seed := uint64(1); seed <= 40; seed++ {
+		h, err := New(site(), seed, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, a := range h.Handle(0, []Event{List{Full: true, Entries: nodes}, req(1, shard(-1))}) {
+			if s, ok := a.(Send); ok {
+				took[s.Node]++
+			}
+		}
+	}
+	for node, k := range took {
+		if k > 12 {
+			t.Errorf("node %s takes %d of 40 first objects", node, k)
+		}
+	}
+	if len(took) < 7 {
+		t.Errorf("%d nodes of 10 are used", len(took))
+	}
+}
