coldPart 2.0: a cold node's part is twice the multiple's share of what was served before

Could harm where a node bore more before than two thirds of what it can do and all of it comes back at once.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -27,7 +27,7 @@
 	calmAims     = 1.5              // pressure halves over so many shortest aims without an answer
 	shrink       = 0.7              // multiplicative decrease
 	coldKeep     = 0.67             // part of its budget that a cold node's bucket fills at; it holds the rest
-	coldPart     = 1.5              // x FallMultiple x ColdFrom x what the head was served on the shard before
+	coldPart     = 2.0              // x FallMultiple x ColdFrom x what the head was served on the shard before
 	memory       = 3 * time.Second  // what was seen of a node counts half after this
 	history      = 30 * time.Second // so does what a head was served on a shard
 	drift        = 0.02             // step of the estimate of what a unit takes
