--- a/logic/logic.go
+++ b/logic/logic.go
@@ -22,7 +22,7 @@
 	windowStart  = 2.0              // D at a node of which nothing is known
 	congested    = 0.2              // an answer later than this part of its aim shrinks the window
 	relaxed      = 0.13             // one sooner than this part may widen it
-	yieldLeast   = 0.05             // what earns nothing goes too where answers take less than this
+	yieldLeast   = 0.02             // what earns nothing goes too where answers take less than this
 	calmLate     = 4.0              // the same for what is late
 	calmAims     = 1.5              // pressure halves over so many shortest aims without an answer
 	shrink       = 0.7              // multiplicative decrease
