--- /dev/null
+++ b/internal/http1/http1_test.go
@@ -0,0 +1,185 @@
+package http1
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+)
+
+func request(text string) (*Request, error) {
+	var r Request
+	return &r, ParseRequest([]byte(text), &r, DefaultLimits)
+}
+
+func TestRequestFaults(t *testing.T) {
+	long := strings.Repeat("a", 5000)
+	for name, c := range map[string]struct {
+		text   string
+		status int
+	}{
+		"two lengths":        {"PUT /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\n", 400},
+		"length and chunked": {"PUT /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n", 400},
+		"signed length":      {"PUT /a HTTP/1.1\r\nHost: h\r\nContent-Length: +3\r\n\r\n", 400},
+		"list of lengths":    {"PUT /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3, 3\r\n\r\n", 400},
+		"coding unknown":     {"PUT /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: xchunked\r\n\r\n", 501},
+		"coding twice":       {"PUT /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n", 501},
+		"coding in 1.0":      {"PUT /a HTTP/1.0\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n", 400},
+		"obs-fold":           {"GET /a HTTP/1.1\r\nHost: h\r\nX: a\r\n b\r\n\r\n", 400},
+		"bare CR":            {"GET /a HTTP/1.1\r\nHost: h\r\nX: a\rb\r\n\r\n", 400},
+		"bare LF":            {"GET /a HTTP/1.1\nHost: h\r\n\r\n", 400},
+		"space before colon": {"GET /a HTTP/1.1\r\nHost : h\r\n\r\n", 400},
+		"no host":            {"GET /a HTTP/1.1\r\n\r\n", 400},
+		"two hosts":          {"GET /a HTTP/1.1\r\nHost: h\r\nHost: i\r\n\r\n", 400},
+		"no target":          {"GET HTTP/1.1\r\nHost: h\r\n\r\n", 400},
+		"space in target":    {"GET /a b HTTP/1.1\r\nHost: h\r\n\r\n", 400},
+		"version 2":          {"GET /a HTTP/2.0\r\nHost: h\r\n\r\n", 505},
+		"long target":        {"GET /" + long + " HTTP/1.1\r\nHost: h\r\n\r\n", 414},
+		"long header":        {"GET / HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat(long, 4) + "\r\n\r\n", 431},
+		"many fields":        {"GET / HTTP/1.1\r\nHost: h\r\n" + strings.Repeat("X: a\r\n", 100) + "\r\n", 431},
+		"expectation":        {"PUT /a HTTP/1.1\r\nHost: h\r\nExpect: wonders\r\n\r\n", 417},
+		"control in value":   {"GET /a HTTP/1.1\r\nHost: h\r\nX: a\x00b\r\n\r\n", 400},
+	} {
+		_, err := request(c.text)
+		var e *Error
+		if !errors.As(err, &e) || e.Status != c.status {
+			t.Errorf("%s: %v, want status %d", name, err, c.status)
+		}
+	}
+}
+
+func TestRequestFraming(t *testing.T) {
+	r, err := request("PUT /a/b HTTP/1.1\r\nHost: h\r\nConnection: x, Close\r\nContent-Length: 12\r\nExpect: 100-Continue\r\n\r\n")
+	if err != nil || string(r.Method) != "PUT" || r.Length != 12 || !r.Close || !r.Expect || string(r.Host) != "h" {
+		t.Fatalf("%+v %v", r, err)
+	}
+	if r, err = request("GET /a HTTP/1.0\r\n\r\n"); err != nil || !r.Close || r.Length != 0 {
+		t.Fatalf("1.0: %+v %v", r, err)
+	}
+}
+
+// decode runs a body through in pieces of n bytes.
+func decode(m *Message, wire []byte, n int) (out, rest []byte, err error) {
+	var b Body
+	b.Reset(m)
+	for len(wire) > 0 && !b.Done() {
+		piece := wire[:min(n, len(wire))]
+		data, left, err := b.Next(piece)
+		if err != nil {
+			return out, wire, err
+		}
+		out, wire = append(out, data...), wire[len(piece)-len(left):]
+	}
+	if !b.Done() {
+		return out, wire, io.ErrUnexpectedEOF
+	}
+	return out, wire, nil
+}
+
+func TestChunkedInPieces(t *testing.T) {
+	var wire []byte
+	want := bytes.Repeat([]byte("0123456789"), 100)
+	for p := want; len(p) > 0; {
+		n := min(37, len(p))
+		wire, p = AppendChunk(wire, p[:n]), p[n:]
+	}
+	wire = append(AppendLastChunk(wire), "GET"...)
+	for n := 1; n < 50; n++ {
+		got, rest, err := decode(&Message{Chunked: true, Length: -1}, wire, n)
+		if err != nil || !bytes.Equal(got, want) || string(rest) != "GET" {
+			t.Fatalf("pieces of %d: %d bytes, rest %q, %v", n, len(got), rest, err)
+		}
+	}
+	for _, bad := range []string{"g\r\n", "\r\n", "3\r\nabcd\r\n", "3\nabc\r\n", "-1\r\n", "3;a\rb\r\nabc\r\n",
+		"1234567890123456\r\n", "0\r\n" + strings.Repeat("X: y\r\n", 2000)} {
+		if _, _, err := decode(&Message{Chunked: true, Length: -1}, []byte(bad), 7); err == nil || err == io.ErrUnexpectedEOF {
+			t.Errorf("%.20q: %v, want a fault", bad, err)
+		}
+	}
+}
+
+func TestResponseBodies(t *testing.T) {
+	for _, c := range []struct {
+		text, method string
+		length       int64
+		toEnd        bool
+	}{
+		{"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", "GET", 5, false},
+		{"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", "HEAD", 0, false},
+		{"HTTP/1.1 204 No Content\r\n\r\n", "PUT", 0, false},
+		{"HTTP/1.1 200\r\n\r\n", "GET", -1, true},
+	} {
+		var r Response
+		if err := ParseResponse([]byte(c.text), &r, c.method, DefaultLimits); err != nil {
+			t.Fatal(err)
+		}
+		if r.Length != c.length || r.Close != c.toEnd {
+			t.Errorf("%q to %s: length %d close %v", c.text, c.method, r.Length, r.Close)
+		}
+	}
+}
+
+func TestParseAllocatesNothing(t *testing.T) {
+	text := []byte("GET /feed-a/s1/x HTTP/1.1\r\nHost: 127.0.0.1\r\nUser-Agent: t\r\nAccept: */*\r\nRange: bytes=0-99\r\n\r\n")
+	var r Request
+	if n := testing.AllocsPerRun(100, func() {
+		if HeaderEnd(text, 0) != len(text) || ParseRequest(text, &r, DefaultLimits) != nil {
+			t.Fatal("not parsed")
+		}
+	}); n != 0 {
+		t.Errorf("%v allocations a request, want none", n)
+	}
+}
+
+// FuzzRequest holds that what this parser takes, net/http reads with the same
+// method and framing: two readings of one header are how requests are smuggled.
+func FuzzRequest(f *testing.F) {
+	f.Add([]byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"))
+	f.Add([]byte("PUT /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"))
+	f.Add([]byte("PUT /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\nContent-Length: 4\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, p []byte) {
+		n := HeaderEnd(p, 0)
+		var r Request
+		if n == 0 || ParseRequest(p[:n], &r, DefaultLimits) != nil {
+			return
+		}
+		std, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(p[:n])))
+		if err != nil {
+			return // stricter than we are, in what frames nothing
+		}
+		if std.Method != string(r.Method) || (std.ContentLength >= 0 && std.ContentLength != r.Length && !r.Chunked) ||
+			(len(std.TransferEncoding) > 0) != r.Chunked {
+			t.Fatalf("%q: %s %d %v, net/http %s %d %v", p[:n], r.Method, r.Length, r.Chunked, std.Method,
+				std.ContentLength, std.TransferEncoding)
+		}
+	})
+}
+
+// FuzzChunked holds that the pieces a body comes in do not change what is read.
+func FuzzChunked(f *testing.F) {
+	f.Add([]byte("5\r\nhello\r\n0\r\n\r\n"), 1)
+	f.Add([]byte("5;x=y\r\nhello\r\n0\r\nT: v\r\n\r\nrest"), 3)
+	f.Fuzz(func(t *testing.T, p []byte, n int) {
+		n = max(1, n%64)
+		m := &Message{Chunked: true, Length: -1}
+		a, restA, errA := decode(m, p, len(p)+1)
+		b, restB, errB := decode(m, p, n)
+		if (errA == nil) != (errB == nil) || (errA == nil && (!bytes.Equal(a, b) || !bytes.Equal(restA, restB))) {
+			t.Fatalf("whole: %q %v; by %d: %q %v", a, errA, n, b, errB)
+		}
+	})
+}
+
+func BenchmarkParseRequest(b *testing.B) {
+	text := []byte("GET /feed-a/s1/x HTTP/1.1\r\nHost: 127.0.0.1\r\nUser-Agent: t\r\nAccept: */*\r\nRange: bytes=0-99\r\n\r\n")
+	var r Request
+	b.ReportAllocs()
+	for b.Loop() {
+		if err := ParseRequest(text, &r, DefaultLimits); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
