--- /dev/null
+++ b/internal/dav/dav_test.go
@@ -0,0 +1,148 @@
+package dav
+
+import (
+	"encoding/xml"
+	"strings"
+	"testing"
+
+	"maddergap/internal/conf"
+	"maddergap/internal/route"
+)
+
+func table(t testing.TB) *route.Table {
+	c, err := conf.Parse("t", []byte("listen 127.0.0.1:0\nnodes n\nclass read effect safe aim 100ms deadline 1s\n"+
+		"plan p rate 1\nvolume feed-a plan p shards 0-4\nvolume feed-b plan p shards 5\nroute * class read\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return route.NewTable(c, nil)
+}
+
+func TestJudge(t *testing.T) {
+	tab := table(t)
+	for _, c := range []struct {
+		method, path, depth, dest string
+		do                        Do
+		status                    int
+	}{
+		{"GET", "/feed-a/s/x", "", "", Forward, 0},
+		{"OPTIONS", "/", "", "", Options, 0},
+		{"POST", "/feed-a/s/x", "", "", Answer, 405},
+		{"BREW", "/feed-a/s/x", "", "", Answer, 501},
+		{"GET", "/feed-a/", "", "", Answer, 405},
+		{"PROPFIND", "/", "1", "", ListRoot, 0},
+		{"PROPFIND", "/feed-a", "1", "", Gather, 0},
+		{"PROPFIND", "/feed-a", "infinity", "", Answer, 403},
+		{"PROPFIND", "/feed-a", "", "", Answer, 403},
+		{"PROPFIND", "/feed-a/s", "infinity", "", Forward, 0},
+		{"MKCOL", "/feed-a/", "", "", Answer, 405},
+		{"DELETE", "/feed-a/", "", "", Answer, 403},
+		{"LOCK", "/", "", "", Answer, 403},
+		{"MOVE", "/feed-a/s/x", "", "", Answer, 400},
+		{"MOVE", "/feed-a/s/x", "", "http://h:1/feed-a/s/y", Forward, 0},
+		{"MOVE", "/feed-a/s/x", "", "/feed-a/s/y", Forward, 0},
+		{"MOVE", "/feed-a/s/x", "", "http://other/feed-a/s/y", Answer, 502},
+		{"COPY", "/feed-a/s/x", "", "http://h:1/feed-a/t/x", Answer, 502},
+		{"COPY", "/feed-a/s/x", "", "http://h:1/feed-b/s/x", Answer, 502},
+		{"COPY", "/feed-a/s/x", "", "http://h:1/nope/s/x", Answer, 409},
+		{"COPY", "/feed-a/s/x", "", "http://h:1/feed-a/", Answer, 403},
+		{"COPY", "/feed-a/s/x", "", "http://h:1/feed-a/s/../x", Answer, 400},
+	} {
+		at, err := tab.Place(c.path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if v := Judge(tab, c.method, at, c.depth, c.dest, "h:1"); v.Do != c.do || v.Status != c.status {
+			t.Errorf("%+v: %+v", c, v)
+		}
+	}
+}
+
+const shard1 = `<?xml version="1.0"?><D:multistatus xmlns:D="DAV:" xmlns:e="urn:e"><D:response><D:href>/feed-a/</D:href>` +
+	`<D:propstat><D:prop><e:x/></D:prop><D:status>HTTP/1.1 200 OK</D:status></D:propstat></D:response>` +
+	`<D:response><D:href>/feed-a/one</D:href><D:status>HTTP/1.1 200 OK</D:status></D:response></D:multistatus>`
+const shard2 = `<multistatus xmlns="DAV:"><response><href>/feed-a/</href><status>HTTP/1.1 200 OK</status></response>` +
+	`<response xmlns="DAV:"><href>/feed-a/t&amp;wo</href><status>HTTP/1.1 200 OK</status></response></multistatus>`
+
+func TestMerge(t *testing.T) {
+	out, err := Merge([][]byte{[]byte(shard1), []byte(shard2)}, 1<<20)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var m struct {
+		XMLName   xml.Name `xml:"DAV: multistatus"`
+		Responses []struct {
+			Href string    `xml:"DAV: href"`
+			X    *struct{} `xml:"DAV: propstat>prop>x"`
+		} `xml:"DAV: response"`
+	}
+	if err := xml.Unmarshal(out, &m); err != nil {
+		t.Fatalf("%v in %s", err, out)
+	}
+	var hrefs []string
+	for _, r := range m.Responses {
+		hrefs = append(hrefs, r.Href)
+	}
+	if strings.Join(hrefs, " ") != "/feed-a/ /feed-a/one /feed-a/t&wo" {
+		t.Errorf("%v in %s", hrefs, out)
+	}
+	// A torn or foreign body, or too large a sum, is an error, never a shorter listing.
+	for _, bad := range []string{shard1[:len(shard1)-20], "", "<html/>", shard1 + shard1, `<!DOCTYPE x><D:multistatus xmlns:D="DAV:"/>`} {
+		if _, err := Merge([][]byte{[]byte(shard2), []byte(bad)}, 1<<20); err != ErrListing {
+			t.Errorf("%.40q: %v", bad, err)
+		}
+	}
+	if _, err := Merge([][]byte{[]byte(shard1)}, 100); err != ErrTooLarge {
+		t.Error(err)
+	}
+}
+
+func TestListVolumes(t *testing.T) {
+	p, err := ParsePropfind([]byte(`<propfind xmlns="DAV:"><prop><resourcetype/><z:q xmlns:z="urn:z"/></prop></propfind>`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	out := string(ListVolumes(p, []string{"feed-a", "feed-b"}, "1"))
+	if strings.Count(out, "<D:response>") != 3 || strings.Count(out, "404 Not Found") != 3 || xml.Unmarshal([]byte(out), new(struct{})) != nil {
+		t.Error(out)
+	}
+	for _, bad := range []string{"<x/>", "<propfind/>", `<propfind xmlns="DAV:"/>`, `<propfind xmlns="DAV:"><allprop/><propname/></propfind>`, "<a",
+		`<!DOCTYPE a [<!ENTITY b "c">]><propfind xmlns="DAV:"><allprop/></propfind>`} {
+		if _, err := ParsePropfind([]byte(bad)); err != ErrXML {
+			t.Errorf("%s: %v", bad, err)
+		}
+	}
+}
+
+func FuzzMerge(f *testing.F) {
+	f.Add([]byte(shard1))
+	f.Add([]byte(shard2))
+	f.Fuzz(func(t *testing.T, p []byte) {
+		if out, err := Merge([][]byte{p}, 1<<20); err == nil {
+			if _, err := Merge([][]byte{out}, 1<<20); err != nil {
+				t.Fatalf("%q merges to what does not: %q", p, out)
+			}
+		}
+	})
+}
+
+func FuzzPropfind(f *testing.F) {
+	f.Add([]byte(`<propfind xmlns="DAV:"><prop><resourcetype/></prop></propfind>`))
+	f.Fuzz(func(t *testing.T, p []byte) {
+		if q, err := ParsePropfind(p); err == nil {
+			ListVolumes(q, []string{"a"}, "1")
+		}
+	})
+}
+
+// FuzzDestination holds that no header takes Judge down.
+func FuzzDestination(f *testing.F) {
+	f.Add("http://h:1/feed-a/s/y")
+	tab := table(f)
+	at, _ := tab.Place("/feed-a/s/x")
+	f.Fuzz(func(t *testing.T, dest string) {
+		if v := Judge(tab, "MOVE", at, "", dest, "h:1"); v.Do == Answer && v.Status < 400 {
+			t.Fatal(v)
+		}
+	})
+}
--- /dev/null
+++ b/internal/head/answer.go
@@ -0,0 +1,275 @@
+package head
+
+import (
+	"bytes"
+	"fmt"
+	"strconv"
+	"time"
+
+	"maddergap/internal/dav"
+	"maddergap/internal/http1"
+	"maddergap/logic"
+)
+
+// RanHeader says in a node's 503 that the request was turned away before it
+// ran. A 503 without it promises nothing.
+const RanHeader = "Maddergap-Ran"
+
+// answerHead looks at the header of a node's answer and begins the client's.
+func (h *Head) answerHead(at *attempt) {
+	ex, c := at.ex, at.conn
+	r := &c.resp
+	at.status = r.Status
+	at.report, at.reports = loadReport(r.Get("endpoint-load-metrics"))
+	switch r.Status {
+	case 503:
+		at.verdict = logic.Failed
+		if http1.Is(r.Get(RanHeader), "no") {
+			at.verdict = logic.Full
+		}
+	case 500, 502, 504:
+		at.verdict = logic.Failed
+	}
+	if at.verdict != logic.OK || ex.final || ex.answer != nil {
+		return // for the module alone; the body is swallowed
+	}
+	ex.answer = at
+	ex.status = r.Status
+	if ex.upload == at { // it answers before it has the body: no more is sent
+		ex.upload = nil
+		at.sent = false
+	}
+	if ex.listing != nil || ex.client == nil {
+		return
+	}
+	cl := ex.client
+	if cl.out == nil {
+		cl.out = h.buffer()
+	}
+	b := appendStatusLine(cl.out, r.Status)
+	b = passFields(b, &r.Message, "x-request-id")
+	b = append(h.appendRequestID(append(b, "X-Request-Id: "...), ex.id), "\r\n"...)
+	switch {
+	case ex.method == "HEAD" || r.Status == 304:
+		if l := r.Get("content-length"); l != nil {
+			b = http1.AppendField(b, "Content-Length", l)
+		}
+	case r.Status == 204:
+	case r.Length >= 0:
+		b = http1.AppendInt(b, "Content-Length", r.Length)
+	case ex.req.Minor == 1:
+		ex.chunked = true
+		b = append(b, "Transfer-Encoding: chunked\r\n"...)
+	default:
+		cl.closing = true // the body ends with the connection
+	}
+	cl.out = h.endHeader(b, cl, ex)
+	h.flush(cl)
+}
+
+// endHeader ends a client's answer header, saying whether it is the last.
+func (h *Head) endHeader(b []byte, cl *conn, ex *exchange) []byte {
+	cl.closing = cl.closing || h.stopping || !ex.whole
+	if cl.closing {
+		b = append(b, "Connection: close\r\n"...)
+	} else if ex.req.Minor == 0 {
+		b = append(b, "Connection: keep-alive\r\n"...)
+	}
+	return append(b, "\r\n"...)
+}
+
+// answerData passes a piece of an answer's body on.
+func (h *Head) answerData(at *attempt, data []byte) {
+	ex := at.ex
+	switch {
+	case len(data) == 0:
+	case ex.answer != at || ex.listing == nil && ex.client == nil:
+		if at.swallow += int64(len(data)); at.swallow > swallowMost {
+			h.broken(at.conn, at.verdict)
+		}
+	case ex.listing != nil:
+		if !h.partData(ex, data) {
+			h.broken(at.conn, logic.Cancelled)
+		}
+	default:
+		cl := ex.client
+		if cl.out == nil {
+			cl.out = h.buffer()
+		}
+		if ex.chunked {
+			cl.out = http1.AppendChunk(cl.out, data)
+		} else {
+			cl.out = append(cl.out, data...)
+		}
+		h.flush(cl)
+	}
+}
+
+// refuse and fail give the final answers that the module decided.
+func (h *Head) refuse(ex *exchange, after time.Duration) {
+	if ex == nil || ex.final {
+		return
+	}
+	ex.final, ex.status, ex.reason = true, 503, "not now; trying again does no harm"
+	h.counts.Refused++
+	h.finish(ex, Refused, after)
+}
+
+func (h *Head) fail(ex *exchange) {
+	if ex == nil || ex.final {
+		return
+	}
+	ex.final, ex.status, ex.reason = true, 502, "the storage node failed; whether the request took effect is not known"
+	if ex.timedOut {
+		ex.status, ex.reason = 504, "no answer in time; whether the request took effect is not known"
+	}
+	h.counts.Failed++
+	h.finish(ex, Failed, 0)
+}
+
+func (h *Head) finish(ex *exchange, o Outcome, after time.Duration) {
+	h.tell(ex, o)
+	switch {
+	case ex.listing != nil:
+		ex.listing.after = max(ex.listing.after, after)
+		h.partDone(ex)
+		h.recycle(ex)
+	case ex.client == nil:
+		h.recycle(ex)
+	case ex.answer != nil: // its header is out: all that is left is to cut it short
+		h.clientDrop(ex.client)
+	default:
+		h.respond(ex, ex.status, []byte(ex.reason+"\n"), func(b []byte) []byte { return appendRetryAfter(b, after) })
+	}
+}
+
+// appendRetryAfter writes whole seconds, rounded up (RFC 9110 10.2.3).
+func appendRetryAfter(b []byte, after time.Duration) []byte {
+	if after <= 0 {
+		return b
+	}
+	return http1.AppendInt(b, "Retry-After", int64((after+time.Second-1)/time.Second))
+}
+
+// own answers a request that the module is not asked about.
+func (h *Head) own(ex *exchange, status int, reason string) {
+	h.counts.Own++
+	ex.reason = reason
+	h.respond(ex, status, []byte(reason+"\n"), func(b []byte) []byte {
+		if status == 405 {
+			b = http1.AppendField(b, "Allow", []byte(dav.Allow))
+		}
+		return b
+	})
+}
+
+// respond writes a whole answer of the head's own; ex must not be used after it.
+func (h *Head) respond(ex *exchange, status int, text []byte, extra func([]byte) []byte) {
+	c := ex.client
+	ex.status, ex.final = status, true
+	if ex.id == 0 {
+		h.tell(ex, Served)
+	}
+	if c == nil {
+		h.recycle(ex)
+		return
+	}
+	if c.out == nil {
+		c.out = h.buffer()
+	}
+	b := appendStatusLine(c.out, status)
+	if ex.id != 0 {
+		b = append(h.appendRequestID(append(b, "X-Request-Id: "...), ex.id), "\r\n"...)
+	}
+	kind := "text/plain; charset=utf-8"
+	if status == 207 {
+		kind = "application/xml; charset=utf-8"
+	}
+	if len(text) > 0 {
+		b = http1.AppendField(b, "Content-Type", []byte(kind))
+	}
+	b = http1.AppendInt(b, "Content-Length", int64(len(text)))
+	if extra != nil {
+		b = extra(b)
+	}
+	b = h.endHeader(b, c, ex)
+	if ex.method != "HEAD" {
+		b = append(b, text...)
+	}
+	c.out = b
+	h.answered(ex)
+}
+
+func appendStatusLine(b []byte, status int) []byte { return http1.AppendStatus(b, status) }
+
+// passFields copies the fields that are not of one connection alone, nor of those named.
+func passFields(b []byte, m *http1.Message, but ...string) []byte {
+	listed := m.Get("connection")
+next:
+	for i := range m.Fields {
+		f := &m.Fields[i]
+		if http1.HopByHop(f.Name, listed) {
+			continue
+		}
+		for _, name := range but {
+			if http1.Is(f.Name, name) {
+				continue next
+			}
+		}
+		b = append(append(append(b, f.Name...), ": "...), f.Value...)
+		b = append(b, "\r\n"...)
+	}
+	return b
+}
+
+// originForm turns an absolute target into a path.
+func originForm(target []byte) []byte {
+	if target[0] == '/' {
+		return target
+	}
+	if i := bytes.Index(target, []byte("://")); i >= 0 {
+		if j := bytes.IndexByte(target[i+3:], '/'); j >= 0 {
+			return target[i+3+j:]
+		}
+	}
+	return []byte("/")
+}
+
+// loadReport reads ORCA's text form of endpoint-load-metrics; what counts is
+// the named metric inflight, the requests that the node holds.
+func loadReport(v []byte) (float64, bool) {
+	v, ok := bytes.CutPrefix(v, []byte("TEXT "))
+	if !ok {
+		return 0, false
+	}
+	for len(v) > 0 {
+		part := v
+		if i := bytes.IndexByte(v, ','); i >= 0 {
+			part, v = v[:i], v[i+1:]
+		} else {
+			v = nil
+		}
+		if x, ok := bytes.CutPrefix(bytes.TrimSpace(part), []byte("named_metrics.inflight=")); ok {
+			if n, ok := http1.Number(x); ok {
+				return float64(n), true
+			}
+			f, err := strconv.ParseFloat(string(x), 64)
+			return f, err == nil && f >= 0 && f < 1e9
+		}
+	}
+	return 0, false
+}
+
+func (h *Head) requestID(id uint64) string {
+	if id == 0 {
+		return ""
+	}
+	return fmt.Sprintf("%08x-%x", h.tag, id)
+}
+
+func (h *Head) appendRequestID(b []byte, id uint64) []byte {
+	for shift := 28; shift >= 0; shift -= 4 {
+		b = append(b, "0123456789abcdef"[h.tag>>shift&15])
+	}
+	return strconv.AppendUint(append(b, '-'), id, 16)
+}
--- /dev/null
+++ b/internal/head/client.go
@@ -0,0 +1,483 @@
+package head
+
+import (
+	"errors"
+	"time"
+
+	"maddergap/internal/dav"
+	"maddergap/internal/http1"
+	"maddergap/internal/route"
+	"maddergap/logic"
+)
+
+// exchange is a request and what becomes of it.
+type exchange struct {
+	id      uint64 // 0: not given to the module
+	client  *conn  // nil: it left, or has its answer whole
+	listing *listing
+	part    int // of the listing
+	hdr     []byte
+	req     http1.Request
+	method  string
+	place   route.Place
+	job     route.Job
+	began   Time // when its header was whole
+	taken   Time // when the module was told
+	due     Time // by when its answer must go out
+
+	body     http1.Body
+	held     []byte // of the body, for sending it (again)
+	got      int64  // bytes of the body read
+	whole    bool   // the body was read to its end
+	spent    bool   // more of it was sent on than is held: it cannot be sent again
+	invited  bool   // the client was told 100, or need not be
+	upload   *attempt
+	sends    int
+	live     int // attempts without an outcome
+	final    bool
+	timedOut bool
+	answer   *attempt // whose answer goes to the client
+	chunked  bool     // it goes out in chunks
+	trace    [16]byte
+	span     [8]byte
+	parent   [8]byte
+	sampled  bool
+	status   int
+	known    *route.Table // of the time that it came
+	reason   string
+}
+
+// Accept tells a new client connection.
+func (h *Head) Accept(now Time, remote string) ConnID {
+	h.tick(now)
+	c := h.newConn()
+	c.remote = remote
+	h.counts.Clients++
+	h.by(c, h.now+h.c.HeaderTime)
+	return c.id
+}
+
+// clientData uses bytes of a client and returns those it cannot use yet.
+func (h *Head) clientData(c *conn, p []byte) []byte {
+	for len(p) > 0 && !c.gone {
+		ex := c.ex
+		switch {
+		case c.discard || c.closing && ex == nil:
+			return nil
+		case ex == nil:
+			if p[0] == '\r' || p[0] == '\n' { // RFC 9112 2.2: empty lines before a request
+				p, c.scanned = p[1:], 0
+				continue
+			}
+			if c.reading == 0 {
+				c.reading = h.now
+				h.by(c, h.now+h.c.HeaderTime)
+			}
+			n := http1.HeaderEnd(p, c.scanned)
+			if n == 0 && len(p) <= h.c.Header.Header {
+				c.scanned = len(p)
+				return p
+			}
+			c.scanned, c.reading = 0, 0
+			if n == 0 {
+				n = len(p)
+			}
+			h.begin(c, p[:n])
+			p = p[n:]
+		case !ex.whole:
+			if ex.upload == nil && len(ex.held) >= h.c.BodyHold && ex.id != 0 ||
+				ex.upload != nil && len(ex.upload.conn.pending()) > h.c.Buffer {
+				h.pause(c)
+				h.by(c, never) // it waits for us
+				return p
+			}
+			h.by(c, h.now+h.c.StallTime)
+			data, rest, err := ex.body.Next(p)
+			if err != nil {
+				h.badBody(c, ex, err)
+				return nil
+			}
+			p = rest
+			h.bodyData(c, ex, data)
+		default: // pipelined: its turn comes with the answer
+			h.pause(c)
+			return p
+		}
+	}
+	return p
+}
+
+// begin takes a request's header.
+func (h *Head) begin(c *conn, block []byte) {
+	ex := h.newExchange()
+	ex.client, c.ex, ex.began = c, ex, h.now
+	ex.hdr = append(h.buffer(), block...)
+	h.by(c, never)
+	if err := http1.ParseRequest(ex.hdr, &ex.req, h.c.Header); err != nil {
+		h.malformed(c, ex, err)
+		return
+	}
+	r := &ex.req
+	ex.method = method(r.Method)
+	ex.body.Reset(&r.Message)
+	ex.whole = ex.body.Done()
+	ex.invited = !r.Expect
+	h.traceOf(ex)
+	if h.stopping {
+		c.closing = true
+	}
+	if r.Close {
+		c.closing = true
+	}
+	if ex.method == "OPTIONS" && string(r.Target) == "*" {
+		h.judged(c, ex, dav.Verdict{Do: dav.Options})
+		return
+	}
+	path, _, err := route.Path(string(r.Target))
+	if err == nil {
+		ex.place, err = h.t.Place(path)
+	}
+	if err != nil {
+		status := 400
+		if errors.Is(err, route.ErrNoVolume) {
+			status = 404
+		}
+		h.own(ex, status, err.Error())
+		return
+	}
+	h.judged(c, ex, dav.Judge(h.t, ex.method, ex.place, string(r.Get("depth")), string(r.Get("destination")), string(r.Host)))
+}
+
+// method returns a known method without allocating.
+func method(b []byte) string {
+	for _, m := range [...]string{"GET", "HEAD", "PUT", "PROPFIND", "OPTIONS", "DELETE", "MKCOL", "COPY", "MOVE", "PROPPATCH", "LOCK", "UNLOCK"} {
+		if string(b) == m {
+			return m
+		}
+	}
+	return string(b)
+}
+
+func (h *Head) judged(c *conn, ex *exchange, v dav.Verdict) {
+	switch v.Do {
+	case dav.Answer:
+		h.own(ex, v.Status, v.Reason)
+	case dav.Options:
+		ex.reason = "options"
+		h.counts.Own++
+		h.respond(ex, 200, nil, func(b []byte) []byte {
+			b = http1.AppendField(b, "Allow", []byte(dav.Allow))
+			b = http1.AppendField(b, "DAV", []byte(dav.Compliance))
+			return http1.AppendField(b, "MS-Author-Via", []byte("DAV"))
+		})
+	case dav.ListRoot, dav.Gather:
+		if ex.req.Length > int64(h.c.BodyHold) {
+			h.own(ex, 413, "the body of a PROPFIND is longer than can be held")
+			return
+		}
+		ex.listing = &listing{volumes: v.Do == dav.ListRoot}
+		h.invite(c, ex)
+		if ex.whole {
+			h.list(ex)
+		}
+	case dav.Forward:
+		ask := route.Ask{Method: ex.method, Place: ex.place, Length: ex.req.Length,
+			Range: string(ex.req.Get("range")), Prefer: string(ex.req.Get("prefer")), Key: string(ex.req.Get("idempotency-key"))}
+		ex.known = h.t
+		ex.job = h.t.Job(ask)
+		if ex.req.Length > int64(h.c.BodyHold) && ex.req.Expect {
+			h.take(ex) // the body is invited when a node takes it
+			return
+		}
+		h.invite(c, ex)
+		if ex.whole {
+			h.take(ex)
+		}
+	}
+}
+
+// invite lets a client that waits for it send its body (RFC 9110 10.1.1).
+func (h *Head) invite(c *conn, ex *exchange) {
+	if !ex.invited && !ex.whole {
+		c.out = append(c.out, "HTTP/1.1 100 Continue\r\n\r\n"...)
+		h.flush(c)
+	}
+	ex.invited = true
+	if !ex.whole {
+		h.by(c, h.now+h.c.StallTime)
+	}
+}
+
+// bodyData takes a piece of a request's body.
+func (h *Head) bodyData(c *conn, ex *exchange, data []byte) {
+	ex.got += int64(len(data))
+	ex.whole = ex.body.Done()
+	ex.invited = true
+	if ex.whole {
+		h.by(c, never)
+	}
+	if ex.listing != nil && ex.id == 0 {
+		if len(ex.held)+len(data) > h.c.BodyHold {
+			h.own(ex, 413, "the body of a PROPFIND is longer than can be held")
+			return
+		}
+		if ex.held = append(ex.held, data...); ex.whole {
+			h.list(ex)
+		}
+		return
+	}
+	if ex.upload == nil {
+		ex.held = append(ex.held, data...)
+	} else {
+		ex.spent = true
+		h.uploadData(ex.upload, data)
+	}
+	if ex.id == 0 && !ex.final && (ex.whole || len(ex.held) >= h.c.BodyHold) {
+		if ex.whole && ex.req.Length < 0 { // now its length is known
+			ex.job = h.t.Job(route.Ask{Method: ex.method, Place: ex.place, Length: ex.got,
+				Range: string(ex.req.Get("range")), Prefer: string(ex.req.Get("prefer")), Key: string(ex.req.Get("idempotency-key"))})
+		}
+		h.take(ex)
+	}
+}
+
+// take gives a request to the module: from here on it is owed one final answer.
+func (h *Head) take(ex *exchange) {
+	h.lastID++
+	ex.id, ex.taken = h.lastID, h.now
+	ex.due = h.now + ex.job.Time
+	h.reqs[ex.id] = ex
+	h.counts.Taken++
+	v := &h.c.Volumes[ex.place.Volume]
+	h.events = append(h.events, logic.Arrival{ID: ex.id, Shard: ex.place.Shard, Plan: v.Plan, Class: ex.job.Class,
+		Key: ex.job.Key, Volume: v.Name, Left: ex.job.Time, Units: ex.job.Units, Hosts: v.Hosts})
+}
+
+// badBody ends a request whose body is malformed: nothing of it may run.
+func (h *Head) badBody(c *conn, ex *exchange, err error) {
+	h.counts.Bad++
+	if ex.id != 0 && !ex.final {
+		h.leave(ex)
+	}
+	c.closing, ex.whole = true, true
+	var e *http1.Error
+	if errors.As(err, &e) && ex.answer == nil && !ex.final {
+		ex.reason = e.Reason
+		h.respond(ex, e.Status, []byte(e.Reason+"\n"), nil)
+		return
+	}
+	h.clientDrop(c)
+}
+
+// malformed answers a header that does not parse; what follows it cannot be read.
+func (h *Head) malformed(c *conn, ex *exchange, err error) {
+	h.counts.Bad++
+	c.closing = true
+	ex.whole = true
+	ex.method, ex.req.Minor = "", 1
+	status, reason := 400, err.Error()
+	if e := (*http1.Error)(nil); errors.As(err, &e) {
+		status, reason = e.Status, e.Reason
+	}
+	ex.reason = reason
+	c.discard = true
+	h.respond(ex, status, []byte(reason+"\n"), nil)
+}
+
+func (h *Head) clientEOF(c *conn) {
+	c.eof = true
+	switch {
+	case c.discard || c.ex == nil && len(c.pending()) == 0 && !c.ready:
+		h.drop(c, Close)
+	case c.ex != nil && !c.ex.whole: // in the middle of a body
+		h.do(Close, c)
+		h.clientGone(c)
+	} // else a half-close: what was asked is still owed
+}
+
+// clientGone ends what a client that left had under way.
+func (h *Head) clientGone(c *conn) {
+	ex := c.ex
+	h.forget(c)
+	if ex == nil {
+		return
+	}
+	c.ex, ex.client = nil, nil
+	if !ex.final {
+		h.leave(ex)
+	}
+	h.recycle(ex)
+}
+
+// clientDrop resets a client whose answer cannot be brought to its end.
+func (h *Head) clientDrop(c *conn) {
+	if !c.gone {
+		h.do(Abort, c)
+		h.clientGone(c)
+	}
+}
+
+// leave tells the module that a client left before its final answer. What runs
+// at a node goes on, and its slot with it, unless the node cannot run it for
+// want of its body, or was streaming to nobody.
+func (h *Head) leave(ex *exchange) {
+	if ex.listing != nil && ex.id == 0 {
+		ex.listing.parent, ex.final = nil, true
+		for i, p := range ex.listing.parts {
+			if p != nil && !p.final {
+				ex.listing.parts[i] = nil
+				h.leave(p)
+				h.recycle(p)
+			}
+		}
+		return
+	}
+	if ex.id == 0 {
+		return
+	}
+	ex.final = true
+	h.counts.Left++
+	h.events = append(h.events, logic.Dropped{ID: ex.id})
+	h.tell(ex, Left)
+	if at := ex.upload; at != nil && !ex.whole {
+		h.breakOff(at)
+	} else if at := ex.answer; at != nil {
+		h.breakOff(at)
+	}
+}
+
+func (h *Head) clientExpired(c *conn) {
+	ex := c.ex
+	switch {
+	case c.discard, len(c.pending()) > 0: // it does not take its answer
+		h.clientDrop(c)
+	case ex != nil && !ex.whole && !ex.final: // it stopped in the middle of a body
+		if ex.id != 0 {
+			h.leave(ex)
+		}
+		if ex.answer != nil {
+			h.clientDrop(c)
+			return
+		}
+		c.closing, ex.whole, ex.reason = true, true, "the body stopped"
+		h.counts.Bad++
+		h.respond(ex, 408, []byte("the body did not come in time\n"), nil)
+	case ex != nil:
+	case c.reading > 0:
+		ex := h.newExchange()
+		ex.client, c.ex, ex.whole, ex.reason = c, ex, true, "the header stopped"
+		ex.req.Minor, ex.began = 1, h.now
+		c.closing = true
+		h.counts.Bad++
+		h.respond(ex, 408, []byte("the header did not come in time\n"), nil)
+	default:
+		h.drop(c, Close)
+	}
+}
+
+// clientWrote goes on with what waited for room.
+func (h *Head) clientWrote(c *conn) {
+	if len(c.pending()) > 0 {
+		h.by(c, h.now+h.c.StallTime)
+	}
+	if ex := c.ex; ex != nil {
+		if ex.answer != nil && len(c.pending()) <= h.c.Buffer/2 {
+			h.readOn(ex.answer.conn)
+		}
+		if len(c.pending()) == 0 && !ex.final && ex.whole {
+			h.by(c, never)
+		}
+		return
+	}
+	if len(c.pending()) == 0 {
+		h.idle(c)
+	}
+}
+
+// answered lets go of a client's request whose answer is whole in the buffers.
+func (h *Head) answered(ex *exchange) {
+	c := ex.client
+	if c == nil {
+		h.recycle(ex)
+		return
+	}
+	if !ex.whole { // RFC 9112 9.3: the rest of the body cannot be told from a request
+		c.closing, c.discard = true, true
+	}
+	c.ex, ex.client = nil, nil
+	h.recycle(ex)
+	h.flush(c)
+	if len(c.pending()) > 0 {
+		h.by(c, h.now+h.c.StallTime)
+	}
+	if !c.ready && !c.gone {
+		c.ready = true
+		h.ready = append(h.ready, c)
+	}
+}
+
+// linger is how long a client that still sends is listened to after its answer,
+// so that a reset does not take the answer from it.
+const linger = 2 * time.Second
+
+// idle is a client with no request and nothing to be written.
+func (h *Head) idle(c *conn) {
+	switch {
+	case c.ready: // nextRequest looks first
+	case c.discard && !c.eof:
+		h.do(Shut, c)
+		h.resume(c)
+		h.by(c, h.now+linger)
+	case c.closing, c.discard, h.stopping, c.eof:
+		h.drop(c, Close)
+	default:
+		h.by(c, h.now+h.c.IdleTime)
+	}
+}
+
+// nextRequest looks at what a client sent while its last request was under way.
+func (h *Head) nextRequest(c *conn) {
+	c.ready = false
+	if c.gone || c.ex != nil {
+		return
+	}
+	if c.closing || h.stopping { // the last answer was given, or no more is read
+		c.in = c.in[:0]
+	}
+	if !c.discard {
+		h.resume(c)
+	}
+	if p := c.in; len(p) > 0 {
+		h.keep(c, h.clientData(c, p))
+	}
+	if !c.gone && c.ex == nil && len(c.pending()) == 0 {
+		h.idle(c)
+	}
+}
+
+func (h *Head) newExchange() *exchange {
+	if n := len(h.oldEx); n > 0 {
+		ex := h.oldEx[n-1]
+		h.oldEx = h.oldEx[:n-1]
+		return ex
+	}
+	return &exchange{}
+}
+
+// recycle keeps an exchange that nothing speaks of any more for use again.
+func (h *Head) recycle(ex *exchange) {
+	if ex.client != nil || ex.live > 0 || (ex.id != 0 && !ex.final) || (ex.listing != nil && ex.id == 0 && !ex.final) {
+		return
+	}
+	if ex.id != 0 {
+		delete(h.reqs, ex.id)
+	}
+	h.release(ex.hdr)
+	h.release(ex.held)
+	if len(h.oldEx) < keepBufs {
+		fields := ex.req.Fields[:0]
+		*ex = exchange{}
+		ex.req.Fields = fields
+		h.oldEx = append(h.oldEx, ex)
+	}
+}
--- /dev/null
+++ b/internal/head/conn.go
@@ -0,0 +1,255 @@
+package head
+
+import (
+	"container/heap"
+
+	"maddergap/internal/http1"
+)
+
+// conn is a connection of either kind.
+type conn struct {
+	id       ConnID
+	remote   string
+	in       []byte // told, and not yet used
+	scanned  int    // bytes of in that hold no end of a header
+	out      []byte // to be written
+	wrote    int    // bytes of out that are
+	paused   bool
+	flushing bool // a Flush was asked for
+	gone     bool
+	deadline Time // when expired is called
+	armed    Time // its place in the heap, not later than the deadline
+	index    int  // in the heap, -1: none
+	ready    bool // stands among Head.ready
+
+	// of a client
+	ex      *exchange // the request under way
+	closing bool      // after what is to be written
+	discard bool      // what it still sends is of no use
+	eof     bool      // it sends no more
+	reading Time      // when the first byte of a header came, 0: none
+
+	// of a node
+	node      *node
+	at        *attempt // under way
+	connected bool
+	used      bool // it carried a request before
+	resp      http1.Response
+	body      http1.Body
+	inBody    bool
+}
+
+func (c *conn) pending() []byte { return c.out[c.wrote:] }
+
+func (h *Head) newConn() *conn {
+	var slot uint32
+	if n := len(h.free); n > 0 {
+		slot = h.free[n-1]
+		h.free = h.free[:n-1]
+	} else {
+		slot = uint32(len(h.slots))
+		h.slots, h.gens = append(h.slots, nil), append(h.gens, 0)
+	}
+	c := &conn{id: ConnID(h.gens[slot])<<32 | ConnID(slot), deadline: never, armed: never, index: -1}
+	h.slots[slot] = c
+	return c
+}
+
+// conn finds a connection; events of one that is closed find none.
+func (h *Head) conn(id ConnID) *conn {
+	if s := id.Slot(); s < len(h.slots) && h.slots[s] != nil && h.slots[s].id == id {
+		return h.slots[s]
+	}
+	return nil
+}
+
+// drop ends a connection by Close or Abort.
+func (h *Head) drop(c *conn, op Op) {
+	if !c.gone {
+		h.do(op, c)
+		h.forget(c)
+	}
+}
+
+// forget takes a connection out of all tables.
+func (h *Head) forget(c *conn) {
+	if c.gone {
+		return
+	}
+	c.gone = true
+	s := c.id.Slot()
+	h.slots[s] = nil
+	h.gens[s]++
+	h.free = append(h.free, uint32(s))
+	if c.index >= 0 {
+		heap.Remove(&h.timers, c.index)
+	}
+	h.release(c.in)
+	h.release(c.out)
+	c.in, c.out, c.wrote = nil, nil, 0
+	if c.node != nil {
+		c.node.conns--
+		h.counts.NodeConns--
+	} else {
+		h.counts.Clients--
+	}
+}
+
+// flush asks for what is to be written to be written.
+func (h *Head) flush(c *conn) {
+	if !c.flushing && !c.gone && len(c.pending()) > 0 {
+		if c.node == nil && c.deadline == never {
+			h.by(c, h.now+h.c.StallTime) // to take it
+		}
+		c.flushing = true
+		h.do(Flush, c)
+	}
+}
+
+func (h *Head) pause(c *conn) {
+	if !c.paused && !c.gone {
+		c.paused = true
+		h.do(Pause, c)
+	}
+}
+
+func (h *Head) resume(c *conn) {
+	if c.paused && !c.gone {
+		c.paused = false
+		h.do(Resume, c)
+	}
+}
+
+// by sets when expired is called of a connection. An earlier heap entry stays
+// where it is and is looked at then, so moving a deadline on costs nothing.
+func (h *Head) by(c *conn, at Time) {
+	c.deadline = at
+	switch {
+	case c.gone || at == never:
+	case c.index < 0:
+		c.armed = at
+		heap.Push(&h.timers, c)
+	case at < c.armed:
+		c.armed = at
+		heap.Fix(&h.timers, c.index)
+	}
+}
+
+// keep stores what was not used of the bytes told: rest is the end of buf.
+func (h *Head) keep(c *conn, rest []byte) {
+	switch {
+	case c.gone:
+	case len(rest) == 0:
+		h.release(c.in)
+		c.in = nil
+	case len(c.in) > 0: // rest is its end
+		c.in = c.in[:copy(c.in, rest)]
+	default:
+		c.in = append(h.buffer(), rest...)
+	}
+}
+
+// Out returns what is to be written to a connection.
+func (h *Head) Out(id ConnID) []byte {
+	if c := h.conn(id); c != nil {
+		c.flushing = false
+		return c.pending()
+	}
+	return nil
+}
+
+// Wrote tells that n bytes of Out were written.
+func (h *Head) Wrote(now Time, id ConnID, n int) {
+	h.tick(now)
+	c := h.conn(id)
+	if c == nil || n <= 0 {
+		return
+	}
+	if c.wrote += n; c.wrote == len(c.out) {
+		h.release(c.out)
+		c.out, c.wrote = nil, 0
+	} else if c.wrote > h.c.Buffer {
+		c.out = append(c.out[:0], c.out[c.wrote:]...)
+		c.wrote = 0
+	}
+	if c.node != nil {
+		h.nodeWrote(c)
+	} else {
+		h.clientWrote(c)
+	}
+}
+
+// Data tells bytes read from a connection. They are not kept after the call.
+func (h *Head) Data(now Time, id ConnID, p []byte) {
+	h.tick(now)
+	c := h.conn(id)
+	if c == nil || len(p) == 0 {
+		return
+	}
+	if len(c.in) > 0 {
+		c.in = append(c.in, p...)
+		p = c.in
+	}
+	if c.node != nil {
+		h.keep(c, h.nodeData(c, p))
+	} else {
+		h.keep(c, h.clientData(c, p))
+	}
+}
+
+// EOF tells that the other side sends no more.
+func (h *Head) EOF(now Time, id ConnID) {
+	h.tick(now)
+	c := h.conn(id)
+	switch {
+	case c == nil:
+	case c.node != nil:
+		h.nodeClosed(c, true)
+	default:
+		h.clientEOF(c)
+	}
+}
+
+// Closed tells that a connection is lost or could not be made; the driver has
+// let go of it.
+func (h *Head) Closed(now Time, id ConnID) {
+	h.tick(now)
+	c := h.conn(id)
+	switch {
+	case c == nil:
+	case c.node != nil:
+		h.nodeClosed(c, false)
+	default:
+		h.clientGone(c)
+	}
+}
+
+func (h *Head) expired(c *conn) {
+	if c.node != nil {
+		h.nodeExpired(c)
+	} else {
+		h.clientExpired(c)
+	}
+}
+
+// timers is a heap of connections by armed time.
+type timers []*conn
+
+func (t timers) Len() int           { return len(t) }
+func (t timers) Less(i, j int) bool { return t[i].armed < t[j].armed }
+func (t timers) Swap(i, j int) {
+	t[i], t[j] = t[j], t[i]
+	t[i].index, t[j].index = i, j
+}
+func (t *timers) Push(x any) {
+	c := x.(*conn)
+	c.index = len(*t)
+	*t = append(*t, c)
+}
+func (t *timers) Pop() any {
+	last := len(*t) - 1
+	c := (*t)[last]
+	(*t)[last] = nil
+	*t, c.index = (*t)[:last], -1
+	return c
+}
--- /dev/null
+++ b/internal/head/head.go
@@ -0,0 +1,324 @@
+// Package head is one head: it takes what happens on client and node
+// connections, tells the decision module, and carries out what that decides.
+// It is sans-I/O: bytes, a clock reading and events go in, bytes and actions
+// come out. It opens no descriptor, reads no clock, starts no goroutine and
+// draws all chance from its seed, so it runs alike on epoll and on a simulated
+// network. It decides nothing about routing, order, limits, retries or health.
+//
+// A driver calls Accept, Connected, Data, EOF, Closed, Wrote, Nodes as things
+// happen, then Advance until that returns no action, and Advance again not
+// later than the time it gave.
+package head
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"reflect"
+	"time"
+
+	"maddergap/internal/conf"
+	"maddergap/internal/nodelist"
+	"maddergap/internal/route"
+	"maddergap/logic"
+)
+
+// Time is a clock reading, as the module's.
+type Time = logic.Time
+
+// ConnID names a connection: a slot, and how often the slot was used before.
+type ConnID uint64
+
+// Slot is a small number, unique among the connections that are open.
+func (id ConnID) Slot() int { return int(uint32(id)) }
+
+// Op is what a driver is to do.
+type Op uint8
+
+// Operations.
+const (
+	Dial   Op = iota // connect to Addr; then Connected or Closed
+	Flush            // write what Out gives and tell Wrote
+	Pause            // read no more of it
+	Resume           // read it again
+	Shut             // end the sending side
+	Close            // close it; nothing more is told of it
+	Abort            // the same with a reset
+)
+
+// Action is asked of the driver; actions are carried out in order.
+type Action struct {
+	Op   Op
+	Conn ConnID
+	Addr string // of Dial
+}
+
+// Outcome is the final answer of a request.
+type Outcome uint8
+
+// Final answers; Left is a client that went before it had one.
+const (
+	Served Outcome = iota
+	Refused
+	Failed
+	Left
+)
+
+func (o Outcome) String() string { return [...]string{"served", "refused", "failed", "left"}[o] }
+
+// Span is an attempt or a whole request, as an Observer is told of it.
+type Span struct {
+	Request  string // the request id that clients and nodes see
+	Trace    [16]byte
+	ID       [8]byte
+	Parent   [8]byte
+	Sampled  bool
+	Start    Time
+	End      Time
+	Method   string
+	Path     string
+	Volume   string
+	Class    string
+	Status   int
+	Outcome  Outcome // of a request
+	Client   string  // of a request: the client's address
+	Attempts int     // of a request
+	Attempt  int     // of an attempt: its number
+	Node     string  // of an attempt
+	Ended    logic.Outcome
+	Reason   string // why the head itself answered
+}
+
+// Observer is told what was done; it must not keep the span.
+type Observer interface {
+	Request(*Span)
+	Attempt(*Span)
+}
+
+// Counts are sums since the start.
+type Counts struct {
+	Taken, Served, Refused, Failed, Left uint64 // requests given to the module, and how they ended
+	Attempts, Own, Bad                   uint64 // sends; answers of the head's own; requests refused as malformed
+	Clients, NodeConns                   int    // connections now
+}
+
+// Head is one head. It is not safe for concurrent use.
+type Head struct {
+	c      *conf.Config
+	t      *route.Table
+	core   *logic.Head
+	obs    Observer
+	tag    uint32
+	rand   *rand.Rand
+	now    Time
+	events []logic.Event
+	acts   []Action
+	spare  []Action
+
+	slots  []*conn
+	gens   []uint32
+	free   []uint32
+	timers timers
+	ready  []*conn // clients whose next request may be looked at
+
+	nodes  map[string]*node
+	reqs   map[uint64]*exchange
+	lastID uint64
+	wakeAt Time
+
+	oldEx    []*exchange
+	oldBufs  [][]byte
+	scratch  []byte
+	span     Span
+	stopping bool
+	counts   Counts
+}
+
+// node is where a storage node is reached.
+type node struct {
+	name, addr string
+	idle       []*conn // kept connections, the last used last
+	conns      int     // all connections, dialling ones too
+	listed     bool
+}
+
+const never = Time(math.MaxInt64)
+
+// New returns a head. The seed is for what is spread by chance among heads.
+func New(c *conf.Config, seed uint64, now Time, obs Observer) (*Head, error) {
+	core, err := logic.New(c.Logic, seed, now)
+	if err != nil {
+		return nil, err
+	}
+	r := rand.New(rand.NewPCG(seed, 0x6d616464))
+	return &Head{c: c, t: route.NewTable(c, nil), core: core, obs: obs, rand: r, tag: r.Uint32(), now: now,
+		nodes: map[string]*node{}, reqs: map[uint64]*exchange{}, wakeAt: never}, nil
+}
+
+// Reload takes a new configuration. What the module was told at start cannot
+// change while it runs; then nothing is applied.
+func (h *Head) Reload(c *conf.Config) error {
+	if !reflect.DeepEqual(c.Logic, h.c.Logic) {
+		return fmt.Errorf("classes, plans, heads, cold, budget, units and attempts change with a restart only")
+	}
+	h.t = route.NewTable(c, h.t)
+	h.c = c
+	return nil
+}
+
+// Counts returns the sums.
+func (h *Head) Counts() Counts { return h.counts }
+
+// Nodes tells a new node list. origin is the wall-clock time of the head's Time zero.
+func (h *Head) Nodes(now Time, list []nodelist.Node, origin time.Time) {
+	h.tick(now)
+	l := logic.List{Full: true}
+	for _, n := range h.nodes {
+		n.listed = false
+	}
+	for _, e := range list {
+		started := Time(0)
+		if !e.Started.IsZero() {
+			started = max(e.Started.Sub(origin), 1)
+			if e.Started.Before(origin) {
+				started = e.Started.Sub(origin)
+			}
+		}
+		l.Entries = append(l.Entries, logic.Entry{Node: e.Name, Zone: e.Zone, Shard: e.Shard, State: e.State, Started: started})
+		n := h.nodes[e.Name]
+		if n == nil {
+			n = &node{name: e.Name}
+			h.nodes[e.Name] = n
+		}
+		if n.listed = true; n.addr != e.Addr {
+			n.addr = e.Addr
+			h.closeIdle(n)
+		}
+	}
+	for name, n := range h.nodes {
+		if !n.listed {
+			h.closeIdle(n)
+			if n.conns == 0 {
+				delete(h.nodes, name)
+			}
+		}
+	}
+	h.events = append(h.events, l)
+}
+
+func (h *Head) closeIdle(n *node) {
+	for _, c := range n.idle {
+		h.drop(c, Close)
+	}
+	n.idle = nil
+}
+
+// Stop begins the end: requests taken get their answers, connections without
+// one are closed, and no new request is read.
+func (h *Head) Stop(now Time) {
+	h.tick(now)
+	h.stopping = true
+	for _, c := range h.slots {
+		if c != nil && c.node == nil && c.ex == nil && len(c.pending()) == 0 {
+			h.drop(c, Close)
+		}
+	}
+}
+
+// Idle tells whether nothing is under way: no request, and no answer unsent.
+func (h *Head) Idle() bool { return len(h.reqs) == 0 && h.counts.Clients == 0 }
+
+// Under tells the ids and ages of requests that have no final answer.
+func (h *Head) Under(tell func(id, method, path string, age time.Duration)) {
+	for _, ex := range h.reqs {
+		if !ex.final {
+			tell(h.requestID(ex.id), ex.method, ex.place.Path, h.now-ex.taken)
+		}
+	}
+}
+
+func (h *Head) tick(now Time) { h.now = max(h.now, now) }
+
+// Advance runs timers and the module over what was told, and returns what to
+// do and when to come back at the latest. The actions are good until the next call.
+func (h *Head) Advance(now Time) ([]Action, Time) {
+	h.tick(now)
+	for len(h.timers) > 0 && h.timers[0].armed <= h.now {
+		c := h.timers[0]
+		if c.deadline > h.now { // it was moved since
+			c.armed = c.deadline
+			heap.Fix(&h.timers, 0)
+			continue
+		}
+		heap.Pop(&h.timers)
+		c.deadline = never
+		h.expired(c)
+	}
+	if h.now >= h.wakeAt {
+		h.wakeAt = never
+		h.events = append(h.events, logic.Wake{})
+	}
+	for len(h.events) > 0 || len(h.ready) > 0 {
+		for len(h.ready) > 0 {
+			c := h.ready[len(h.ready)-1]
+			h.ready = h.ready[:len(h.ready)-1]
+			h.nextRequest(c)
+		}
+		events := h.events
+		if h.events = nil; len(events) == 0 {
+			break
+		}
+		for _, a := range h.core.Handle(h.now, events) {
+			h.carryOut(a)
+		}
+		if h.events == nil {
+			h.events = events[:0]
+		}
+	}
+	acts := h.acts
+	h.acts, h.spare = h.spare[:0], acts
+	next := h.wakeAt
+	if len(h.timers) > 0 {
+		next = min(next, h.timers[0].armed)
+	}
+	return acts, next
+}
+
+// carryOut does what the module decided.
+func (h *Head) carryOut(a logic.Action) {
+	switch a := a.(type) {
+	case logic.Send:
+		h.send(h.reqs[a.ID], a.Node)
+	case logic.Refuse:
+		h.refuse(h.reqs[a.ID], a.RetryAfter)
+	case logic.Fail:
+		h.fail(h.reqs[a.ID])
+	case logic.WakeIn:
+		h.wakeAt = min(h.wakeAt, h.now+a.In)
+	}
+}
+
+func (h *Head) do(op Op, c *conn) { h.acts = append(h.acts, Action{Op: op, Conn: c.id}) }
+
+// buffer returns an empty buffer; done with it, release takes it back.
+func (h *Head) buffer() []byte {
+	if n := len(h.oldBufs); n > 0 {
+		b := h.oldBufs[n-1]
+		h.oldBufs = h.oldBufs[:n-1]
+		return b
+	}
+	return make([]byte, 0, 2048)
+}
+
+// Buffers kept for use again: few and small, lest a surge's memory stay for good.
+const (
+	keepBufs = 256
+	keepSize = 64 << 10
+)
+
+func (h *Head) release(b []byte) {
+	if cap(b) > 0 && cap(b) <= keepSize && len(h.oldBufs) < keepBufs {
+		h.oldBufs = append(h.oldBufs, b[:0])
+	}
+}
--- /dev/null
+++ b/internal/head/node.go
@@ -0,0 +1,391 @@
+package head
+
+import (
+	"maddergap/internal/http1"
+	"maddergap/logic"
+)
+
+// attempt is one sending of a request to a node.
+type attempt struct {
+	ex      *exchange
+	n       int
+	node    string
+	conn    *conn
+	began   Time
+	written bool // something of it went out
+	sent    bool // all of it was handed to the connection
+	ended   bool
+	chunked bool // its body goes out in chunks
+	begun   bool // the module was told that its answer streams
+	verdict logic.Outcome
+	swallow int64 // bytes of an answer that nobody is given
+	report  float64
+	reports bool
+	status  int
+	span    [8]byte
+}
+
+// swallowMost is how much of an answer that nobody is given is read to keep its
+// connection.
+const swallowMost = 64 << 10
+
+// send starts an attempt, as the module decided.
+func (h *Head) send(ex *exchange, name string) {
+	if ex == nil || ex.final {
+		return
+	}
+	at := &attempt{ex: ex, n: ex.sends, node: name, began: h.now}
+	h.randomID(at.span[:])
+	ex.sends++
+	ex.live++
+	h.counts.Attempts++
+	n := h.nodes[name]
+	switch {
+	case n == nil, len(n.idle) == 0 && n.conns >= h.c.NodeConns:
+		h.end(at, logic.ConnectFailed) // nothing was sent
+	case len(n.idle) > 0:
+		c := n.idle[len(n.idle)-1]
+		n.idle = n.idle[:len(n.idle)-1]
+		c.at, at.conn = at, c
+		h.by(c, ex.due)
+		h.writeRequest(c)
+	default:
+		c := h.newConn()
+		c.node, c.at, at.conn = n, at, c
+		n.conns++
+		h.counts.NodeConns++
+		h.acts = append(h.acts, Action{Op: Dial, Conn: c.id, Addr: n.addr})
+		h.by(c, min(h.now+h.c.DialTime, ex.due))
+	}
+}
+
+// Connected tells that a connection asked for with Dial stands.
+func (h *Head) Connected(now Time, id ConnID) {
+	h.tick(now)
+	c := h.conn(id)
+	if c == nil || c.connected {
+		return
+	}
+	c.connected = true
+	if c.at == nil {
+		h.park(c)
+		return
+	}
+	h.by(c, c.at.ex.due)
+	h.writeRequest(c)
+}
+
+// writeRequest hands a request's header and what is held of its body to a node.
+func (h *Head) writeRequest(c *conn) {
+	at := c.at
+	ex, r := at.ex, &at.ex.req
+	if c.out == nil {
+		c.out = h.buffer()
+	}
+	b := append(c.out, ex.method...)
+	b = append(b, ' ')
+	b = append(b, originForm(r.Target)...)
+	b = append(b, " HTTP/1.1\r\n"...)
+	b = passFields(b, &r.Message, "expect", "traceparent", "x-request-id", "maddergap-attempt")
+	if len(r.Host) == 0 { // HTTP/1.0 may leave it out, HTTP/1.1 may not
+		b = http1.AppendField(b, "Host", []byte(c.node.addr))
+	}
+	b = append(b, "Via: 1.1 maddergap\r\nX-Request-Id: "...)
+	b = append(h.appendRequestID(b, ex.id), "\r\n"...)
+	b = http1.AppendInt(b, "Maddergap-Attempt", int64(at.n))
+	b = append(appendTrace(append(b, "traceparent: "...), ex.trace, at.span, ex.sampled), "\r\n"...)
+	switch {
+	case ex.whole && (ex.got > 0 || r.Length > 0 || r.Chunked || ex.listing != nil):
+		b = http1.AppendInt(b, "Content-Length", int64(len(ex.held)))
+	case !ex.whole && r.Length >= 0:
+		b = http1.AppendInt(b, "Content-Length", r.Length)
+	case !ex.whole:
+		b = append(b, "Transfer-Encoding: chunked\r\n"...)
+	case ex.method == "PUT":
+		b = append(b, "Content-Length: 0\r\n"...)
+	}
+	c.out = append(b, "\r\n"...)
+	at.sent, at.chunked = ex.whole, !ex.whole && r.Length < 0
+	if len(ex.held) > 0 {
+		appendBody(c, ex.held)
+	}
+	if !ex.whole {
+		ex.upload = at
+		if cl := ex.client; cl != nil {
+			h.invite(cl, ex)
+			h.by(cl, h.now+h.c.StallTime)
+			h.readOn(cl)
+		}
+	}
+	c.used = true
+	h.flush(c)
+}
+
+func appendBody(c *conn, data []byte) {
+	if c.at.chunked {
+		c.out = http1.AppendChunk(c.out, data)
+	} else {
+		c.out = append(c.out, data...)
+	}
+}
+
+// uploadData sends a piece of a body on as it comes.
+func (h *Head) uploadData(at *attempt, data []byte) {
+	c, ex := at.conn, at.ex
+	if c.out == nil {
+		c.out = h.buffer()
+	}
+	if len(data) > 0 {
+		appendBody(c, data)
+	}
+	if ex.whole {
+		if at.chunked {
+			c.out = http1.AppendLastChunk(c.out)
+		}
+		at.sent = true
+		ex.upload = nil
+	}
+	h.flush(c)
+}
+
+// readOn resumes a connection and uses what it told before it was paused.
+func (h *Head) readOn(c *conn) {
+	if !c.paused {
+		return
+	}
+	h.resume(c)
+	if p := c.in; len(p) == 0 {
+	} else if c.node != nil {
+		h.keep(c, h.nodeData(c, p))
+	} else {
+		h.keep(c, h.clientData(c, p))
+	}
+}
+
+func (h *Head) nodeWrote(c *conn) {
+	at := c.at
+	if at == nil {
+		return
+	}
+	at.written = true
+	if cl := at.ex.client; at.ex.upload == at && cl != nil && cl.paused && len(c.pending()) <= h.c.Buffer/2 {
+		h.by(cl, h.now+h.c.StallTime)
+		h.readOn(cl)
+	}
+}
+
+// nodeData uses bytes of a node and returns those it cannot use yet.
+func (h *Head) nodeData(c *conn, p []byte) []byte {
+	for len(p) > 0 && !c.gone {
+		at := c.at
+		if at == nil { // nothing was asked
+			h.unpark(c)
+			h.drop(c, Close)
+			return nil
+		}
+		if !c.inBody {
+			n := http1.HeaderEnd(p, c.scanned)
+			if n == 0 && len(p) <= h.c.Header.Header {
+				c.scanned = len(p)
+				return p
+			}
+			if c.scanned = 0; n == 0 {
+				n = len(p)
+			}
+			if err := http1.ParseResponse(p[:n], &c.resp, at.ex.method, h.c.Header); err != nil {
+				h.broken(c, logic.Failed)
+				return nil
+			}
+			if c.resp.Status >= 200 {
+				c.inBody = true
+				c.body.Reset(&c.resp.Message)
+				h.answerHead(at)
+			}
+			p = p[n:]
+		} else {
+			if cl := at.ex.client; at.ex.answer == at && cl != nil && len(cl.pending()) > h.c.Buffer {
+				h.pause(c)
+				h.by(c, never) // it waits for the client
+				break
+			}
+			data, rest, err := c.body.Next(p)
+			if err != nil {
+				h.broken(c, logic.Reset)
+				return nil
+			}
+			p = rest
+			h.answerData(at, data)
+		}
+		if c.inBody && c.body.Done() && !c.gone {
+			h.answerDone(c)
+		}
+	}
+	if at := c.at; at != nil && !c.gone && at.ex.answer == at {
+		if !at.begun {
+			at.begun = true
+			h.events = append(h.events, logic.Begun{ID: at.ex.id, Attempt: at.n})
+		}
+		if !c.paused {
+			h.by(c, h.now+h.c.StallTime)
+		}
+	}
+	return p
+}
+
+// answerDone ends an attempt whose answer was read whole.
+func (h *Head) answerDone(c *conn) {
+	at := c.at
+	c.at, c.inBody = nil, false
+	keep := !c.resp.Close && at.sent && len(c.pending()) == 0
+	ex := at.ex
+	if ex.upload == at {
+		ex.upload = nil
+	}
+	switch {
+	case ex.answer != at:
+		h.end(at, at.verdict)
+	case ex.listing != nil:
+		ex.final = true
+		h.counts.Served++
+		h.tell(ex, Served)
+		h.partDone(ex)
+		h.end(at, logic.OK)
+	default:
+		ex.final = true
+		h.counts.Served++
+		h.learn(ex, c)
+		h.tell(ex, Served)
+		if ex.chunked {
+			ex.client.out = http1.AppendLastChunk(ex.client.out)
+		}
+		h.end(at, logic.OK)
+		h.answered(ex)
+	}
+	if keep {
+		h.park(c)
+	} else {
+		h.drop(c, Close)
+	}
+}
+
+// learn remembers how large a resource is.
+func (h *Head) learn(ex *exchange, c *conn) {
+	switch {
+	case ex.method == "GET" && c.resp.Status == 200 && c.resp.Length >= 0:
+		h.t.Learn(ex.place.Path, c.resp.Length)
+	case ex.method == "PUT" && c.resp.Status < 300:
+		h.t.Learn(ex.place.Path, ex.got)
+	}
+}
+
+// park keeps a connection for the next request.
+func (h *Head) park(c *conn) {
+	if !c.node.listed || c.gone {
+		h.drop(c, Close)
+		return
+	}
+	h.resume(c)
+	c.node.idle = append(c.node.idle, c)
+	h.by(c, h.now+h.c.NodeIdle)
+}
+
+func (h *Head) unpark(c *conn) {
+	idle := c.node.idle
+	for i, o := range idle {
+		if o == c {
+			c.node.idle = append(idle[:i], idle[i+1:]...)
+			return
+		}
+	}
+}
+
+// broken ends a connection that cannot be used further, and its attempt.
+func (h *Head) broken(c *conn, o logic.Outcome) {
+	at := c.at
+	c.at = nil
+	h.drop(c, Abort)
+	if at != nil {
+		if at.verdict != logic.OK && c.inBody {
+			o = at.verdict // its status was read
+		}
+		h.end(at, o)
+	}
+}
+
+// breakOff ends an attempt that is of no use any more.
+func (h *Head) breakOff(at *attempt) {
+	if !at.ended {
+		h.broken(at.conn, logic.Cancelled)
+	}
+}
+
+func (h *Head) nodeClosed(c *conn, eof bool) {
+	at := c.at
+	if at == nil {
+		h.unpark(c)
+		if eof {
+			h.do(Close, c)
+		}
+		h.forget(c)
+		return
+	}
+	if eof && c.inBody && c.body.End() {
+		h.answerDone(c)
+		return
+	}
+	if eof {
+		h.do(Close, c)
+	}
+	c.at = nil
+	h.forget(c)
+	switch {
+	case c.inBody && at.verdict != logic.OK:
+		h.end(at, at.verdict)
+	case !c.connected:
+		h.end(at, logic.ConnectFailed)
+	case !at.written: // a kept connection that closed just then: proven not to have run
+		h.end(at, logic.Moot)
+	default:
+		h.end(at, logic.Reset)
+	}
+}
+
+func (h *Head) nodeExpired(c *conn) {
+	at := c.at
+	switch {
+	case at == nil:
+		h.unpark(c)
+		h.drop(c, Close)
+	case !c.connected:
+		c.at = nil
+		h.drop(c, Abort)
+		h.end(at, logic.ConnectFailed)
+	case at.ex.answer == at: // the answer stopped in its middle
+		h.broken(c, logic.Reset)
+	default: // the client's time is up; a later answer is nobody's
+		at.ex.timedOut = true
+		h.broken(c, logic.TimedOut)
+	}
+}
+
+// end tells the module how an attempt ended.
+func (h *Head) end(at *attempt, o logic.Outcome) {
+	if at.ended {
+		return
+	}
+	at.ended = true
+	ex := at.ex
+	ex.live--
+	if ex.upload == at {
+		ex.upload = nil
+	}
+	h.events = append(h.events, logic.Ended{ID: ex.id, Attempt: at.n, Node: at.node, Outcome: o, Took: h.now - at.began,
+		Closed: ex.final, Spent: ex.spent, Reported: at.report, Reports: at.reports})
+	if h.obs != nil {
+		h.span = Span{Request: h.requestID(ex.id), Trace: ex.trace, ID: at.span, Parent: ex.span, Sampled: ex.sampled,
+			Start: at.began, End: h.now, Method: ex.method, Path: ex.place.Path, Volume: h.c.Volumes[ex.place.Volume].Name,
+			Class: h.c.Logic.Classes[ex.job.Class].Name, Status: at.status, Attempt: at.n, Node: at.node, Ended: o}
+		h.obs.Attempt(&h.span)
+	}
+	h.recycle(ex)
+}
--- /dev/null
+++ b/internal/head/trace.go
@@ -0,0 +1,60 @@
+package head
+
+import (
+	"encoding/binary"
+	"encoding/hex"
+
+	"go.opentelemetry.io/otel/trace"
+)
+
+// traceOf takes the trace of W3C Trace Context's traceparent, or begins one.
+func (h *Head) traceOf(ex *exchange) {
+	h.randomID(ex.span[:])
+	v := ex.req.Get("traceparent") // 00-32 hex-16 hex-2 hex
+	if len(v) >= 55 && v[2] == '-' && v[35] == '-' && v[52] == '-' && (len(v) == 55 || v[0] != '0' || v[1] != '0') &&
+		!(v[0] == 'f' && v[1] == 'f') {
+		id, err1 := trace.TraceIDFromHex(string(v[3:35]))
+		parent, err2 := trace.SpanIDFromHex(string(v[36:52]))
+		var flags [1]byte
+		_, err3 := hex.Decode(flags[:], v[53:55])
+		if err1 == nil && err2 == nil && err3 == nil {
+			ex.trace, ex.parent, ex.sampled = id, parent, flags[0]&1 != 0
+			return
+		}
+	}
+	h.randomID(ex.trace[:8])
+	h.randomID(ex.trace[8:])
+	ex.sampled = true
+}
+
+func (h *Head) randomID(b []byte) {
+	binary.LittleEndian.PutUint64(b, h.rand.Uint64()|1) // never all zero
+}
+
+func appendTrace(b []byte, id [16]byte, span [8]byte, sampled bool) []byte {
+	b = hex.AppendEncode(append(b, "00-"...), id[:])
+	b = hex.AppendEncode(append(b, '-'), span[:])
+	if sampled {
+		return append(b, "-01"...)
+	}
+	return append(b, "-00"...)
+}
+
+// tell counts and reports a request's end.
+func (h *Head) tell(ex *exchange, o Outcome) {
+	if h.obs == nil {
+		return
+	}
+	s := Span{Request: h.requestID(ex.id), Trace: ex.trace, ID: ex.span, Parent: ex.parent, Sampled: ex.sampled,
+		Start: ex.began, End: h.now, Method: ex.method, Path: ex.place.Path, Status: ex.status, Outcome: o,
+		Attempts: ex.sends, Reason: ex.reason}
+	if ex.client != nil {
+		s.Client = ex.client.remote
+	}
+	if ex.id != 0 {
+		s.Start = ex.taken
+		s.Volume, s.Class = h.c.Volumes[ex.place.Volume].Name, h.c.Logic.Classes[ex.job.Class].Name
+	}
+	h.span = s
+	h.obs.Request(&h.span)
+}
--- /dev/null
+++ b/internal/loop/loop.go
@@ -0,0 +1,486 @@
+// Package loop drives one head over real sockets: one epoll instance, one
+// goroutine, level triggered. It alone touches descriptors and the clock; it
+// knows nothing of HTTP and decides nothing.
+package loop
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"path/filepath"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"maddergap/internal/head"
+)
+
+const (
+	readSize   = 64 << 10
+	maxEvents  = 256
+	acceptTurn = 16 // connections taken of a listener in one turn, so that a burst does not starve the rest
+	acceptRest = 50 * time.Millisecond
+)
+
+// Loop is an epoll loop around a head.
+type Loop struct {
+	Head *head.Head
+
+	// Watched is called when a watched file was replaced or written.
+	Watched func()
+	// Woken is called after Wake.
+	Woken func()
+
+	epfd      int
+	wakefd    int
+	inotify   int
+	watchName string
+	start     time.Time
+	listeners []int
+	conns     []sock  // by the head's slot
+	byFD      []int32 // slot + 1 of a descriptor, 0: none
+	buf       []byte
+	resumeAt  time.Duration // when accepting goes on after descriptors ran out, 0: it goes on
+	clients   int
+	most      int
+	kind      map[int]int // descriptors that are no connections
+}
+
+type sock struct {
+	fd      int // -1: none
+	id      head.ConnID
+	events  uint32
+	dialing bool
+	client  bool
+	shut    bool // read to its end
+}
+
+const (
+	kindListener = iota + 1
+	kindWake
+	kindInotify
+)
+
+// New returns a loop with a clock that starts at zero. most is how many client
+// connections are held at once; more wait in the listen queue.
+func New(most int) (*Loop, error) {
+	epfd, err := unix.EpollCreate1(unix.EPOLL_CLOEXEC)
+	if err != nil {
+		return nil, fmt.Errorf("epoll: %w", err)
+	}
+	l := &Loop{epfd: epfd, inotify: -1, start: time.Now(), buf: make([]byte, readSize), most: most, kind: map[int]int{}}
+	if l.wakefd, err = unix.Eventfd(0, unix.EFD_CLOEXEC|unix.EFD_NONBLOCK); err != nil {
+		unix.Close(epfd)
+		return nil, fmt.Errorf("eventfd: %w", err)
+	}
+	l.kind[l.wakefd] = kindWake
+	if err := l.add(l.wakefd, unix.EPOLLIN); err != nil {
+		l.Close()
+		return nil, err
+	}
+	return l, nil
+}
+
+// Now is the time since the loop was made.
+func (l *Loop) Now() time.Duration { return time.Since(l.start) }
+
+// Start is the wall-clock time of the clock's zero.
+func (l *Loop) Start() time.Time { return l.start }
+
+// Wake makes a loop that waits call Woken; it may be called from any goroutine.
+func (l *Loop) Wake() {
+	one := [8]byte{7: 1}
+	unix.Write(l.wakefd, one[:]) // EAGAIN: it is awake already
+}
+
+func (l *Loop) add(fd int, events uint32) error {
+	if err := unix.EpollCtl(l.epfd, unix.EPOLL_CTL_ADD, fd, &unix.EpollEvent{Events: events, Fd: int32(fd)}); err != nil {
+		return fmt.Errorf("epoll_ctl: %w", err)
+	}
+	return nil
+}
+
+func sockaddr(addr string) (unix.Sockaddr, int, error) {
+	ap, err := netip.ParseAddrPort(addr)
+	if err != nil {
+		return nil, 0, err
+	}
+	if a := ap.Addr().Unmap(); a.Is4() {
+		return &unix.SockaddrInet4{Port: int(ap.Port()), Addr: a.As4()}, unix.AF_INET, nil
+	}
+	return &unix.SockaddrInet6{Port: int(ap.Port()), Addr: ap.Addr().As16()}, unix.AF_INET6, nil
+}
+
+func addrOf(sa unix.Sockaddr) string {
+	switch a := sa.(type) {
+	case *unix.SockaddrInet4:
+		return netip.AddrPortFrom(netip.AddrFrom4(a.Addr), uint16(a.Port)).String()
+	case *unix.SockaddrInet6:
+		return netip.AddrPortFrom(netip.AddrFrom16(a.Addr), uint16(a.Port)).String()
+	}
+	return ""
+}
+
+// Listen opens a listener and returns its address.
+func (l *Loop) Listen(addr string) (string, error) {
+	sa, family, err := sockaddr(addr)
+	if err != nil {
+		return "", err
+	}
+	fd, err := unix.Socket(family, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return "", fmt.Errorf("listen %s: %w", addr, err)
+	}
+	unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1)
+	err = unix.Bind(fd, sa)
+	if err == nil {
+		err = unix.Listen(fd, 1024)
+	}
+	if err == nil {
+		l.kind[fd] = kindListener
+		err = l.add(fd, unix.EPOLLIN)
+	}
+	if err != nil {
+		unix.Close(fd)
+		return "", fmt.Errorf("listen %s: %w", addr, err)
+	}
+	l.listeners = append(l.listeners, fd)
+	if sa, err = unix.Getsockname(fd); err != nil {
+		return addr, nil
+	}
+	return addrOf(sa), nil
+}
+
+// CloseListeners takes no more connections.
+func (l *Loop) CloseListeners() {
+	for _, fd := range l.listeners {
+		delete(l.kind, fd)
+		unix.Close(fd)
+	}
+	l.listeners = nil
+}
+
+// Watch calls Watched when the file is replaced or written.
+func (l *Loop) Watch(file string) error {
+	fd, err := unix.InotifyInit1(unix.IN_CLOEXEC | unix.IN_NONBLOCK)
+	if err == nil {
+		// The folder is watched: a file that is replaced is another file.
+		_, err = unix.InotifyAddWatch(fd, filepath.Dir(file), unix.IN_CLOSE_WRITE|unix.IN_MOVED_TO)
+	}
+	if err != nil {
+		return fmt.Errorf("watch %s: %w", file, err)
+	}
+	l.inotify, l.watchName = fd, filepath.Base(file)
+	l.kind[fd] = kindInotify
+	return l.add(fd, unix.EPOLLIN)
+}
+
+// Close lets go of every descriptor.
+func (l *Loop) Close() {
+	l.CloseListeners()
+	for i := range l.conns {
+		if l.conns[i].fd >= 0 {
+			unix.Close(l.conns[i].fd)
+		}
+	}
+	l.conns = nil
+	for _, fd := range []int{l.inotify, l.wakefd, l.epfd} {
+		if fd >= 0 {
+			unix.Close(fd)
+		}
+	}
+}
+
+// Run goes on until done says so; that is asked once a turn.
+func (l *Loop) Run(done func() bool) error {
+	events := make([]unix.EpollEvent, maxEvents)
+	for {
+		next := l.act()
+		if done() {
+			return nil
+		}
+		wait := -1
+		if l.resumeAt > 0 {
+			next = min(next, l.resumeAt)
+		}
+		if d := next - l.Now(); next < 1<<62 {
+			wait = int(min(max((d+time.Millisecond-1)/time.Millisecond, 0), 60000))
+		}
+		n, err := unix.EpollWait(l.epfd, events, wait)
+		if err != nil && !errors.Is(err, unix.EINTR) {
+			return fmt.Errorf("epoll_wait: %w", err)
+		}
+		if l.resumeAt > 0 && l.Now() >= l.resumeAt {
+			l.accepting(true)
+		}
+		for i := range max(n, 0) {
+			fd := int(events[i].Fd)
+			if kind, ok := l.kind[fd]; ok {
+				l.special(fd, kind)
+			} else if fd < len(l.byFD) && l.byFD[fd] > 0 {
+				l.ready(&l.conns[l.byFD[fd]-1], events[i].Events)
+			}
+		}
+	}
+}
+
+func (l *Loop) special(fd, kind int) {
+	switch kind {
+	case kindListener:
+		l.accept(fd)
+	case kindWake:
+		var b [8]byte
+		unix.Read(fd, b[:])
+		if l.Woken != nil {
+			l.Woken()
+		}
+	case kindInotify:
+		if l.notices() && l.Watched != nil {
+			l.Watched()
+		}
+	}
+}
+
+// notices reads inotify's records and tells whether one names the watched file;
+// an overflow may have lost one and counts too.
+func (l *Loop) notices() (hit bool) {
+	for {
+		n, err := unix.Read(l.inotify, l.buf)
+		if err != nil || n < unix.SizeofInotifyEvent {
+			return hit
+		}
+		for p := l.buf[:n]; len(p) >= unix.SizeofInotifyEvent; {
+			mask := uint32(p[4]) | uint32(p[5])<<8 | uint32(p[6])<<16 | uint32(p[7])<<24
+			size := int(uint32(p[12]) | uint32(p[13])<<8 | uint32(p[14])<<16 | uint32(p[15])<<24)
+			name := p[unix.SizeofInotifyEvent:min(unix.SizeofInotifyEvent+size, len(p))]
+			for len(name) > 0 && name[len(name)-1] == 0 {
+				name = name[:len(name)-1]
+			}
+			hit = hit || string(name) == l.watchName || mask&unix.IN_Q_OVERFLOW != 0
+			p = p[min(unix.SizeofInotifyEvent+size, len(p)):]
+		}
+	}
+}
+
+// accepting stops or goes on taking connections. Guards against a busy loop
+// over a listener that is ready while no descriptor is free for what it has.
+func (l *Loop) accepting(on bool) {
+	l.resumeAt = 0
+	events := uint32(unix.EPOLLIN)
+	if !on {
+		l.resumeAt, events = l.Now()+acceptRest, 0
+	}
+	for _, fd := range l.listeners {
+		unix.EpollCtl(l.epfd, unix.EPOLL_CTL_MOD, fd, &unix.EpollEvent{Events: events, Fd: int32(fd)})
+	}
+}
+
+func (l *Loop) accept(lfd int) {
+	for range acceptTurn {
+		if l.clients >= l.most {
+			l.accepting(false)
+			return
+		}
+		fd, sa, err := unix.Accept4(lfd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+		switch {
+		case errors.Is(err, unix.EAGAIN):
+			return
+		case errors.Is(err, unix.EMFILE), errors.Is(err, unix.ENFILE), errors.Is(err, unix.ENOBUFS), errors.Is(err, unix.ENOMEM):
+			l.accepting(false)
+			return
+		case err != nil: // that connection ended meanwhile
+			continue
+		}
+		unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
+		id := l.Head.Accept(l.Now(), addrOf(sa))
+		l.clients++
+		l.put(id, sock{fd: fd, id: id, client: true, events: unix.EPOLLIN | unix.EPOLLRDHUP})
+		if l.add(fd, unix.EPOLLIN|unix.EPOLLRDHUP) != nil {
+			l.lost(id)
+		}
+	}
+}
+
+func (l *Loop) put(id head.ConnID, s sock) {
+	for id.Slot() >= len(l.conns) {
+		l.conns = append(l.conns, sock{fd: -1})
+	}
+	l.conns[id.Slot()] = s
+	for s.fd >= len(l.byFD) {
+		l.byFD = append(l.byFD, 0)
+	}
+	l.byFD[s.fd] = int32(id.Slot()) + 1
+}
+
+// sock finds the descriptor of a connection, nil where there is none any more.
+func (l *Loop) sock(id head.ConnID) *sock {
+	if s := id.Slot(); s < len(l.conns) && l.conns[s].fd >= 0 && l.conns[s].id == id {
+		return &l.conns[s]
+	}
+	return nil
+}
+
+// let closes a connection's descriptor, with a reset where asked.
+func (l *Loop) let(s *sock, reset bool) {
+	if reset {
+		unix.SetsockoptLinger(s.fd, unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1, Linger: 0})
+	}
+	l.byFD[s.fd] = 0
+	unix.Close(s.fd)
+	if s.client {
+		l.clients--
+	}
+	*s = sock{fd: -1}
+}
+
+func (l *Loop) lost(id head.ConnID) {
+	if s := l.sock(id); s != nil {
+		l.let(s, false)
+	}
+	l.Head.Closed(l.Now(), id)
+}
+
+// want sets the events a connection is watched for.
+func (l *Loop) want(s *sock, events uint32) {
+	if s.events != events {
+		s.events = events
+		unix.EpollCtl(l.epfd, unix.EPOLL_CTL_MOD, s.fd, &unix.EpollEvent{Events: events, Fd: int32(s.fd)})
+	}
+}
+
+// ready serves one connection's events.
+func (l *Loop) ready(s *sock, events uint32) {
+	id := s.id
+	if s.dialing {
+		code, err := unix.GetsockoptInt(s.fd, unix.SOL_SOCKET, unix.SO_ERROR)
+		if err != nil || code != 0 {
+			l.lost(id)
+			return
+		}
+		if events&unix.EPOLLOUT == 0 {
+			return
+		}
+		s.dialing = false
+		l.want(s, unix.EPOLLIN|unix.EPOLLRDHUP)
+		l.Head.Connected(l.Now(), id)
+		return
+	}
+	if events&unix.EPOLLERR != 0 {
+		l.lost(id)
+		return
+	}
+	if events&unix.EPOLLOUT != 0 {
+		l.write(s)
+		if s = l.sock(id); s == nil {
+			return
+		}
+	}
+	if events&(unix.EPOLLIN|unix.EPOLLRDHUP|unix.EPOLLHUP) != 0 && !s.shut {
+		if s.events&unix.EPOLLIN == 0 { // paused: only the end of it is news, and waits its turn
+			if events&unix.EPOLLHUP != 0 {
+				l.lost(id)
+			}
+			return
+		}
+		n, err := unix.Read(s.fd, l.buf)
+		switch {
+		case errors.Is(err, unix.EAGAIN) || errors.Is(err, unix.EINTR):
+		case err != nil:
+			l.lost(id)
+		case n == 0:
+			s.shut = true
+			l.want(s, s.events&^(unix.EPOLLIN|unix.EPOLLRDHUP))
+			l.Head.EOF(l.Now(), id)
+		default:
+			l.Head.Data(l.Now(), id, l.buf[:n])
+		}
+	} else if events&unix.EPOLLHUP != 0 {
+		l.lost(id)
+	}
+}
+
+// write sends what the head has for a connection, as far as it goes.
+func (l *Loop) write(s *sock) {
+	id := s.id
+	for s != nil && !s.dialing {
+		p := l.Head.Out(id)
+		if len(p) == 0 {
+			l.want(s, s.events&^unix.EPOLLOUT)
+			return
+		}
+		n, err := unix.Write(s.fd, p)
+		if n > 0 {
+			l.Head.Wrote(l.Now(), id, n)
+			s = l.sock(id)
+			if n == len(p) {
+				continue
+			}
+		}
+		switch {
+		case errors.Is(err, unix.EINTR):
+		case err != nil && !errors.Is(err, unix.EAGAIN):
+			l.lost(id)
+			return
+		case s != nil:
+			l.want(s, s.events|unix.EPOLLOUT)
+			return
+		}
+	}
+}
+
+// act carries out what the head asks for and returns when it is to be asked again.
+func (l *Loop) act() time.Duration {
+	for {
+		acts, next := l.Head.Advance(l.Now())
+		if len(acts) == 0 {
+			return next
+		}
+		for _, a := range acts {
+			if a.Op == head.Dial {
+				l.dial(a)
+				continue
+			}
+			s := l.sock(a.Conn)
+			if s == nil {
+				continue
+			}
+			switch a.Op {
+			case head.Flush:
+				l.write(s)
+			case head.Pause:
+				l.want(s, s.events&^(unix.EPOLLIN|unix.EPOLLRDHUP))
+			case head.Resume:
+				if !s.shut && !s.dialing {
+					l.want(s, s.events|unix.EPOLLIN|unix.EPOLLRDHUP)
+				}
+			case head.Shut:
+				unix.Shutdown(s.fd, unix.SHUT_WR)
+			case head.Close, head.Abort:
+				l.let(s, a.Op == head.Abort)
+			}
+		}
+	}
+}
+
+func (l *Loop) dial(a head.Action) {
+	sa, family, err := sockaddr(a.Addr)
+	fd := -1
+	if err == nil {
+		fd, err = unix.Socket(family, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+	}
+	if err != nil {
+		l.Head.Closed(l.Now(), a.Conn)
+		return
+	}
+	unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
+	err = unix.Connect(fd, sa)
+	if err != nil && !errors.Is(err, unix.EINPROGRESS) {
+		unix.Close(fd)
+		l.Head.Closed(l.Now(), a.Conn)
+		return
+	}
+	l.put(a.Conn, sock{fd: fd, id: a.Conn, dialing: true, events: unix.EPOLLOUT})
+	if l.add(fd, unix.EPOLLOUT) != nil {
+		l.lost(a.Conn)
+	}
+}
--- /dev/null
+++ b/internal/route/route_test.go
@@ -0,0 +1,159 @@
+package route
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"maddergap/internal/conf"
+)
+
+func table(t testing.TB) *Table {
+	t.Helper()
+	c, err := conf.Parse("t", []byte(`listen 127.0.0.1:0
+nodes n
+class read effect safe aim 100ms deadline 1s
+class write effect unsafe aim 100ms deadline 2s
+class export effect safe aim 1s deadline 5s
+class log effect keyed window 5s aim 1s deadline 5s ordered yes
+plan p rate 1
+volume feed-a plan p shards 0-4
+volume feed-b plan p shards 5
+route GET ranged yes class export
+route GET over 1m class export
+route PUT path /feed-a/log class log
+route PUT class write
+route * class read
+units bytes 100k mean 3
+answer-margin 20ms
+sizes 64
+`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return NewTable(c, nil)
+}
+
+func TestPlaces(t *testing.T) {
+	tab := table(t)
+	for path, want := range map[string]Kind{"/": Root, "/feed-a": VolumeRoot, "/feed-a/": VolumeRoot,
+		"/feed%2Da/": VolumeRoot, "/feed-a/x": Unit, "/feed-a/x/": Unit, "/feed-a/x/y": Unit} {
+		if p, err := tab.Place(path); err != nil || p.Kind != want {
+			t.Errorf("%s: %+v %v", path, p, err)
+		}
+	}
+	for path, want := range map[string]error{"/nope/x": ErrNoVolume, "/feed-a//x": ErrPath, "/feed-a/../feed-b/x": ErrPath,
+		"/feed-a/%2e%2e/x": ErrPath, "/feed-a/a%2fb": ErrPath, "/feed-a/%zz": ErrPath, "/feed-a/%4": ErrPath, "/feed-a/.": ErrPath,
+		"//": ErrPath, "/feed-a/a%00": ErrPath, "/feed-a/a\\b": ErrPath} {
+		if _, err := tab.Place(path); err != want {
+			t.Errorf("%s: %v, want %v", path, err, want)
+		}
+	}
+	a, _ := tab.Place("/feed-a/st%61tion/one")
+	b, _ := tab.Place("/feed-a/station")
+	if a.Unit != "station" || a.Shard != b.Shard {
+		t.Errorf("an escape moved the unit: %+v %+v", a, b)
+	}
+	for target, want := range map[string]string{"http://h:1/a/b?q": "/a/b", "HTTP://h": "/", "/a?b": "/a"} {
+		if p, _, err := Path(target); err != nil || p != want {
+			t.Errorf("%s: %q %v", target, p, err)
+		}
+	}
+	for _, target := range []string{"a/b", "ftp://h/x", "http:///x", "*"} {
+		if _, _, err := Path(target); err == nil {
+			t.Errorf("%s was taken", target)
+		}
+	}
+}
+
+// A shard more or less moves only what is then on it.
+func TestShardsMoveLittle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		shards := rapid.SliceOfNDistinct(rapid.IntRange(0, 200), 2, 12, rapid.ID).Draw(t, "shards")
+		less := shards[:len(shards)-1]
+		gone := shards[len(shards)-1]
+		moved := 0
+		for i := range 400 {
+			u := fmt.Sprint("station-", i)
+			a, b := shardOf(u, shards), shardOf(u, less)
+			if a != b && a != gone {
+				t.Fatalf("%s moved from %d to %d while %d left", u, a, b, gone)
+			}
+			if a != b {
+				moved++
+			}
+		}
+		if share := float64(moved) / 400 * float64(len(shards)); share < 0.3 || share > 2 {
+			t.Fatalf("the part of one shard of %d is %.2f of even", len(shards), share)
+		}
+	})
+}
+
+func TestJobs(t *testing.T) {
+	tab := table(t)
+	at := func(path string) Place { p, _ := tab.Place(path); return p }
+	tab.Learn("/feed-a/big/x", 5<<20)
+	tab.Learn("/feed-a/s/x", 150<<10)
+	for name, c := range map[string]struct {
+		ask   Ask
+		class int
+		units float64
+		time  time.Duration
+		key   string
+	}{
+		"unknown read":  {Ask{Method: "GET", Place: at("/feed-a/u/x")}, 0, 3, 980 * time.Millisecond, ""},
+		"known read":    {Ask{Method: "GET", Place: at("/feed-a/s/x")}, 0, 2, 980 * time.Millisecond, ""},
+		"large read":    {Ask{Method: "GET", Place: at("/feed-a/big/x")}, 2, 52, 4980 * time.Millisecond, ""},
+		"head of large": {Ask{Method: "HEAD", Place: at("/feed-a/big/x")}, 0, 1, 980 * time.Millisecond, ""},
+		"ranged":        {Ask{Method: "GET", Place: at("/feed-a/big/x"), Range: "bytes=0-99"}, 2, 1, 4980 * time.Millisecond, ""},
+		"range past it": {Ask{Method: "GET", Place: at("/feed-a/s/x"), Range: "bytes=0-99999999"}, 2, 2, 4980 * time.Millisecond, ""},
+		"write":         {Ask{Method: "PUT", Place: at("/feed-a/s/y"), Length: 100<<10 + 1}, 1, 2, 1980 * time.Millisecond, ""},
+		"ordered":       {Ask{Method: "PUT", Place: at("/feed-a/log/y"), Length: 1}, 3, 1, 4980 * time.Millisecond, "/feed-a/log/y"},
+		"ordered, key":  {Ask{Method: "PUT", Place: at("/feed-a/log/y"), Length: 1, Key: "k"}, 3, 1, 4980 * time.Millisecond, "k"},
+		"shorter wait":  {Ask{Method: "PUT", Place: at("/feed-a/s/y"), Prefer: "respond-async, wait=1"}, 1, 1, 980 * time.Millisecond, ""},
+		"longer wait":   {Ask{Method: "PUT", Place: at("/feed-a/s/y"), Prefer: "wait=100"}, 1, 1, 1980 * time.Millisecond, ""},
+	} {
+		if j := tab.Job(c.ask); j.Class != c.class || j.Units != c.units || j.Time != c.time || j.Key != c.key {
+			t.Errorf("%s: %+v, want %+v", name, j, c)
+		}
+	}
+	if j := tab.Job(Ask{Method: "PUT", Place: at("/feed-a/s/y"), Length: 10 << 20}); j.Time != 1980*time.Millisecond+10*time.Second {
+		t.Errorf("a body of 10 MiB at 1 MiB/s has %v", j.Time)
+	}
+}
+
+// The table of sizes stays as large as it was made, whatever passes through it.
+func TestSizesAreBounded(t *testing.T) {
+	tab := table(t)
+	for i := range 10000 {
+		tab.Learn(fmt.Sprint("/feed-a/s/", i), int64(i))
+	}
+	if n := len(tab.sizes.entries); n != 64 {
+		t.Errorf("%d entries", n)
+	}
+	if size, ok := tab.sizes.get("/feed-a/s/9999"); !ok || size != 9999 {
+		t.Errorf("the last is %d, %v", size, ok)
+	}
+}
+
+func FuzzPlace(f *testing.F) {
+	f.Add("/feed-a/x/%41")
+	tab := table(f)
+	f.Fuzz(func(t *testing.T, target string) {
+		path, _, err := Path(target)
+		if err != nil {
+			return
+		}
+		p, err := tab.Place(path)
+		if err != nil || p.Kind != Unit {
+			return
+		}
+		if again, err := Decode(p.Path); err == nil && again == p.Path { // no escape is left: it is one place
+			if q, err := tab.Place(p.Path); err != nil || q.Shard != p.Shard || q.Unit != p.Unit {
+				t.Fatalf("%q: %+v, decoded: %+v %v", target, p, q, err)
+			}
+		}
+	})
+}
--- a/logic/api.go
+++ b/logic/api.go
@@ -177,6 +177,7 @@
 	Outcome  Outcome
 	Took     time.Duration
 	Closed   bool    // the request has its final answer
+	Spent    bool    // it cannot be sent again: what it carried is gone
 	Reported float64 // requests that the node said it held or had waiting
 	Reports  bool    // it said so
 }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -430,7 +430,8 @@
 	case e.Closed:
 		h.close(r)
 	case r.live > 0:
-	case r.streaming || h.now+lastCall >= r.due || (h.s.MaxAttempts > 0 && r.tries >= h.s.MaxAttempts):
+	case r.streaming || e.Spent || h.now+lastCall >= r.due ||
+		(h.s.MaxAttempts > 0 && r.tries >= h.s.MaxAttempts):
 		h.finish(r)
 	case !proven && (r.class.Effect == Unsafe || h.target(r) == nil):
 		h.finish(r)
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -865,3 +865,36 @@
 		t.Errorf("%d nodes of 10 are used", len(took))
 	}
 }
+
+// What cannot be sent again gets its final answer at once: a refusal where the
+// attempt is known not to have run, else what its class allows.
+func TestSpentRequestIsNotSentAgain(t *testing.T) {
+	for _, c := range []struct {
+		effect  Effect
+		outcome Outcome
+		refused bool
+	}{{Unsafe, Full, true}, {Unsafe, Reset, false}, {Safe, Reset, true}} {
+		h, err := New(Settings{Heads: 1, Classes: []Class{{Aim: 100 * time.Millisecond, Effect: c.effect, Worth: 1}},
+			Plans: []Plan{{Weight: 1, Price: 1}}}, 1, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		h.Handle(0, []Event{List{Full: true, Entries: []Entry{{Node: "a"}}},
+			Arrival{ID: 1, Volume: "v", Left: time.Second, Units: 1, Hosts: 1}})
+		acts := h.Handle(time.Millisecond, []Event{Ended{ID: 1, Node: "a", Outcome: c.outcome, Spent: true}})
+		var refused, failed bool
+		for _, a := range acts {
+			switch a.(type) {
+			case Send:
+				t.Errorf("%+v: sent again", c)
+			case Refuse:
+				refused = true
+			case Fail:
+				failed = true
+			}
+		}
+		if refused != c.refused || failed == c.refused {
+			t.Errorf("%+v: refused %v, failed %v", c, refused, failed)
+		}
+	}
+}
