--- /dev/null
+++ b/cmd/maddergap/main.go
@@ -0,0 +1,157 @@
+// Command maddergap is a storage gateway: heads that schedule WebDAV requests
+// over storage nodes.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+
+	"maddergap/internal/conf"
+	"maddergap/internal/daemon"
+)
+
+type cli struct {
+	Serve   serveCmd   `cmd:"" help:"Run a head."`
+	Check   checkCmd   `cmd:"" help:"Check a configuration and its node list, and say every mistake."`
+	Demo    demoCmd    `cmd:"" help:"Run a head with embedded stand-in nodes and two volumes."`
+	Node    nodeCmd    `cmd:"" help:"Run a stand-in storage node (for tests and rehearsals, never for data)."`
+	Badday  baddayCmd  `cmd:"" name:"badday" help:"Run a scripted bad day and judge the seven rules from the socket records."`
+	Bench   benchCmd   `cmd:"" help:"Measure the head against net/http/httputil.ReverseProxy."`
+	Version versionCmd `cmd:"" help:"Print the version."`
+}
+
+// usage is a mistake of the caller's, exit code 2.
+type usage struct{ error }
+
+func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
+
+func run(args []string, stdout, stderr io.Writer) int {
+	var c cli
+	exited := -1
+	p, err := kong.New(&c, kong.Name("maddergap"), kong.Description("A storage gateway that keeps seven rules."),
+		kong.Writers(stdout, stderr), kong.Exit(func(code int) { exited = code }), kong.UsageOnError(),
+		kong.Bind(&streams{stdout, stderr}))
+	if err != nil {
+		fmt.Fprintln(stderr, "maddergap:", err)
+		return 1
+	}
+	ctx, err := p.Parse(args)
+	if exited >= 0 { // help was asked for
+		return exited
+	}
+	if err != nil {
+		fmt.Fprintln(stderr, "maddergap:", err, "(maddergap --help lists the commands)")
+		return 2
+	}
+	err = ctx.Run()
+	switch {
+	case err == nil:
+		return 0
+	case errors.As(err, new(usage)):
+		fmt.Fprintln(stderr, "maddergap:", err)
+		return 2
+	}
+	fmt.Fprintln(stderr, "maddergap:", err)
+	return 1
+}
+
+type streams struct{ out, err io.Writer }
+
+type serveCmd struct {
+	Config string `required:"" short:"c" type:"path" help:"Configuration file."`
+}
+
+func (s *serveCmd) Run(io *streams) error {
+	c, err := conf.Load(s.Config)
+	if err != nil {
+		return err
+	}
+	return serve(c, io, func(d *daemon.Daemon, log *slog.Logger) {
+		log.Info("serving", "listen", d.Addrs(), "nodes", c.Nodes, "pid", os.Getpid())
+	})
+}
+
+// serve runs a head until SIGINT or SIGTERM; SIGHUP reloads.
+func serve(c *conf.Config, io *streams, ready func(*daemon.Daemon, *slog.Logger)) error {
+	w := io.err
+	if c.Log != "" {
+		f, err := os.OpenFile(c.Log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+		if err != nil {
+			return err
+		}
+		defer f.Close()
+		w = f
+	}
+	sink := daemon.NewSink(w)
+	defer sink.Close()
+	log := slog.New(slog.NewJSONHandler(sink, nil))
+	d, err := daemon.New(c, log)
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	done := make(chan struct{})
+	defer close(done)
+	go func() {
+		for {
+			select {
+			case s := <-signals:
+				if s == syscall.SIGHUP {
+					d.Reload()
+				} else {
+					d.Stop()
+				}
+			case <-done:
+				return
+			}
+		}
+	}()
+	ready(d, log)
+	return d.Run()
+}
+
+type checkCmd struct {
+	Config string `required:"" short:"c" type:"path" help:"Configuration file."`
+}
+
+func (s *checkCmd) Run(io *streams) error {
+	c, err := conf.Load(s.Config)
+	if err != nil {
+		return err
+	}
+	n, err := daemon.CheckNodes(c)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(io.out, "%s: good; %d volumes, %d classes, %d plans, %d routes, %d nodes\n", s.Config,
+		len(c.Volumes), len(c.Logic.Classes), len(c.Logic.Plans), len(c.Routes), n)
+	return nil
+}
+
+type versionCmd struct{}
+
+func (versionCmd) Run(io *streams) error {
+	version, revision := "(devel)", ""
+	if b, ok := debug.ReadBuildInfo(); ok {
+		if b.Main.Version != "" {
+			version = b.Main.Version
+		}
+		for _, s := range b.Settings {
+			if s.Key == "vcs.revision" {
+				revision = " " + s.Value
+			}
+		}
+	}
+	fmt.Fprintf(io.out, "maddergap %s%s\n", version, revision)
+	return nil
+}
--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -21,6 +21,7 @@
 	Nodes   string   // the node list's path
 	Log     string   // "" for standard error
 	Traces  string   // file for spans, "" for none
+	Quiet   bool     // requests are not logged
 	Seed    uint64   // of what is spread by chance, 0: drawn at start
 	Volumes []Volume
 	Routes  []Route
@@ -189,13 +190,12 @@
 			p.c.Listen = append(p.c.Listen, w)
 		}
 	},
-	"nodes": func(p *parser, _ int, a *Args) {
-		if p.c.Nodes = a.Word("path"); p.c.Nodes != "" && !filepath.IsAbs(p.c.Nodes) {
-			p.c.Nodes = filepath.Join(filepath.Dir(p.c.File), p.c.Nodes)
-		}
+	"nodes": func(p *parser, _ int, a *Args) { p.c.Nodes = p.path(a) },
+	"log":   func(p *parser, _ int, a *Args) { p.c.Log = p.path(a) },
+	"log-requests": func(p *parser, _ int, a *Args) {
+		p.c.Quiet = a.OneOf("value", "yes", "no") == 1
 	},
-	"log":    func(p *parser, _ int, a *Args) { p.c.Log = a.Word("path") },
-	"traces": func(p *parser, _ int, a *Args) { p.c.Traces = a.Word("path") },
+	"traces": func(p *parser, _ int, a *Args) { p.c.Traces = p.path(a) },
 	"seed":   func(p *parser, _ int, a *Args) { p.c.Seed = uint64(a.Int("seed", 1, 1<<40)) },
 	"heads":  func(p *parser, _ int, a *Args) { p.c.Logic.Heads = a.Int("number", 1, 100000) },
 	"class":  (*parser).class,
@@ -252,6 +252,15 @@
 	},
 }
 
+// path takes a path; a relative one starts at the configuration's folder.
+func (p *parser) path(a *Args) string {
+	w := a.Word("path")
+	if w != "" && !filepath.IsAbs(w) {
+		w = filepath.Join(filepath.Dir(p.c.File), w)
+	}
+	return w
+}
+
 // pairs takes keyword and value until the words end; each keyword stands at
 // most once, and those of want at least once.
 func pairs(a *Args, take map[string]func(string), want ...string) {
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,232 @@
+// Package daemon runs one head as a process does: configuration, listeners, the
+// node list and its changes, stop and reload, the log and the traces.
+package daemon
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"maddergap/internal/conf"
+	"maddergap/internal/head"
+	"maddergap/internal/loop"
+	"maddergap/internal/nodelist"
+)
+
+// Daemon is a head on its loop.
+type Daemon struct {
+	c       *conf.Config
+	log     *slog.Logger
+	loop    *loop.Loop
+	head    *head.Head
+	addrs   []string
+	obs     *observer
+	stop    atomic.Bool
+	reload  atomic.Bool
+	poll    atomic.Bool
+	list    []byte        // the node list's text, as last read
+	ending  time.Duration // when what is under way is cut off, 0: not stopping
+	stopped time.Time
+}
+
+// pollNodes is how often the node list is read again though no notice came.
+// Guards against a notice that was lost or never comes, as on some file systems.
+const pollNodes = 5 * time.Second
+
+// New opens listeners and reads the node list; nothing is served before Run.
+func New(c *conf.Config, log *slog.Logger) (*Daemon, error) {
+	data, err := os.ReadFile(c.Nodes)
+	if err != nil {
+		return nil, err
+	}
+	nodes, err := nodelist.Parse(c.Nodes, data)
+	if err != nil {
+		return nil, err
+	}
+	l, err := loop.New(c.Clients)
+	if err != nil {
+		return nil, err
+	}
+	d := &Daemon{c: c, log: log, loop: l, list: data}
+	if err := d.open(nodes); err != nil {
+		l.Close()
+		if d.obs != nil {
+			d.obs.close()
+		}
+		return nil, err
+	}
+	return d, nil
+}
+
+func (d *Daemon) open(nodes []nodelist.Node) (err error) {
+	c := d.c
+	if d.obs, err = newObserver(c, d.log, d.loop.Start()); err != nil {
+		return err
+	}
+	seed := c.Seed
+	if seed == 0 {
+		seed = rand.Uint64()
+	}
+	if d.head, err = head.New(c, seed, d.loop.Now(), d.loop.Start(), d.obs); err != nil {
+		return err
+	}
+	d.loop.Head, d.loop.Watched, d.loop.Woken = d.head, d.reread, d.woken
+	d.head.Nodes(d.loop.Now(), nodes)
+	if err := d.loop.Watch(c.Nodes); err != nil {
+		return err
+	}
+	for _, addr := range c.Listen {
+		bound, err := d.loop.Listen(addr)
+		if err != nil {
+			return err
+		}
+		d.addrs = append(d.addrs, bound)
+	}
+	return nil
+}
+
+// Addrs are the addresses listened on.
+func (d *Daemon) Addrs() []string { return d.addrs }
+
+// Counts are the head's sums, to be read when Run has returned.
+func (d *Daemon) Counts() head.Counts { return d.head.Counts() }
+
+// Stop ends Run: listeners close, requests taken get their answers, within the
+// stop time. It may be called from any goroutine.
+func (d *Daemon) Stop() {
+	d.stop.Store(true)
+	d.loop.Wake()
+}
+
+// Reload reads the configuration again. It may be called from any goroutine.
+func (d *Daemon) Reload() {
+	d.reload.Store(true)
+	d.loop.Wake()
+}
+
+// reread follows the node list; a broken one leaves the last good one in force.
+func (d *Daemon) reread() {
+	data, err := os.ReadFile(d.c.Nodes)
+	if err == nil && bytes.Equal(data, d.list) {
+		return
+	}
+	d.list = data
+	var nodes []nodelist.Node
+	if err == nil {
+		nodes, err = nodelist.Parse(d.c.Nodes, data)
+	}
+	if err != nil {
+		d.log.Error("the node list is not used; the last good one stays in force", "cause", err)
+		return
+	}
+	d.log.Info("node list", "nodes", len(nodes))
+	d.head.Nodes(d.loop.Now(), nodes)
+}
+
+func (d *Daemon) woken() {
+	if d.poll.Swap(false) {
+		d.reread()
+	}
+	if d.reload.Swap(false) {
+		if err := d.again(); err != nil {
+			d.log.Error("reload refused; nothing of the file is applied", "cause", err)
+		} else {
+			d.log.Info("reloaded", "file", d.c.File)
+		}
+	}
+	if d.stop.Load() && d.ending == 0 {
+		d.ending = d.loop.Now() + d.c.StopTime
+		d.stopped = time.Now()
+		d.loop.CloseListeners()
+		d.head.Stop(d.loop.Now())
+		d.log.Info("stopping", "under_way", d.head.Counts().Clients)
+		time.AfterFunc(d.c.StopTime, d.loop.Wake)
+	}
+}
+
+func (d *Daemon) again() error {
+	c, err := conf.Load(d.c.File)
+	if err != nil {
+		return err
+	}
+	if fmt.Sprint(c.Listen) != fmt.Sprint(d.c.Listen) || c.Nodes != d.c.Nodes || c.Clients != d.c.Clients ||
+		c.Log != d.c.Log || c.Traces != d.c.Traces {
+		return errors.New("listen, nodes, clients, log and traces change with a restart only")
+	}
+	if err := d.head.Reload(c); err != nil {
+		return err
+	}
+	d.c = c
+	return nil
+}
+
+// Run serves until it is stopped. It returns an error where requests had to be
+// cut off at the end of the stop time.
+func (d *Daemon) Run() error {
+	defer d.obs.close()
+	defer d.loop.Close()
+	poll := time.NewTicker(pollNodes)
+	defer poll.Stop()
+	quit := make(chan struct{})
+	defer close(quit)
+	go func() {
+		for {
+			select {
+			case <-quit:
+				return
+			case <-poll.C:
+				d.poll.Store(true)
+				d.loop.Wake()
+			}
+		}
+	}()
+	err := d.loop.Run(func() bool {
+		return d.ending > 0 && (d.head.Idle() || d.loop.Now() >= d.ending)
+	})
+	if err != nil {
+		return err
+	}
+	cut := 0
+	d.head.Under(func(id, method, path string, age time.Duration) {
+		cut++
+		d.log.Error("cut off at the stop", "request", id, "method", method, "path", path, "age", age)
+	})
+	n := d.head.Counts()
+	d.log.Info("stopped", "taken", n.Taken, "served", n.Served, "refused", n.Refused, "failed", n.Failed, "left", n.Left,
+		"attempts", n.Attempts, "bad", n.Bad, "own", n.Own, "took", time.Since(d.stopped))
+	if cut > 0 {
+		return fmt.Errorf("%d requests were cut off after the stop time of %v", cut, d.c.StopTime)
+	}
+	return nil
+}
+
+// CheckNodes reads the node list of a configuration and holds that every shard
+// of every volume has a node.
+func CheckNodes(c *conf.Config) (int, error) {
+	data, err := os.ReadFile(c.Nodes)
+	if err != nil {
+		return 0, err
+	}
+	nodes, err := nodelist.Parse(c.Nodes, data)
+	if err != nil {
+		return 0, err
+	}
+	have := map[int]bool{}
+	for _, n := range nodes {
+		have[n.Shard] = true
+	}
+	var errs []error
+	for _, v := range c.Volumes {
+		for _, s := range v.Shards {
+			if !have[s] {
+				errs = append(errs, &conf.Mistake{File: c.Nodes, Reason: fmt.Sprintf("no node has shard %d of volume %s", s, v.Name)})
+			}
+		}
+	}
+	return len(nodes), errors.Join(errs...)
+}
--- /dev/null
+++ b/internal/daemon/observer.go
@@ -0,0 +1,171 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/exporters/stdout/stdouttrace"
+	sdk "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/trace"
+
+	"maddergap/internal/conf"
+	"maddergap/internal/head"
+	"maddergap/logic"
+)
+
+// Sink writes lines from a goroutine of its own, so that a slow disk or a full
+// pipe never holds the loop up. At its bound lines are dropped and counted.
+type Sink struct {
+	w       io.Writer
+	lines   chan []byte
+	dropped atomic.Int64
+	done    chan struct{}
+}
+
+const sinkLines = 8192
+
+// NewSink starts a sink.
+func NewSink(w io.Writer) *Sink {
+	s := &Sink{w: w, lines: make(chan []byte, sinkLines), done: make(chan struct{})}
+	go func() {
+		defer close(s.done)
+		for line := range s.lines {
+			if n := s.dropped.Swap(0); n > 0 {
+				fmt.Fprintf(s.w, "{\"level\":\"WARN\",\"msg\":\"log lines dropped\",\"number\":%d}\n", n)
+			}
+			s.w.Write(line)
+		}
+	}()
+	return s
+}
+
+// Write takes a line; it never waits.
+func (s *Sink) Write(p []byte) (int, error) {
+	select {
+	case s.lines <- bytes.Clone(p):
+	default:
+		s.dropped.Add(1)
+	}
+	return len(p), nil
+}
+
+// Close writes what it holds.
+func (s *Sink) Close() {
+	close(s.lines)
+	<-s.done
+}
+
+// observer writes requests to the log and spans to the trace file.
+type observer struct {
+	log      *slog.Logger
+	quiet    bool
+	start    time.Time
+	provider *sdk.TracerProvider
+	tracer   trace.Tracer
+	file     *os.File
+}
+
+func newObserver(c *conf.Config, log *slog.Logger, start time.Time) (*observer, error) {
+	o := &observer{log: log, quiet: c.Quiet, start: start}
+	if c.Traces == "" {
+		return o, nil
+	}
+	f, err := os.OpenFile(c.Traces, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return nil, err
+	}
+	exp, err := stdouttrace.New(stdouttrace.WithWriter(f))
+	if err != nil {
+		f.Close()
+		return nil, err
+	}
+	o.file = f
+	// The batcher's queue is bounded; what does not fit is dropped.
+	o.provider = sdk.NewTracerProvider(sdk.WithBatcher(exp), sdk.WithIDGenerator(given{}), sdk.WithSampler(sdk.AlwaysSample()))
+	o.tracer = o.provider.Tracer("maddergap")
+	return o, nil
+}
+
+func (o *observer) close() {
+	if o.provider != nil {
+		o.provider.Shutdown(context.Background())
+		o.file.Close()
+	}
+}
+
+// given hands the tracer the ids that went over the wire.
+type given struct{}
+
+type spanKey struct{}
+
+func (given) NewIDs(ctx context.Context) (trace.TraceID, trace.SpanID) {
+	s := ctx.Value(spanKey{}).(*head.Span)
+	return s.Trace, s.ID
+}
+
+func (g given) NewSpanID(ctx context.Context, _ trace.TraceID) trace.SpanID {
+	_, id := g.NewIDs(ctx)
+	return id
+}
+
+func (o *observer) span(s *head.Span, kind trace.SpanKind, name string, failed string, attrs ...attribute.KeyValue) {
+	if o.tracer == nil || !s.Sampled {
+		return
+	}
+	ctx := context.WithValue(context.Background(), spanKey{}, s)
+	if s.Parent != ([8]byte{}) {
+		ctx = trace.ContextWithRemoteSpanContext(ctx, trace.NewSpanContext(trace.SpanContextConfig{
+			TraceID: s.Trace, SpanID: s.Parent, TraceFlags: trace.FlagsSampled, Remote: true}))
+	}
+	attrs = append(attrs, attribute.String("maddergap.request", s.Request), attribute.String("http.request.method", s.Method),
+		attribute.String("url.path", s.Path), attribute.Int("http.response.status_code", s.Status),
+		attribute.String("maddergap.volume", s.Volume), attribute.String("maddergap.class", s.Class))
+	_, span := o.tracer.Start(ctx, name, trace.WithTimestamp(o.start.Add(s.Start)), trace.WithSpanKind(kind), trace.WithAttributes(attrs...))
+	if failed != "" {
+		span.SetStatus(codes.Error, failed)
+	}
+	span.End(trace.WithTimestamp(o.start.Add(s.End)))
+}
+
+// Request logs a request's end and its span.
+func (o *observer) Request(s *head.Span) {
+	failed := ""
+	if s.Outcome != head.Served {
+		failed = s.Outcome.String()
+	}
+	o.span(s, trace.SpanKindServer, s.Method, failed, attribute.String("client.address", s.Client), attribute.Int("maddergap.attempts", s.Attempts))
+	if o.quiet {
+		return
+	}
+	o.log.LogAttrs(context.Background(), slog.LevelInfo, "request", slog.String("request", s.Request),
+		slog.String("trace", fmt.Sprintf("%x", s.Trace)), slog.String("client", s.Client), slog.String("method", s.Method),
+		slog.String("path", s.Path), slog.String("volume", s.Volume), slog.String("class", s.Class),
+		slog.String("outcome", s.Outcome.String()), slog.Int("status", s.Status), slog.Int("attempts", s.Attempts),
+		slog.Duration("took", s.End-s.Start), slog.String("reason", s.Reason))
+}
+
+var outcomes = map[logic.Outcome]string{logic.OK: "ok", logic.Failed: "failed", logic.Full: "full", logic.TimedOut: "timed out",
+	logic.ConnectFailed: "no connection", logic.Reset: "reset", logic.Cancelled: "cancelled", logic.Moot: "not sent"}
+
+// Attempt logs an attempt that did not bring an answer, and every one's span.
+func (o *observer) Attempt(s *head.Span) {
+	failed := ""
+	if s.Ended != logic.OK {
+		failed = outcomes[s.Ended]
+	}
+	o.span(s, trace.SpanKindClient, "attempt", failed, attribute.String("maddergap.node", s.Node), attribute.Int("maddergap.attempt", s.Attempt))
+	if o.quiet || s.Ended == logic.OK {
+		return
+	}
+	o.log.LogAttrs(context.Background(), slog.LevelWarn, "attempt", slog.String("request", s.Request),
+		slog.String("trace", fmt.Sprintf("%x", s.Trace)), slog.Int("attempt", s.Attempt), slog.String("node", s.Node),
+		slog.String("ended", failed), slog.Int("status", s.Status), slog.Duration("took", s.End-s.Start))
+}
--- a/internal/head/answer.go
+++ b/internal/head/answer.go
@@ -46,7 +46,7 @@
 	if cl.out == nil {
 		cl.out = h.buffer()
 	}
-	b := appendStatusLine(cl.out, r.Status)
+	b := http1.AppendStatus(cl.out, r.Status)
 	b = passFields(b, &r.Message, "x-request-id")
 	b = append(h.appendRequestID(append(b, "X-Request-Id: "...), ex.id), "\r\n"...)
 	switch {
@@ -177,10 +177,11 @@
 	if c.out == nil {
 		c.out = h.buffer()
 	}
-	b := appendStatusLine(c.out, status)
+	b := http1.AppendStatus(c.out, status)
 	if ex.id != 0 {
 		b = append(h.appendRequestID(append(b, "X-Request-Id: "...), ex.id), "\r\n"...)
 	}
+	b = h.appendDate(b)
 	kind := "text/plain; charset=utf-8"
 	if status == 207 {
 		kind = "application/xml; charset=utf-8"
@@ -200,7 +201,15 @@
 	h.answered(ex)
 }
 
-func appendStatusLine(b []byte, status int) []byte { return http1.AppendStatus(b, status) }
+// appendDate writes the Date field (RFC 9110 6.6.1), made once a second.
+func (h *Head) appendDate(b []byte) []byte {
+	at := h.origin.Add(h.now)
+	if s := at.Unix(); s != h.dateOf || h.date == nil {
+		h.dateOf = s
+		h.date = at.UTC().AppendFormat(append(h.date[:0], "Date: "...), "Mon, 02 Jan 2006 15:04:05 GMT\r\n")
+	}
+	return append(b, h.date...)
+}
 
 // passFields copies the fields that are not of one connection alone, nor of those named.
 func passFields(b []byte, m *http1.Message, but ...string) []byte {
--- a/internal/head/client.go
+++ b/internal/head/client.go
@@ -261,7 +261,7 @@
 	}
 	c.closing, ex.whole = true, true
 	var e *http1.Error
-	if errors.As(err, &e) && ex.answer == nil && !ex.final {
+	if errors.As(err, &e) && ex.answer == nil {
 		ex.reason = e.Reason
 		h.respond(ex, e.Status, []byte(e.Reason+"\n"), nil)
 		return
--- a/internal/head/head.go
+++ b/internal/head/head.go
@@ -111,7 +111,10 @@
 	obs    Observer
 	tag    uint32
 	rand   *rand.Rand
+	origin time.Time
 	now    Time
+	date   []byte // the Date field of the second dateOf
+	dateOf int64
 	events []logic.Event
 	acts   []Action
 	spare  []Action
@@ -146,13 +149,14 @@
 const never = Time(math.MaxInt64)
 
 // New returns a head. The seed is for what is spread by chance among heads.
-func New(c *conf.Config, seed uint64, now Time, obs Observer) (*Head, error) {
+// origin is the wall-clock time of the head's Time zero.
+func New(c *conf.Config, seed uint64, now Time, origin time.Time, obs Observer) (*Head, error) {
 	core, err := logic.New(c.Logic, seed, now)
 	if err != nil {
 		return nil, err
 	}
 	r := rand.New(rand.NewPCG(seed, 0x6d616464))
-	return &Head{c: c, t: route.NewTable(c, nil), core: core, obs: obs, rand: r, tag: r.Uint32(), now: now,
+	return &Head{c: c, t: route.NewTable(c, nil), core: core, obs: obs, origin: origin, rand: r, tag: r.Uint32(), now: now,
 		nodes: map[string]*node{}, reqs: map[uint64]*exchange{}, wakeAt: never}, nil
 }
 
@@ -170,8 +174,8 @@
 // Counts returns the sums.
 func (h *Head) Counts() Counts { return h.counts }
 
-// Nodes tells a new node list. origin is the wall-clock time of the head's Time zero.
-func (h *Head) Nodes(now Time, list []nodelist.Node, origin time.Time) {
+// Nodes tells a new node list.
+func (h *Head) Nodes(now Time, list []nodelist.Node) {
 	h.tick(now)
 	l := logic.List{Full: true}
 	for _, n := range h.nodes {
@@ -180,10 +184,7 @@
 	for _, e := range list {
 		started := Time(0)
 		if !e.Started.IsZero() {
-			started = max(e.Started.Sub(origin), 1)
-			if e.Started.Before(origin) {
-				started = e.Started.Sub(origin)
-			}
+			started = max(e.Started.Sub(h.origin), 0) // 0: long ago
 		}
 		l.Entries = append(l.Entries, logic.Entry{Node: e.Name, Zone: e.Zone, Shard: e.Shard, State: e.State, Started: started})
 		n := h.nodes[e.Name]
--- a/internal/head/node.go
+++ b/internal/head/node.go
@@ -254,11 +254,11 @@
 		ex.final = true
 		h.counts.Served++
 		h.learn(ex, c)
-		h.tell(ex, Served)
 		if ex.chunked {
 			ex.client.out = http1.AppendLastChunk(ex.client.out)
 		}
 		h.end(at, logic.OK)
+		h.tell(ex, Served)
 		h.answered(ex)
 	}
 	if keep {
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -61,14 +61,18 @@
 	kindInotify
 )
 
-// New returns a loop with a clock that starts at zero. most is how many client
+// past is what the clock shows at the start: what began before the process did,
+// as a node that is still cold, has a time above zero too.
+const past = 24 * time.Hour
+
+// New returns a loop. most is how many client
 // connections are held at once; more wait in the listen queue.
 func New(most int) (*Loop, error) {
 	epfd, err := unix.EpollCreate1(unix.EPOLL_CLOEXEC)
 	if err != nil {
 		return nil, fmt.Errorf("epoll: %w", err)
 	}
-	l := &Loop{epfd: epfd, inotify: -1, start: time.Now(), buf: make([]byte, readSize), most: most, kind: map[int]int{}}
+	l := &Loop{epfd: epfd, inotify: -1, start: time.Now().Add(-past), buf: make([]byte, readSize), most: most, kind: map[int]int{}}
 	if l.wakefd, err = unix.Eventfd(0, unix.EFD_CLOEXEC|unix.EFD_NONBLOCK); err != nil {
 		unix.Close(epfd)
 		return nil, fmt.Errorf("eventfd: %w", err)
@@ -81,7 +85,7 @@
 	return l, nil
 }
 
-// Now is the time since the loop was made.
+// Now is the time since a day before the loop was made.
 func (l *Loop) Now() time.Duration { return time.Since(l.start) }
 
 // Start is the wall-clock time of the clock's zero.
