Real-socket tests of the hard cases; a node is tried again after its only time-out

Need: each hard case over real sockets, and WebDAV by a client library of others'. Change: internal/e2e (gowebdav, RFC 4918 method by method, silent node, half bodies, early answers, resets, stop, node list, reload). In logic: where nothing is out at a node it is tried after trialMax though no answer is expected in time. Found by TestSilentNode: with one node (or all silent at once) one time-out kept every request away for good.

--- /dev/null
+++ b/internal/e2e/e2e_test.go
@@ -0,0 +1,621 @@
+// Package e2e tests the whole path over real loopback sockets: clients, the
+// daemon on its epoll loop, and nodes. What it holds is read from the sockets
+// and from the nodes' own records, never from the head's word.
+package e2e
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/studio-b12/gowebdav"
+	"go.uber.org/goleak"
+
+	"maddergap/internal/conf"
+	"maddergap/internal/daemon"
+	"maddergap/internal/nodelist"
+	"maddergap/internal/standin"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m, goleak.IgnoreTopFunction("net/http.(*persistConn).writeLoop"), goleak.IgnoreTopFunction("internal/poll.runtime_pollWait"))
+}
+
+const headConf = `listen 127.0.0.1:0
+nodes nodes.list
+log-requests no
+class read effect safe aim 300ms deadline 1500ms worth 2 late 0.5
+class write effect unsafe aim 300ms deadline 1500ms worth 2 late 0.5
+class export effect safe aim 2s deadline 20s worth 1 late 0.5
+plan standard rate 1000 reserve 1000
+volume feed-a plan standard shards 0
+volume feed-b plan standard shards 0-1
+route GET over 1m class export
+route GET,HEAD,PROPFIND class read
+route * class write
+stop-time 5s
+stall-time 2s
+header-time 1s
+`
+
+type system struct {
+	t    *testing.T
+	addr string
+	dir  string
+	d    *daemon.Daemon
+	end  chan error
+	log  *logBuffer
+}
+
+type logBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *logBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *logBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+// start runs a daemon before nodes at the addresses given, one for each shard.
+func start(t *testing.T, more string, nodes ...string) *system {
+	t.Helper()
+	s := &system{t: t, dir: t.TempDir(), end: make(chan error, 1), log: &logBuffer{}}
+	s.list(nodes...)
+	file := filepath.Join(s.dir, "m.conf")
+	if err := os.WriteFile(file, []byte(headConf+more), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	c, err := conf.Load(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.d, err = daemon.New(c, slog.New(slog.NewTextHandler(s.log, nil))); err != nil {
+		t.Fatal(err)
+	}
+	s.addr = s.d.Addrs()[0]
+	go func() { s.end <- s.d.Run() }()
+	t.Cleanup(func() { s.stop() })
+	return s
+}
+
+func (s *system) list(nodes ...string) {
+	var list []nodelist.Node
+	for i, a := range nodes {
+		list = append(list, nodelist.Node{Name: fmt.Sprint("n", i), Addr: a, Shard: i})
+	}
+	if err := nodelist.Replace(filepath.Join(s.dir, "nodes.list"), list); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+func (s *system) stop() error {
+	if s.end == nil {
+		return nil
+	}
+	s.d.Stop()
+	select {
+	case err := <-s.end:
+		s.end = nil
+		return err
+	case <-time.After(20 * time.Second):
+		s.t.Error("the daemon does not stop")
+		return nil
+	}
+}
+
+func standins(t *testing.T, n int, o standin.Options) ([]*standin.Node, []string) {
+	t.Helper()
+	var nodes []*standin.Node
+	var addrs []string
+	for i := range n {
+		o.Listen, o.Name = "127.0.0.1:0", fmt.Sprint("n", i)
+		if o.Queue == 0 {
+			o.Queue, o.Cores = 64, 4
+		}
+		node, err := standin.Start(o)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { node.Close() })
+		nodes, addrs = append(nodes, node), append(addrs, node.Addr())
+	}
+	return nodes, addrs
+}
+
+// peer is a node that does what the test says with each connection.
+func peer(t *testing.T, serve func(n int, c net.Conn, r *bufio.Reader)) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var wg sync.WaitGroup
+	quit := make(chan struct{})
+	wg.Add(1)
+	go func() {
+		defer wg.Done()
+		for n := 0; ; n++ {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			wg.Add(2)
+			done := make(chan struct{})
+			go func() { defer wg.Done(); defer close(done); serve(n, c, bufio.NewReader(c)); c.Close() }()
+			go func() {
+				defer wg.Done()
+				select {
+				case <-quit:
+					c.Close()
+				case <-done:
+				}
+			}()
+		}
+	}()
+	t.Cleanup(func() { ln.Close(); close(quit); wg.Wait() })
+	return ln.Addr().String()
+}
+
+// dial connects to the head and says something.
+func (s *system) dial(text string) (net.Conn, *bufio.Reader) {
+	s.t.Helper()
+	c, err := net.Dial("tcp", s.addr)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	c.SetDeadline(time.Now().Add(15 * time.Second))
+	s.t.Cleanup(func() { c.Close() })
+	if _, err := io.WriteString(c, text); err != nil {
+		s.t.Fatal(err)
+	}
+	return c, bufio.NewReader(c)
+}
+
+func (s *system) answer(r *bufio.Reader, method string) (int, string, http.Header) {
+	s.t.Helper()
+	resp, err := http.ReadResponse(r, &http.Request{Method: method})
+	if err != nil {
+		s.t.Errorf("no answer: %v", err)
+		return 0, "", nil
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		s.t.Errorf("answer cut short: %v", err)
+	}
+	return resp.StatusCode, string(body), resp.Header
+}
+
+func put(path, body string) string {
+	return fmt.Sprintf("PUT %s HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", path, len(body), body)
+}
+
+func get(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n" }
+
+// A client library of others' does all it can through the head.
+func TestClientLibrary(t *testing.T) {
+	_, addrs := standins(t, 2, standin.Options{})
+	s := start(t, "", addrs...)
+	c := gowebdav.NewClient("http://"+s.addr, "", "")
+	tr := &http.Transport{}
+	defer tr.CloseIdleConnections()
+	c.SetTransport(tr)
+	must := func(what string, err error) {
+		t.Helper()
+		if err != nil {
+			t.Errorf("%s: %v", what, err)
+		}
+	}
+	must("Connect", c.Connect())
+	must("Mkdir", c.Mkdir("/feed-b/station", 0o755))
+	must("MkdirAll", c.MkdirAll("/feed-b/other/a/b", 0o755))
+	must("Write", c.Write("/feed-b/station/one", []byte("segment one"), 0o644))
+	must("WriteStream", c.WriteStream("/feed-b/station/two", strings.NewReader(strings.Repeat("x", 1<<20)), 0o644))
+	must("WriteStreamWithLength", c.WriteStreamWithLength("/feed-b/station/three", strings.NewReader("abc"), 3, 0o644))
+	got, err := c.Read("/feed-b/station/one")
+	must("Read", err)
+	if string(got) != "segment one" {
+		t.Errorf("read %q", got)
+	}
+	rc, err := c.ReadStream("/feed-b/station/two")
+	must("ReadStream", err)
+	if n, _ := io.Copy(io.Discard, rc); n != 1<<20 {
+		t.Errorf("%d bytes streamed", n)
+	}
+	rc.Close()
+	rc, err = c.ReadStreamRange("/feed-b/station/one", 2, 3)
+	must("ReadStreamRange", err)
+	if b, _ := io.ReadAll(rc); string(b) != "gme" {
+		t.Errorf("range %q", b)
+	}
+	rc.Close()
+	fi, err := c.Stat("/feed-b/station/one")
+	must("Stat", err)
+	if err == nil && fi.Size() != 11 {
+		t.Errorf("size %d", fi.Size())
+	}
+	names := func(dir string) string {
+		list, err := c.ReadDir(dir)
+		must("ReadDir "+dir, err)
+		var out []string
+		for _, f := range list {
+			out = append(out, f.Name())
+		}
+		return strings.Join(out, " ")
+	}
+	must("Copy", c.Copy("/feed-b/station/one", "/feed-b/station/four", false))
+	must("Rename", c.Rename("/feed-b/station/three", "/feed-b/station/five", true))
+	for _, n := range []string{"one", "two", "four", "five"} {
+		if l := names("/feed-b/station"); !strings.Contains(l, n) || strings.Contains(l, "three") {
+			t.Errorf("station holds %s, want %s and not three", l, n)
+		}
+	}
+	if l := names("/feed-b"); !strings.Contains(l, "station") || !strings.Contains(l, "other") {
+		t.Errorf("the volume holds %q", l)
+	}
+	if l := names("/"); !strings.Contains(l, "feed-a") || !strings.Contains(l, "feed-b") {
+		t.Errorf("the root holds %q", l)
+	}
+	must("Remove", c.Remove("/feed-b/station/two"))
+	must("RemoveAll", c.RemoveAll("/feed-b/station"))
+	if _, err := c.Stat("/feed-b/station/one"); !gowebdav.IsErrNotFound(err) {
+		t.Errorf("after removal: %v", err)
+	}
+	if err := c.Rename("/feed-b/other/a", "/feed-b/else/a", false); err == nil {
+		t.Error("a move across placement units went well")
+	}
+}
+
+// RFC 4918, method by method, through the head.
+func TestClass2(t *testing.T) {
+	_, addrs := standins(t, 2, standin.Options{})
+	s := start(t, "", addrs...)
+	tr := &http.Transport{}
+	defer tr.CloseIdleConnections()
+	do := func(method, path, body string, fields ...string) (*http.Response, string) {
+		t.Helper()
+		r, err := http.NewRequest(method, "http://"+s.addr+path, strings.NewReader(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for i := 0; i < len(fields); i += 2 {
+			r.Header.Set(fields[i], strings.ReplaceAll(fields[i+1], "HEAD", "http://"+s.addr))
+		}
+		resp, err := tr.RoundTrip(r)
+		if err != nil {
+			t.Fatalf("%s %s: %v", method, path, err)
+		}
+		b, _ := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		return resp, string(b)
+	}
+	const lockInfo = `<D:lockinfo xmlns:D="DAV:"><D:lockscope><D:exclusive/></D:lockscope><D:locktype><D:write/></D:locktype><D:owner>o</D:owner></D:lockinfo>`
+	for _, c := range []struct {
+		method, path, body string
+		status             int
+		fields             []string
+	}{
+		{"MKCOL", "/feed-b/u", "", 201, nil},
+		{"MKCOL", "/feed-b/u", "", 405, nil},
+		{"MKCOL", "/feed-b/u/x/y", "", 409, nil},
+		{"MKCOL", "/feed-b/u/z", "body", 415, nil},
+		{"PUT", "/feed-b/u/a", "one", 201, nil},
+		{"PUT", "/feed-b/u/no/a", "one", 409, nil},
+		{"PUT", "/feed-b/u", "one", 405, nil},
+		{"PUT", "/feed-b/u/a", "two", 412, []string{"If-None-Match", "*"}},
+		{"PUT", "/feed-b/u/a", "two", 412, []string{"If-Match", `"nope"`}},
+		{"GET", "/feed-b/u/a", "", 200, nil},
+		{"GET", "/feed-b/u/a", "", 206, []string{"Range", "bytes=1-1"}},
+		{"GET", "/feed-b/u/a", "", 416, []string{"Range", "bytes=9-"}},
+		{"GET", "/feed-b/u/none", "", 404, nil},
+		{"GET", "/feed-b/u/", "", 405, nil},
+		{"PROPFIND", "/feed-b/u", "", 207, []string{"Depth", "infinity"}},
+		{"PROPFIND", "/feed-b/u", "<nonsense", 400, []string{"Depth", "0"}},
+		{"PROPFIND", "/feed-b/u/none", "", 404, []string{"Depth", "0"}},
+		{"PROPPATCH", "/feed-b/u/a", `<D:propertyupdate xmlns:D="DAV:" xmlns:z="urn:z"><D:set><D:prop><z:station>k1</z:station></D:prop></D:set></D:propertyupdate>`, 207, nil},
+		{"COPY", "/feed-b/u/a", "", 201, []string{"Destination", "HEAD/feed-b/u/b"}},
+		{"COPY", "/feed-b/u/a", "", 412, []string{"Destination", "HEAD/feed-b/u/b", "Overwrite", "F"}},
+		{"COPY", "/feed-b/u/a", "", 409, []string{"Destination", "HEAD/feed-b/u/no/b"}},
+		{"COPY", "/feed-b/u/a", "", 502, []string{"Destination", "HEAD/feed-b/v/b"}},
+		{"MOVE", "/feed-b/u/b", "", 204, []string{"Destination", "HEAD/feed-b/u/a"}},
+		{"MOVE", "/feed-b/u/none", "", 404, []string{"Destination", "HEAD/feed-b/u/c"}},
+		{"UNLOCK", "/feed-b/u/a", "", 409, []string{"Lock-Token", "<opaquelocktoken:x>"}},
+		{"DELETE", "/feed-b/u/none", "", 404, nil},
+		{"DELETE", "/feed-b/", "", 403, nil},
+		{"OPTIONS", "/feed-b/u/a", "", 200, nil},
+		{"PATCH", "/feed-b/u/a", "", 501, nil},
+	} {
+		if resp, body := do(c.method, c.path, c.body, c.fields...); resp.StatusCode != c.status {
+			t.Errorf("%s %s %v: %d %.100q, want %d", c.method, c.path, c.fields, resp.StatusCode, body, c.status)
+		}
+	}
+	if resp, _ := do("OPTIONS", "/feed-b/u/a", ""); resp.Header.Get("DAV") != "1, 2, 3" {
+		t.Errorf("DAV: %q", resp.Header.Get("DAV"))
+	}
+	if _, body := do("PROPFIND", "/feed-b/u/a", `<D:propfind xmlns:D="DAV:" xmlns:z="urn:z"><D:prop><z:station/></D:prop></D:propfind>`, "Depth", "0"); !strings.Contains(body, "k1") {
+		t.Errorf("the dead property is lost: %s", body)
+	}
+	resp, _ := do("LOCK", "/feed-b/u/a", lockInfo, "Timeout", "Second-100")
+	token := resp.Header.Get("Lock-Token")
+	if resp.StatusCode != 200 || token == "" {
+		t.Fatalf("LOCK: %d %q", resp.StatusCode, token)
+	}
+	for _, c := range []struct {
+		method string
+		status int
+		fields []string
+	}{
+		{"PUT", 423, nil},
+		{"DELETE", 423, nil},
+		{"LOCK", 423, nil},
+		{"PUT", 412, []string{"If", "(<opaquelocktoken:wrong>)"}},
+		{"PUT", 201, []string{"If", "(" + token + ")"}},
+		{"PUT", 201, []string{"If", "<HEAD/feed-b/u/a> (" + token + ")"}},
+		{"UNLOCK", 204, []string{"Lock-Token", token}},
+		{"PUT", 201, nil},
+	} {
+		body := "locked"
+		if c.method == "LOCK" {
+			body = lockInfo
+		}
+		if resp, _ := do(c.method, "/feed-b/u/a", body, c.fields...); resp.StatusCode != c.status {
+			t.Errorf("%s %v under a lock: %d, want %d", c.method, c.fields, resp.StatusCode, c.status)
+		}
+	}
+}
+
+// A node takes a segment-write and never answers; once well it is used again.
+func TestSilentNode(t *testing.T) {
+	nodes, addrs := standins(t, 1, standin.Options{Script: []standin.Step{{Fault: standin.Silent, From: 0, To: 2 * time.Second}}})
+	s := start(t, "", addrs[0], addrs[0])
+	began := time.Now()
+	c, r := s.dial(put("/feed-a/s", "segment"))
+	status, body, h := s.answer(r, "PUT")
+	if took := time.Since(began); status != 504 || took > 1500*time.Millisecond || h.Get("Retry-After") != "" || body == "" {
+		t.Errorf("%d %q after %v", status, body, took)
+	}
+	c.SetReadDeadline(time.Now().Add(300 * time.Millisecond))
+	if n, _ := r.Read(make([]byte, 1)); n > 0 {
+		t.Error("a second answer")
+	}
+	ran := 0
+	for _, e := range nodes[0].Entries() {
+		if e.Path == "/feed-a/s" {
+			ran++
+		}
+	}
+	if ran != 1 {
+		t.Errorf("the segment came to the node %d times", ran)
+	}
+	for until := time.Now().Add(8 * time.Second); ; {
+		_, r := s.dial(put("/feed-a/t", "segment"))
+		if status, _, _ := s.answer(r, "PUT"); status == 201 {
+			break
+		} else { t.Log(time.Since(began), status) }
+		if time.Now().After(until) {
+			t.Fatal("the node, well again, is not used")
+		}
+	}
+}
+
+// A client gives up in the middle of a body: no node ever runs half of it.
+func TestHalfBodyNeverRuns(t *testing.T) {
+	nodes, addrs := standins(t, 1, standin.Options{})
+	s := start(t, "body hold 16k rate 1m\n", addrs[0], addrs[0])
+	c, _ := s.dial(put("/feed-a/s", strings.Repeat("x", 1<<20))[:100<<10])
+	time.Sleep(100 * time.Millisecond)
+	c.Close()
+	_, r := s.dial(get("/feed-a/s"))
+	if status, _, _ := s.answer(r, "GET"); status != 404 {
+		t.Errorf("half a body is there: %d", status)
+	}
+	for _, e := range nodes[0].Entries() {
+		if e.Method == "PUT" && e.Ran != 0 {
+			t.Errorf("half a body ran: %+v", e)
+		}
+	}
+}
+
+// A client gives up in the middle of an answer; the window's slots come back.
+func TestClientLeavesAnswer(t *testing.T) {
+	_, addrs := standins(t, 1, standin.Options{})
+	s := start(t, "", addrs[0], addrs[0])
+	_, r := s.dial(put("/feed-a/big", strings.Repeat("x", 8<<20)))
+	s.answer(r, "PUT")
+	for range 20 {
+		c, r := s.dial(get("/feed-a/big"))
+		r.ReadByte()
+		c.(*net.TCPConn).SetLinger(0)
+		c.Close()
+	}
+	_, r = s.dial(get("/feed-a/big"))
+	if status, body, _ := s.answer(r, "GET"); status != 200 || len(body) != 8<<20 {
+		t.Errorf("%d with %d bytes after others left", status, len(body))
+	}
+}
+
+// A node that answers before it reads the body, with more body to come than
+// socket buffers hold.
+func TestAnswerBeforeBody(t *testing.T) {
+	addr := peer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err == nil {
+			io.WriteString(c, "HTTP/1.1 423 Locked\r\nContent-Length: 6\r\n\r\nlocked")
+			io.Copy(io.Discard, r)
+		}
+	})
+	s := start(t, "body hold 16k rate 1m\n", addr, addr)
+	c, r := s.dial("PUT /feed-a/s HTTP/1.1\r\nHost: h\r\nContent-Length: 50000000\r\n\r\n")
+	go func() {
+		for range 100 {
+			if _, err := c.Write(make([]byte, 64<<10)); err != nil {
+				return
+			}
+		}
+	}()
+	if status, body, _ := s.answer(r, "PUT"); status != 423 || body != "locked" {
+		t.Errorf("%d %q", status, body)
+	}
+}
+
+// Resets in the middle of an answer: the client can tell that it is not whole.
+func TestResetInAnswer(t *testing.T) {
+	addr := peer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err == nil {
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf")
+			time.Sleep(50 * time.Millisecond)
+			c.(*net.TCPConn).SetLinger(0)
+		}
+	})
+	s := start(t, "", addr, addr)
+	_, r := s.dial(get("/feed-a/s"))
+	resp, err := http.ReadResponse(r, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if b, err := io.ReadAll(resp.Body); err == nil {
+		t.Errorf("half an answer %q was taken for whole", b)
+	}
+}
+
+// A kept connection closes as the next request goes out: safe ones are served
+// all the same, an unsafe one is sent at most once.
+func TestKeptConnectionCloses(t *testing.T) {
+	var mu sync.Mutex
+	puts := map[string]int{}
+	addr := peer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for n := 0; ; n++ {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			io.Copy(io.Discard, req.Body)
+			if req.Method == "PUT" {
+				mu.Lock()
+				puts[req.URL.Path]++
+				mu.Unlock()
+			}
+			if n == 1 { // the second request of a connection finds it closed
+				c.(*net.TCPConn).SetLinger(0)
+				return
+			}
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	s := start(t, "", addr, addr)
+	for i := range 10 {
+		_, r := s.dial(get("/feed-a/s"))
+		if status, _, _ := s.answer(r, "GET"); status != 200 {
+			t.Errorf("read %d: %d", i, status)
+		}
+	}
+	for i := range 10 {
+		path := fmt.Sprint("/feed-a/", i)
+		_, r := s.dial(put(path, "x"))
+		status, _, _ := s.answer(r, "PUT")
+		mu.Lock()
+		if n := puts[path]; n > 1 || (status == 503 && n > 0) {
+			t.Errorf("%s came %d times and was answered %d", path, n, status)
+		}
+		mu.Unlock()
+	}
+}
+
+// SIGTERM's path: listeners close, what was taken is answered, then the end.
+func TestStopUnderWay(t *testing.T) {
+	_, addrs := standins(t, 1, standin.Options{UnitTime: 300 * time.Millisecond, Cores: 4, Queue: 10})
+	s := start(t, "", addrs[0], addrs[0])
+	type result struct {
+		status int
+		close  string
+	}
+	results := make(chan result, 2)
+	for i := range 2 {
+		_, r := s.dial(put(fmt.Sprint("/feed-a/", i), "segment"))
+		go func() {
+			status, _, h := s.answer(r, "PUT")
+			results <- result{status, h.Get("Connection")}
+		}()
+	}
+	time.Sleep(100 * time.Millisecond)
+	if err := s.stop(); err != nil {
+		t.Errorf("stop: %v", err)
+	}
+	for range 2 {
+		if r := <-results; r.status != 201 {
+			t.Errorf("a request under way got %d", r.status)
+		}
+	}
+	if c, err := net.Dial("tcp", s.addr); err == nil {
+		c.Close()
+		t.Error("the listener is still open")
+	}
+}
+
+// A broken node list leaves the last good one in force; a good one is followed.
+func TestNodeListFollowed(t *testing.T) {
+	_, addrs := standins(t, 2, standin.Options{})
+	s := start(t, "", addrs[0], addrs[0])
+	_, r := s.dial(put("/feed-a/s", "first"))
+	s.answer(r, "PUT")
+	file := filepath.Join(s.dir, "nodes.list")
+	if err := os.WriteFile(file, []byte("node n0 nowhere\n"), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the log names the mistake", func() bool { return strings.Contains(s.log.String(), "nodes.list:1") })
+	_, r = s.dial(get("/feed-a/s"))
+	if status, body, _ := s.answer(r, "GET"); status != 200 || body != "first" {
+		t.Errorf("%d %q under a broken list", status, body)
+	}
+	s.list(addrs[1], addrs[1])
+	eventually(t, "the new node is used", func() bool {
+		_, r := s.dial(get("/feed-a/s"))
+		status, _, _ := s.answer(r, "GET")
+		return status == 404
+	})
+}
+
+func eventually(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	for until := time.Now().Add(10 * time.Second); !f(); {
+		if time.Now().After(until) {
+			t.Fatalf("not in ten seconds: %s", what)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// Reload is all or nothing.
+func TestReload(t *testing.T) {
+	_, addrs := standins(t, 1, standin.Options{})
+	s := start(t, "", addrs[0], addrs[0])
+	file := filepath.Join(s.dir, "m.conf")
+	for text, want := range map[string]string{headConf + "haeds 3\n": "unknown directive", headConf + "heads 3\n": "change with a restart only"} {
+		os.WriteFile(file, []byte(text), 0o644)
+		s.d.Reload()
+		eventually(t, want, func() bool { return strings.Contains(s.log.String(), want) })
+	}
+	os.WriteFile(file, []byte(strings.Replace(headConf, "volume feed-a", "volume feed-c plan standard shards 0\nvolume feed-a", 1)), 0o644)
+	s.d.Reload()
+	eventually(t, "the new volume is served", func() bool {
+		_, r := s.dial(put("/feed-c/s", "x"))
+		status, _, _ := s.answer(r, "PUT")
+		return status == 201
+	})
+}
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -76,7 +76,13 @@
 			return 409, "the parent collection is missing"
 		}
 	case "COPY", "MOVE":
-		if u, err := url.Parse(r.Header.Get("Destination")); err == nil && there && missing(u.Path) {
+		if !there {
+			return 404, "there is nothing here"
+		}
+		if r.Header.Get("Overwrite") == "" { // RFC 4918 10.6
+			r.Header.Set("Overwrite", "T")
+		}
+		if u, err := url.Parse(r.Header.Get("Destination")); err == nil && missing(u.Path) {
 			return 409, "the parent of the destination is missing"
 		}
 	}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -648,7 +648,13 @@
 
 // sendable tells whether nothing but the window keeps a held request.
 func (h *Head) sendable(r *request, n *node) bool {
-	if h.now < r.notBefore || h.now+h.expected(n, r) > r.due || !h.hasTurn(r) || !h.mayRepeat(r, n) {
+	if h.now < r.notBefore || !h.hasTurn(r) || !h.mayRepeat(r, n) {
+		return false
+	}
+	// A node where nothing is out is tried again after trialMax though no answer is
+	// expected in time. Guards against a time-out of which nothing newer is ever
+	// heard, as where all nodes were silent at once: it would keep all from the node.
+	if h.now+h.expected(n, r) > r.due && (len(n.outs) > 0 || h.now < n.sentAt+trialMax) {
 		return false
 	}
 	if r.tries > 0 && !h.withinBudget() {
