--- /dev/null
+++ b/cmd/maddergap/badday.go
@@ -0,0 +1,81 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"time"
+
+	"maddergap/internal/badday"
+)
+
+type baddayCmd struct {
+	Seed    uint64        `default:"1" help:"Seed of the day."`
+	Long    bool          `help:"The long form, for people: three minutes."`
+	Length  time.Duration `help:"Another length."`
+	Rate    float64       `help:"Another rate, requests a second."`
+	Compare bool          `help:"Run the same day with a pass-through head beside it."`
+	Keep    string        `type:"path" help:"Folder for the records; without it they are removed."`
+	Story   bool          `help:"Print what the day holds and stop."`
+}
+
+var errRules = errors.New("a rule is broken")
+
+func (c *baddayCmd) Run(io *streams) error {
+	size := badday.Short
+	if c.Long {
+		size = badday.Long
+	}
+	if c.Length > 0 {
+		size.Length = c.Length
+	}
+	if c.Rate > 0 {
+		size.Rate = c.Rate
+	}
+	if size.Length < 2*time.Second || size.Length > time.Hour || size.Rate > 1e5 {
+		return usage{fmt.Errorf("a day of %v at %g a second is out of range (2s to 1h, up to 100000)", size.Length, size.Rate)}
+	}
+	plan := badday.Draw(c.Seed, size)
+	fmt.Fprintf(io.out, "day of seed %d: %d heads, %d nodes, %v, %d requests\n", c.Seed, size.Heads, size.Nodes, size.Length, len(plan.Jobs))
+	for _, s := range plan.Story {
+		fmt.Fprintln(io.out, " ", s)
+	}
+	if c.Story {
+		return nil
+	}
+	run := func(args ...string) (float64, bool, error) {
+		dir, err := os.MkdirTemp(c.Keep, "badday-")
+		if err != nil {
+			return 0, false, err
+		}
+		if c.Keep == "" {
+			defer os.RemoveAll(dir)
+		}
+		exe, err := os.Executable()
+		if err != nil {
+			return 0, false, err
+		}
+		report, err := badday.Run(badday.Options{Plan: plan, Dir: dir, Exe: []string{exe}, HeadArgs: args, Progress: io.err})
+		if err != nil {
+			return 0, false, err
+		}
+		report.Write(io.out)
+		return report.Earned / report.Due, report.Good(), nil
+	}
+	worth, good, err := run()
+	if err != nil {
+		return err
+	}
+	if c.Compare {
+		fmt.Fprintln(io.out, "\nthe same day with a pass-through head:")
+		other, _, err := run("--pass-through")
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(io.out, "\nworth on time %.3f against %.3f: a ratio of %.2f\n", worth, other, worth/other)
+	}
+	if !good {
+		return errRules
+	}
+	return nil
+}
--- a/cmd/maddergap/main.go
+++ b/cmd/maddergap/main.go
@@ -14,6 +14,7 @@
 
 	"github.com/alecthomas/kong"
 
+	"maddergap/internal/badday"
 	"maddergap/internal/conf"
 	"maddergap/internal/daemon"
 )
@@ -66,7 +67,8 @@
 type streams struct{ out, err io.Writer }
 
 type serveCmd struct {
-	Config string `required:"" short:"c" type:"path" help:"Configuration file."`
+	Config      string `required:"" short:"c" type:"path" help:"Configuration file."`
+	PassThrough bool   `hidden:"" help:"Send everything at once, for comparisons only."`
 }
 
 func (s *serveCmd) Run(io *streams) error {
@@ -74,13 +76,17 @@
 	if err != nil {
 		return err
 	}
-	return serve(c, io, func(d *daemon.Daemon, log *slog.Logger) {
+	var core daemon.CoreOf
+	if s.PassThrough {
+		core = badday.PassThrough
+	}
+	return serve(core, c, io, func(d *daemon.Daemon, log *slog.Logger) {
 		log.Info("serving", "listen", d.Addrs(), "nodes", c.Nodes, "pid", os.Getpid())
 	})
 }
 
 // serve runs a head until SIGINT or SIGTERM; SIGHUP reloads.
-func serve(c *conf.Config, io *streams, ready func(*daemon.Daemon, *slog.Logger)) error {
+func serve(core daemon.CoreOf, c *conf.Config, io *streams, ready func(*daemon.Daemon, *slog.Logger)) error {
 	w := io.err
 	if c.Log != "" {
 		f, err := os.OpenFile(c.Log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
@@ -93,7 +99,7 @@
 	sink := daemon.NewSink(w)
 	defer sink.Close()
 	log := slog.New(slog.NewJSONHandler(sink, nil))
-	d, err := daemon.New(c, log)
+	d, err := daemon.NewWith(core, c, log)
 	if err != nil {
 		return err
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"maddergap/internal/head"
 	"maddergap/internal/loop"
 	"maddergap/internal/nodelist"
+	"maddergap/logic"
 )
 
 // Daemon is a head on its loop.
@@ -38,8 +39,14 @@
 // Guards against a notice that was lost or never comes, as on some file systems.
 const pollNodes = 5 * time.Second
 
+// CoreOf makes what decides in the module's place.
+type CoreOf func(s logic.Settings, seed uint64, now logic.Time) (head.Core, error)
+
 // New opens listeners and reads the node list; nothing is served before Run.
-func New(c *conf.Config, log *slog.Logger) (*Daemon, error) {
+func New(c *conf.Config, log *slog.Logger) (*Daemon, error) { return NewWith(nil, c, log) }
+
+// NewWith is New with a core in the module's place, for comparisons and tests.
+func NewWith(core CoreOf, c *conf.Config, log *slog.Logger) (*Daemon, error) {
 	data, err := os.ReadFile(c.Nodes)
 	if err != nil {
 		return nil, err
@@ -53,7 +60,7 @@
 		return nil, err
 	}
 	d := &Daemon{c: c, log: log, loop: l, list: data}
-	if err := d.open(nodes); err != nil {
+	if err := d.open(core, nodes); err != nil {
 		l.Close()
 		if d.obs != nil {
 			d.obs.close()
@@ -63,7 +70,7 @@
 	return d, nil
 }
 
-func (d *Daemon) open(nodes []nodelist.Node) (err error) {
+func (d *Daemon) open(core CoreOf, nodes []nodelist.Node) (err error) {
 	c := d.c
 	if d.obs, err = newObserver(c, d.log, d.loop.Start()); err != nil {
 		return err
@@ -72,9 +79,14 @@
 	if seed == 0 {
 		seed = rand.Uint64()
 	}
-	if d.head, err = head.New(c, seed, d.loop.Now(), d.loop.Start(), d.obs); err != nil {
+	if core == nil {
+		core = func(s logic.Settings, seed uint64, now logic.Time) (head.Core, error) { return logic.New(s, seed, now) }
+	}
+	decides, err := core(c.Logic, seed, d.loop.Now())
+	if err != nil {
 		return err
 	}
+	d.head = head.NewWith(decides, c, seed, d.loop.Now(), d.loop.Start(), d.obs)
 	d.loop.Head, d.loop.Watched, d.loop.Woken = d.head, d.reread, d.woken
 	d.head.Nodes(d.loop.Now(), nodes)
 	if err := d.loop.Watch(c.Nodes); err != nil {
--- a/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -408,7 +408,9 @@
 		_, r := s.dial(put("/feed-a/t", "segment"))
 		if status, _, _ := s.answer(r, "PUT"); status == 201 {
 			break
-		} else { t.Log(time.Since(began), status) }
+		} else {
+			t.Log(time.Since(began), status)
+		}
 		if time.Now().After(until) {
 			t.Fatal("the node, well again, is not used")
 		}
--- a/internal/head/client.go
+++ b/internal/head/client.go
@@ -45,6 +45,7 @@
 	status   int
 	known    *route.Table // of the time that it came
 	reason   string
+	old      bool // kept for use again
 }
 
 // Accept tells a new client connection.
@@ -459,6 +460,7 @@
 	if n := len(h.oldEx); n > 0 {
 		ex := h.oldEx[n-1]
 		h.oldEx = h.oldEx[:n-1]
+		ex.old = false
 		return ex
 	}
 	return &exchange{}
@@ -466,17 +468,18 @@
 
 // recycle keeps an exchange that nothing speaks of any more for use again.
 func (h *Head) recycle(ex *exchange) {
-	if ex.client != nil || ex.live > 0 || (ex.id != 0 && !ex.final) || (ex.listing != nil && ex.id == 0 && !ex.final) {
+	if ex.old || ex.client != nil || ex.live > 0 || (ex.id != 0 && !ex.final) || (ex.listing != nil && ex.id == 0 && !ex.final) {
 		return
 	}
 	if ex.id != 0 {
 		delete(h.reqs, ex.id)
 	}
+	ex.old = true // it may be told twice, and must be kept once
 	h.release(ex.hdr)
 	h.release(ex.held)
 	if len(h.oldEx) < keepBufs {
 		fields := ex.req.Fields[:0]
-		*ex = exchange{}
+		*ex = exchange{old: true}
 		ex.req.Fields = fields
 		h.oldEx = append(h.oldEx, ex)
 	}
--- a/internal/head/head.go
+++ b/internal/head/head.go
@@ -103,11 +103,16 @@
 	Clients, NodeConns                   int    // connections now
 }
 
+// Core decides: the module, or in its place what a comparison or a test wants.
+type Core interface {
+	Handle(now Time, events []logic.Event) []logic.Action
+}
+
 // Head is one head. It is not safe for concurrent use.
 type Head struct {
 	c      *conf.Config
 	t      *route.Table
-	core   *logic.Head
+	core   Core
 	obs    Observer
 	tag    uint32
 	rand   *rand.Rand
@@ -155,9 +160,14 @@
 	if err != nil {
 		return nil, err
 	}
+	return NewWith(core, c, seed, now, origin, obs), nil
+}
+
+// NewWith returns a head with a core in the module's place.
+func NewWith(core Core, c *conf.Config, seed uint64, now Time, origin time.Time, obs Observer) *Head {
 	r := rand.New(rand.NewPCG(seed, 0x6d616464))
 	return &Head{c: c, t: route.NewTable(c, nil), core: core, obs: obs, origin: origin, rand: r, tag: r.Uint32(), now: now,
-		nodes: map[string]*node{}, reqs: map[uint64]*exchange{}, wakeAt: never}, nil
+		nodes: map[string]*node{}, reqs: map[uint64]*exchange{}, wakeAt: never}
 }
 
 // Reload takes a new configuration. What the module was told at start cannot
@@ -296,7 +306,7 @@
 	case logic.Fail:
 		h.fail(h.reqs[a.ID])
 	case logic.WakeIn:
-		h.wakeAt = min(h.wakeAt, h.now+a.In)
+		h.wakeAt = h.now + a.In // in place of the one before, as the module counts on
 	}
 }
 
--- a/internal/head/head_test.go
+++ b/internal/head/head_test.go
@@ -574,3 +574,55 @@
 	}
 	t.Logf("%v allocations a request", allocs)
 }
+
+// timed is a core that asks for timers as the test says.
+type timed struct {
+	ask   []time.Duration
+	wakes []Time
+}
+
+func (c *timed) Handle(now Time, events []logic.Event) (acts []logic.Action) {
+	for _, e := range events {
+		if _, ok := e.(logic.Wake); ok {
+			c.wakes = append(c.wakes, now)
+		} else if len(c.ask) > 0 {
+			acts = append(acts, logic.WakeIn{In: c.ask[0]})
+			c.ask = c.ask[1:]
+		}
+	}
+	return acts
+}
+
+// A timer takes the place of the one before, also where it is later: the module
+// takes an earlier one for a chance event and would wait for the later for ever.
+func TestTimerIsReplaced(t *testing.T) {
+	r := newRig(t, "")
+	core := &timed{ask: []time.Duration{10 * time.Millisecond, 20 * time.Millisecond}}
+	r.h.core = core
+	began := r.now
+	r.client(get("/feed-a/s/x"))
+	r.client(get("/feed-a/s/y"))
+	r.pass(100 * time.Millisecond)
+	if len(core.wakes) != 1 || core.wakes[0] != began+20*time.Millisecond {
+		t.Errorf("woken at %v, want once after 20ms", core.wakes)
+	}
+}
+
+// A client that leaves in the middle of a long body, or of an answer, gives its
+// exchange back once: given back twice, it would serve two requests at once.
+func TestExchangeIsKeptOnce(t *testing.T) {
+	r := newRig(t, "")
+	for i := range 5 {
+		c := r.client(put("/feed-a/s/x", strings.Repeat("x", 40<<10))[:20<<10])
+		r.h.Closed(r.now, c)
+		r.run()
+		r.pass(time.Duration(i) * time.Second)
+	}
+	seen := map[*exchange]bool{}
+	for _, ex := range r.h.oldEx {
+		if seen[ex] {
+			t.Fatal("an exchange is kept twice")
+		}
+		seen[ex] = true
+	}
+}
--- a/internal/head/node.go
+++ b/internal/head/node.go
@@ -31,7 +31,7 @@
 
 // send starts an attempt, as the module decided.
 func (h *Head) send(ex *exchange, name string) {
-	if ex == nil || ex.final {
+	if ex == nil { // never: the module sends only what it has no final answer for
 		return
 	}
 	at := &attempt{ex: ex, n: ex.sends, node: name, began: h.now}
@@ -41,6 +41,8 @@
 	h.counts.Attempts++
 	n := h.nodes[name]
 	switch {
+	case ex.final: // it got its answer in this very turn
+		h.end(at, logic.Moot)
 	case n == nil, len(n.idle) == 0 && n.conns >= h.c.NodeConns:
 		h.end(at, logic.ConnectFailed) // nothing was sent
 	case len(n.idle) > 0:
--- a/logic/api.go
+++ b/logic/api.go
@@ -219,7 +219,7 @@
 // Fail is a final answer which promises nothing.
 type Fail struct{ ID uint64 }
 
-// WakeIn asks for a Wake event.
+// WakeIn asks for a Wake event, in place of the one asked for before.
 type WakeIn struct{ In time.Duration }
 
 // Watch subscribes to the node list.
