--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -34,7 +34,6 @@
 	From     float64
 	Multiple float64
 	Window   time.Duration
-	Drained  func() // called when it falls over, for tests
 }
 
 // Entry is a record's line; times are microseconds of Unix time, 0: never.
@@ -77,9 +76,10 @@
 	server   *http.Server
 	down     bool
 
-	turn chan struct{} // a slot for each core
-	quit chan struct{}
-	done sync.WaitGroup
+	turn     chan struct{} // a slot for each core
+	quit     chan struct{}
+	followed chan struct{}
+	done     sync.WaitGroup
 }
 
 type sent struct {
@@ -99,7 +99,7 @@
 	if o.Epoch.IsZero() {
 		o.Epoch = time.Now()
 	}
-	n := &Node{o: o, store: newStore(), held: map[*Entry]bool{}, started: -1, quit: make(chan struct{}),
+	n := &Node{o: o, store: newStore(), held: map[*Entry]bool{}, started: -1, quit: make(chan struct{}), followed: make(chan struct{}),
 		turn: make(chan struct{}, o.Cores)}
 	if o.Record != "" {
 		f, err := os.Create(o.Record)
@@ -111,7 +111,6 @@
 	if err := n.open(o.Listen); err != nil {
 		return nil, err
 	}
-	n.done.Add(1)
 	go n.follow()
 	return n, nil
 }
@@ -149,7 +148,7 @@
 
 // follow opens and shuts the listener by the script.
 func (n *Node) follow() {
-	defer n.done.Done()
+	defer close(n.followed)
 	tick := time.NewTicker(5 * time.Millisecond)
 	defer tick.Stop()
 	for {
@@ -183,6 +182,7 @@
 // Close stops the node and ends its record.
 func (n *Node) Close() error {
 	close(n.quit)
+	<-n.followed // else it might open the listener again
 	n.shut()
 	n.done.Wait()
 	n.mu.Lock()
