Seven broken heads, each caught by the rule that it breaks; no wake after a loop's end

Need: the auditor has to be proven. Found on the way: a timer's late Wake wrote eight bytes to whatever had the closed descriptor's number, seen as NULs in a node's record; Wake now knows that the loop is over.

--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -57,6 +57,8 @@
 	Cold    Cold
 	// Blur is how far a time on one socket may lie from the same on another.
 	Blur time.Duration
+	// Late is what an answer may come after its deadline, for the machine's sake.
+	Late time.Duration
 }
 
 // Cold says what a restarted node bears.
@@ -185,7 +187,7 @@
 		case c.Unsent, c.GaveUp > 0, j.down(c.Head, c.Sent, end):
 		case c.Answers == 0:
 			r.breach("%s sent to head %d has no answer", t, c.Head)
-		case c.Answered > c.Deadline+j.blur():
+		case c.Answered > c.Deadline+j.in.Late.Microseconds():
 			r.breach("%s was answered %v late", t, time.Duration(c.Answered-c.Deadline)*time.Microsecond)
 		}
 		for _, e := range j.attempts[t] {
--- /dev/null
+++ b/internal/badday/badday_test.go
@@ -0,0 +1,205 @@
+package badday
+
+import (
+	"fmt"
+	"reflect"
+	"slices"
+	"testing"
+	"time"
+
+	"maddergap/internal/daemon"
+	"maddergap/internal/head"
+	"maddergap/logic"
+)
+
+func TestSameSeedSameDay(t *testing.T) {
+	a, b := Draw(5, Short), Draw(5, Short)
+	if !reflect.DeepEqual(a, b) {
+		t.Error("two draws of one seed differ")
+	}
+	if c := Draw(6, Short); reflect.DeepEqual(a.Jobs, c.Jobs) {
+		t.Error("two seeds give one day")
+	}
+}
+
+// proof is a day light and short enough to run often, with every fault in it.
+var proof = Size{Heads: 3, Nodes: 6, Length: 9 * time.Second, Rate: 340}
+
+// meddler breaks a head for the proof of the audit: it changes what the module
+// is told, or what it decides.
+type meddler struct {
+	inner  head.Core
+	told   func(logic.Event) []logic.Event
+	decide func(*meddler, logic.Time, logic.Event) ([]logic.Action, bool) // instead of telling the module
+	acts   func([]logic.Action) []logic.Action
+	class  map[uint64]int
+	tries  map[uint64]int
+}
+
+func (m *meddler) Handle(now logic.Time, events []logic.Event) []logic.Action {
+	var pass []logic.Event
+	var own []logic.Action
+	for _, e := range events {
+		if a, ok := e.(logic.Arrival); ok {
+			m.class[a.ID] = a.Class
+		}
+		if m.decide != nil {
+			if acts, taken := m.decide(m, now, e); taken {
+				own = append(own, acts...)
+				continue
+			}
+		}
+		if m.told != nil {
+			pass = append(pass, m.told(e)...)
+		} else {
+			pass = append(pass, e)
+		}
+	}
+	acts := append(own, m.inner.Handle(now, pass)...)
+	if m.acts != nil {
+		acts = m.acts(acts)
+	}
+	return acts
+}
+
+// breakage makes a broken core out of the module with settings and a meddler changed.
+func breakage(set func(*logic.Settings), with func(*meddler)) daemon.CoreOf {
+	return func(s logic.Settings, seed uint64, now logic.Time) (head.Core, error) {
+		s.Classes, s.Plans = slices.Clone(s.Classes), slices.Clone(s.Plans)
+		if set != nil {
+			set(&s)
+		}
+		inner, err := logic.New(s, seed, now)
+		m := &meddler{inner: inner, class: map[uint64]int{}, tries: map[uint64]int{}}
+		if with != nil {
+			with(m)
+		}
+		return m, err
+	}
+}
+
+// bypass sends at once, without the module, what some rule picks.
+func bypass(now *logic.Time, which func(logic.Arrival, logic.Entry) bool) func(*meddler) {
+	return func(m *meddler) {
+		nodes, mine := map[int]logic.Entry{}, map[uint64]bool{}
+		m.decide = func(m *meddler, at logic.Time, e logic.Event) ([]logic.Action, bool) {
+			*now = at
+			switch e := e.(type) {
+			case logic.List:
+				for _, n := range e.Entries {
+					nodes[n.Shard] = n
+				}
+			case logic.Arrival:
+				if n := nodes[e.Shard]; e.Class != journalAppend && n.State == logic.Serving && which(e, n) {
+					mine[e.ID] = true
+					return []logic.Action{logic.Send{ID: e.ID, Node: n.Node}}, true
+				}
+			case logic.Dropped:
+				return nil, mine[e.ID]
+			case logic.Ended:
+				switch {
+				case !mine[e.ID]:
+					return nil, false
+				case e.Closed:
+					return nil, true
+				case e.Outcome == logic.Full || e.Outcome == logic.ConnectFailed || e.Outcome == logic.Moot:
+					return []logic.Action{logic.Refuse{ID: e.ID}}, true
+				}
+				return []logic.Action{logic.Fail{ID: e.ID}}, true
+			}
+			return nil, false
+		}
+	}
+}
+
+// again sends a request of some classes once more for each reset, most times,
+// before the module hears of it.
+func again(most int, classes ...int) func(*meddler) {
+	return func(m *meddler) {
+		m.decide = func(m *meddler, _ logic.Time, e logic.Event) ([]logic.Action, bool) {
+			end, ok := e.(logic.Ended)
+			if !ok || !slices.Contains(classes, m.class[end.ID]) || end.Closed {
+				return nil, false
+			}
+			if (end.Outcome == logic.Reset || end.Outcome == logic.ConnectFailed) && m.tries[end.ID] < most {
+				m.tries[end.ID]++
+				return []logic.Action{logic.Send{ID: end.ID, Node: end.Node}}, true
+			}
+			if m.tries[end.ID] > 0 { // the module knows of its own attempt alone
+				end.Attempt = 0
+				return m.inner.Handle(0, []logic.Event{end}), true
+			}
+			return nil, false
+		}
+	}
+}
+
+// Each broken head is caught by exactly the rule that it breaks, and the whole
+// one by none.
+func TestAuditCatchesBrokenHeads(t *testing.T) {
+	lists := func(f func(*logic.Entry)) func(*meddler) {
+		return func(m *meddler) {
+			m.told = func(e logic.Event) []logic.Event {
+				if l, ok := e.(logic.List); ok {
+					l.Entries = slices.Clone(l.Entries)
+					for i := range l.Entries {
+						f(&l.Entries[i])
+					}
+					return []logic.Event{l}
+				}
+				return []logic.Event{e}
+			}
+		}
+	}
+	for i, c := range []struct {
+		name string
+		core daemon.CoreOf
+		want []int
+	}{
+		{"whole", nil, nil},
+		{"gives some requests no answer", breakage(nil, func(m *meddler) {
+			m.acts = func(acts []logic.Action) []logic.Action {
+				return slices.DeleteFunc(acts, func(a logic.Action) bool {
+					r, ok := a.(logic.Refuse)
+					return ok && r.ID%5 == 0
+				})
+			}
+		}), []int{1}},
+		{"sends unsafe requests again", breakage(nil, again(1, segmentWrite)), []int{2}},
+		{"sends to a draining node", breakage(nil, lists(func(e *logic.Entry) {
+			if e.State == logic.Draining {
+				e.State = logic.Serving
+			}
+		})), []int{3}},
+		{"floods a cold node", breakage(nil, func(m *meddler) {
+			var now logic.Time
+			bypass(&now, func(_ logic.Arrival, n logic.Entry) bool {
+				return n.Started > 0 && now < n.Started+1500*time.Millisecond
+			})(m)
+		}), []int{4}},
+		{"keeps no order", breakage(func(s *logic.Settings) {
+			for i := range s.Classes {
+				s.Classes[i].InOrder = false
+			}
+		}, nil), []int{5}},
+		{"overspends the attempt budget", breakage(nil, again(50, traceRead, archiveExport)), []int{6}},
+		{"overspends a limit", breakage(nil, func(m *meddler) {
+			var now logic.Time
+			bypass(&now, func(a logic.Arrival, n logic.Entry) bool { return a.Plan == 0 && n.Started == 0 })(m)
+		}), []int{7}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			report, err := Run(Options{Plan: Draw(3, proof), Dir: t.TempDir(), Core: c.core, Block: 210 + i, Late: time.Second})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got := report.BrokenRules(); !slices.Equal(got, c.want) {
+				for _, r := range report.Rules {
+					t.Log(fmt.Sprint(r))
+				}
+				t.Errorf("rules %v are broken, want %v", got, c.want)
+			}
+		})
+	}
+}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net/netip"
 	"path/filepath"
+	"sync"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -32,6 +33,7 @@
 	Woken func()
 
 	epfd      int
+	mu        sync.Mutex // of wakefd
 	wakefd    int
 	inotify   int
 	watchName string
@@ -91,8 +93,15 @@
 // Start is the wall-clock time of the clock's zero.
 func (l *Loop) Start() time.Time { return l.start }
 
-// Wake makes a loop that waits call Woken; it may be called from any goroutine.
+// Wake makes a loop that waits call Woken; it may be called from any goroutine,
+// also after Close. Guards against a late call that writes to whatever has the
+// descriptor's number by then.
 func (l *Loop) Wake() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.wakefd < 0 {
+		return
+	}
 	one := [8]byte{7: 1}
 	unix.Write(l.wakefd, one[:]) // EAGAIN: it is awake already
 }
@@ -188,7 +197,11 @@
 		}
 	}
 	l.conns = nil
-	for _, fd := range []int{l.inotify, l.wakefd, l.epfd} {
+	l.mu.Lock()
+	wakefd := l.wakefd
+	l.wakefd = -1
+	l.mu.Unlock()
+	for _, fd := range []int{l.inotify, wakefd, l.epfd} {
 		if fd >= 0 {
 			unix.Close(fd)
 		}
