--- /dev/null
+++ b/cmd/maddergap/bench.go
@@ -0,0 +1,53 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"runtime"
+	"time"
+
+	"maddergap/internal/bench"
+)
+
+type benchCmd struct {
+	Clients int           `default:"64" help:"Kept-alive clients."`
+	Turn    time.Duration `default:"3s" help:"Length of one measurement."`
+	Turns   int           `default:"5" help:"Measurements of each."`
+	Size    int           `default:"1024" help:"Bytes of a small answer."`
+	Stream  int64         `default:"1024" help:"MiB of the large object."`
+	Only    string        `enum:"all,small,nodes,stream" default:"all" help:"all, small, nodes or stream."`
+	Proxy   string        `hidden:""`
+	Target  string        `hidden:""`
+}
+
+func (c *benchCmd) Run(io *streams) error {
+	if c.Proxy != "" {
+		return bench.Proxy(c.Proxy, c.Target)
+	}
+	if c.Clients < 1 || c.Turns < 1 || c.Turn <= 0 || c.Size < 0 || c.Stream < 1 {
+		return usage{fmt.Errorf("--clients, --turns, --turn and --stream want more than nothing")}
+	}
+	exe, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	dir, err := os.MkdirTemp("", "maddergap-bench-")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	o := bench.Options{Exe: exe, Dir: dir, Clients: c.Clients, Turn: c.Turn, Turns: c.Turns, Size: c.Size, Out: io.out}
+	fmt.Fprintf(io.out, "%s, %s/%s, %d CPUs\n", runtime.Version(), runtime.GOOS, runtime.GOARCH, runtime.NumCPU())
+	for _, step := range []struct {
+		name string
+		run  func() error
+	}{{"small", o.Small}, {"nodes", func() error { return o.Nodes(8, 200) }}, {"stream", func() error { return o.Stream(c.Stream << 20) }}} {
+		if c.Only != "all" && c.Only != step.name {
+			continue
+		}
+		if err := step.run(); err != nil {
+			return fmt.Errorf("%s: %w", step.name, err)
+		}
+	}
+	return nil
+}
--- a/cmd/maddergap/tmp.go
+++ /dev/null
@@ -1,5 +0,0 @@
-package main
-
-type benchCmd struct{}
-
-func (benchCmd) Run() error { return nil }
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -28,6 +28,7 @@
 	Unit     int64         // bytes that count one unit
 	UnitTime time.Duration // that a unit takes a core
 	MaxBody  int64
+	Forget   bool // keep no record
 	// A node that restarted bears From of its capacity at first and all of it
 	// after Cold; sent more than Multiple times that over Window, it falls.
 	Cold     time.Duration
@@ -210,6 +211,9 @@
 
 // write adds a line to the record; n.mu is held.
 func (n *Node) write(e Entry) {
+	if n.o.Forget {
+		return
+	}
 	if n.record == nil {
 		n.entries = append(n.entries, e)
 		return
