--- a/cmd/maddergap/badday.go
+++ b/cmd/maddergap/badday.go
@@ -55,7 +55,7 @@
 		if err != nil {
 			return 0, false, err
 		}
-		report, err := badday.Run(badday.Options{Plan: plan, Dir: dir, Exe: []string{exe}, HeadArgs: args, Progress: io.err})
+		report, err := badday.Run(&badday.Options{Plan: plan, Dir: dir, Exe: []string{exe}, HeadArgs: args, Progress: io.err})
 		if err != nil {
 			return 0, false, err
 		}
--- a/internal/badday/run.go
+++ b/internal/badday/run.go
@@ -14,6 +14,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -39,6 +40,8 @@
 	// machine's part, not the head's. 0: 100 ms.
 	Late  time.Duration
 	Block int // second byte of the loopback addresses; 0: by process id
+
+	ending sync.WaitGroup // heads of this process that were told to end
 }
 
 // part is a running head or node.
@@ -48,7 +51,7 @@
 }
 
 // Run runs a day and judges it.
-func Run(o Options) (*audit.Report, error) {
+func Run(o *Options) (*audit.Report, error) {
 	p := o.Plan
 	if o.Progress == nil {
 		o.Progress = io.Discard
@@ -91,6 +94,7 @@
 		for _, x := range parts {
 			x.kill()
 		}
+		o.ending.Wait()
 	}()
 	var stores []part
 	for i := range p.Nodes {
@@ -248,7 +252,7 @@
 		if err != nil {
 			return nil, err
 		}
-		h := &inHead{d: d, end: make(chan error, 1)}
+		h := &inHead{d: d, end: make(chan error, 1), ending: &o.ending}
 		go func() { h.end <- d.Run() }()
 		return h, nil
 	}
@@ -270,9 +274,10 @@
 func (x *inNode) kill() { x.stop() }
 
 type inHead struct {
-	d    *daemon.Daemon
-	end  chan error
-	over bool
+	d      *daemon.Daemon
+	end    chan error
+	over   bool
+	ending *sync.WaitGroup
 }
 
 func (x *inHead) stop() error {
@@ -283,7 +288,15 @@
 	x.d.Stop()
 	return <-x.end
 }
-func (x *inHead) kill() { x.stop() }
+
+// kill does not wait: the day goes on while the head ends.
+func (x *inHead) kill() {
+	x.d.Stop()
+	if !x.over {
+		x.over = true
+		x.ending.Go(func() { <-x.end })
+	}
+}
 
 // proc is a process that this run started.
 type proc struct {
--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -4,8 +4,8 @@
 package bench
 
 import (
-	"bytes"
 	"bufio"
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
