--- a/internal/head/random_test.go
+++ b/internal/head/random_test.go
@@ -123,3 +123,54 @@
 		}
 	})
 }
+
+// FuzzClient holds that no bytes of a client take the head down, make it spin,
+// or make it keep more than its bounds.
+func FuzzClient(f *testing.F) {
+	f.Add([]byte(get("/feed-a/s/x")), 10)
+	f.Add([]byte(put("/feed-a/s/x", "segment")+get("/")), 70)
+	f.Add([]byte("PROPFIND / HTTP/1.1\r\nHost: h\r\nDepth: 1\r\nContent-Length: 3\r\n\r\n<a>"), 1)
+	f.Add([]byte("PUT /feed-b/x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"), 75)
+	f.Fuzz(func(t *testing.T, p []byte, cut int) {
+		r := newRig(t, "")
+		cut = min(max(cut, 0), len(p))
+		c := r.client(string(p[:cut]))
+		r.say(c, string(p[cut:]))
+		for range 4 {
+			for _, n := range r.dials {
+				if r.take(n) != "" {
+					r.say(n, ok("x"))
+				}
+			}
+		}
+		if conn := r.h.conn(c); conn != nil && len(conn.in) > len(p) {
+			t.Fatalf("%d bytes are kept of %d", len(conn.in), len(p))
+		}
+		r.pass(30 * time.Second)
+		if len(r.h.reqs) != 0 {
+			t.Fatalf("%d requests are held for good", len(r.h.reqs))
+		}
+	})
+}
+
+// FuzzNode is the same of a node's bytes.
+func FuzzNode(f *testing.F) {
+	f.Add([]byte(ok("hello")), 20)
+	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"), 40)
+	f.Add([]byte("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 503 Busy\r\nMaddergap-Ran: no\r\nContent-Length: 0\r\n\r\n"), 9)
+	f.Fuzz(func(t *testing.T, p []byte, cut int) {
+		r := newRig(t, "")
+		c := r.client(get("/feed-a/s/x"))
+		n := r.node(0)
+		cut = min(max(cut, 0), len(p))
+		r.say(n, string(p[:cut]))
+		r.say(n, string(p[cut:]))
+		r.pass(30 * time.Second)
+		if len(r.h.reqs) != 0 {
+			t.Fatalf("%d requests are held for good", len(r.h.reqs))
+		}
+		if got := r.take(c); got == "" && r.ended[c] != Abort {
+			t.Fatal("no answer, and no end of the connection that could stand for one")
+		}
+	})
+}
