Reload leaves requests under way as they were taken; Host is never hop-by-hop

Change: an exchange keeps the volume it was taken with (a reload with fewer volumes would have taken the head down under a request of a removed one); Connection: Host no longer strips Host towards the node; the README's examples are a test.

--- a/cmd/maddergap/main_test.go
+++ b/cmd/maddergap/main_test.go
@@ -197,3 +197,37 @@
 	}
 	t.Log("\n" + text.String())
 }
+
+// The README's examples work as printed.
+func TestReadmeExamples(t *testing.T) {
+	if _, err := exec.LookPath("curl"); err != nil {
+		t.Skip("no curl here")
+	}
+	text, err := os.ReadFile("../../README.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, block, found := strings.Cut(string(text), "```sh\n")
+	block, _, closed := strings.Cut(block, "```")
+	if !found || !closed || strings.Count(block, "curl") < 5 {
+		t.Fatalf("no examples: %q", block)
+	}
+	cmd := program(t, "demo", "--listen", "127.0.0.1:0")
+	pipe, err := cmd.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer func() { cmd.Process.Kill(); cmd.Wait() }()
+	line, _ := bufio.NewReader(pipe).ReadString('\n')
+	addr := strings.TrimSuffix(strings.TrimPrefix(strings.TrimSpace(line), "ready http://"), "/")
+	for _, example := range strings.Split(strings.TrimSpace(block), "\n") {
+		sh := exec.Command("sh", "-c", strings.ReplaceAll(example, "127.0.0.1:8080", addr))
+		sh.Dir = "../.."
+		if out, err := sh.CombinedOutput(); err != nil {
+			t.Errorf("%s: %v\n%s", example, err, out)
+		}
+	}
+}
--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -186,8 +186,8 @@
 	return n, nil
 }
 
-// headConf is a configuration without limits that would be measured instead.
-func headConf(dir, addr string, shards int) (string, error) {
+// head starts a head without limits that would be measured instead.
+func (o *Options) head(shards int) (*process, error) {
 	text := fmt.Sprintf(`listen %s
 nodes nodes.list
 log-requests no
@@ -199,9 +199,12 @@
 route PUT class write
 route * class read
 stall-time 30s
-`, addr, shards-1)
-	file := filepath.Join(dir, "head.conf")
-	return file, os.WriteFile(file, []byte(text), 0o644)
+`, headAddr, shards-1)
+	file := filepath.Join(o.Dir, "head.conf")
+	if err := os.WriteFile(file, []byte(text), 0o644); err != nil {
+		return nil, err
+	}
+	return start(headAddr, o.Exe, "serve", "--config", file)
 }
 
 // nodes starts stand-ins with objects in them.
@@ -250,11 +253,7 @@
 	if err != nil {
 		return err
 	}
-	conf, err := headConf(o.Dir, headAddr, 1)
-	if err != nil {
-		return err
-	}
-	head, err := start(headAddr, o.Exe, "serve", "--config", conf)
+	head, err := o.head(1)
 	if err != nil {
 		return err
 	}
@@ -292,7 +291,7 @@
 	fmt.Fprintf(o.Out, "requests a CPU second, head over proxy: %s\n", formatRatios(ratios))
 	fmt.Fprintf(o.Out, "over all turns: head p50 %v p99 %v, proxy p50 %v p99 %v\n", us(all[head], 50), us(all[head], 99), us(all[proxy], 50), us(all[proxy], 99))
 	head.stop() // what it holds by now would hide what idle connections cost
-	fresh, err := start(headAddr, o.Exe, "serve", "--config", conf)
+	fresh, err := o.head(1)
 	if err != nil {
 		return err
 	}
@@ -350,11 +349,7 @@
 		nodes, err := o.nodes(n)
 		if err == nil {
 			err = func() error {
-				conf, err := headConf(o.Dir, headAddr, n)
-				if err != nil {
-					return err
-				}
-				head, err := start(headAddr, o.Exe, "serve", "--config", conf)
+				head, err := o.head(n)
 				if err != nil {
 					return err
 				}
@@ -402,11 +397,7 @@
 	if err := nodelist.Replace(filepath.Join(o.Dir, "nodes.list"), []nodelist.Node{{Name: "sink", Addr: sink.Addr().String()}}); err != nil {
 		return err
 	}
-	conf, err := headConf(o.Dir, headAddr, 1)
-	if err != nil {
-		return err
-	}
-	head, err := start(headAddr, o.Exe, "serve", "--config", conf)
+	head, err := o.head(1)
 	if err != nil {
 		return err
 	}
--- a/internal/head/client.go
+++ b/internal/head/client.go
@@ -4,6 +4,7 @@
 	"errors"
 	"time"
 
+	"maddergap/internal/conf"
 	"maddergap/internal/dav"
 	"maddergap/internal/http1"
 	"maddergap/internal/route"
@@ -43,7 +44,7 @@
 	parent   [8]byte
 	sampled  bool
 	status   int
-	known    *route.Table // of the time that it came
+	vol      *conf.Volume // as the configuration was when it came
 	reason   string
 	old      bool // kept for use again
 }
@@ -184,7 +185,7 @@
 	case dav.Forward:
 		ask := route.Ask{Method: ex.method, Place: ex.place, Length: ex.req.Length,
 			Range: string(ex.req.Get("range")), Prefer: string(ex.req.Get("prefer")), Key: string(ex.req.Get("idempotency-key"))}
-		ex.known = h.t
+		ex.vol = &h.c.Volumes[ex.place.Volume]
 		ex.job = h.t.Job(ask)
 		if ex.req.Length > int64(h.c.BodyHold) && ex.req.Expect {
 			h.take(ex) // the body is invited when a node takes it
@@ -249,7 +250,7 @@
 	ex.due = h.now + ex.job.Time
 	h.reqs[ex.id] = ex
 	h.counts.Taken++
-	v := &h.c.Volumes[ex.place.Volume]
+	v := ex.vol
 	h.events = append(h.events, logic.Arrival{ID: ex.id, Shard: ex.place.Shard, Plan: v.Plan, Class: ex.job.Class,
 		Key: ex.job.Key, Volume: v.Name, Left: ex.job.Time, Units: ex.job.Units, Hosts: v.Hosts})
 }
--- a/internal/head/head_test.go
+++ b/internal/head/head_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"maddergap/internal/conf"
 	"maddergap/logic"
 )
 
@@ -626,3 +627,38 @@
 		seen[ex] = true
 	}
 }
+
+// A reload with fewer volumes leaves requests under way as they were taken.
+func TestReloadUnderWay(t *testing.T) {
+	r := newRig(t, "")
+	c := r.client(get("/feed-b/s/x"))
+	n := r.node(0)
+	less, err := conf.Parse("rig", []byte(strings.Replace(rigConf, "volume feed-b plan p shards 0,1\n", "", 1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := r.h.Reload(less); err != nil {
+		t.Fatal(err)
+	}
+	r.say(n, ok("still"))
+	r.want("the answer", r.take(c), "200 OK", "still")
+	r.say(c, get("/feed-b/s/x"))
+	r.want("the answer", r.take(c), "404 Not Found")
+	if r.spans[1].Volume != "feed-b" {
+		t.Errorf("%+v", r.spans[1])
+	}
+	if other, _ := conf.Parse("rig", []byte(rigConf+"heads 3\n")); r.h.Reload(other) == nil {
+		t.Error("the number of heads changed under way")
+	}
+}
+
+// Connection may name fields of one connection alone, never Host.
+func TestConnectionListsHost(t *testing.T) {
+	r := newRig(t, "")
+	r.client(get("/feed-a/s/x", "Connection: Host, X-Own", "X-Own: 1"))
+	got := r.take(r.node(0))
+	r.want("at the node", got, "Host: h\r\n")
+	if strings.Contains(got, "X-Own") {
+		t.Error("a field of one connection was passed on")
+	}
+}
--- a/internal/head/listing.go
+++ b/internal/head/listing.go
@@ -45,7 +45,8 @@
 		h.respond(ex, 207, dav.ListVolumes(find, names, depth), nil)
 		return
 	}
-	shards := h.c.Volumes[ex.place.Volume].Shards
+	ex.vol = &h.c.Volumes[ex.place.Volume]
+	shards := ex.vol.Shards
 	if depth == "0" {
 		shards = shards[:1] // each has the volume's root
 	}
@@ -54,7 +55,7 @@
 	for i, shard := range shards {
 		p := h.newExchange()
 		p.method, p.place, p.listing, p.part = ex.method, ex.place, l, i
-		p.place.Shard = shard
+		p.place.Shard, p.vol = shard, ex.vol
 		p.hdr = append(h.buffer(), ex.hdr...)
 		http1.ParseRequest(p.hdr, &p.req, h.c.Header) // parsed well before
 		p.held = append(h.buffer(), ex.held...)
--- a/internal/head/node.go
+++ b/internal/head/node.go
@@ -385,7 +385,7 @@
 		Closed: ex.final, Spent: ex.spent, Reported: at.report, Reports: at.reports})
 	if h.obs != nil {
 		h.span = Span{Request: h.requestID(ex.id), Trace: ex.trace, ID: at.span, Parent: ex.span, Sampled: ex.sampled,
-			Start: at.began, End: h.now, Method: ex.method, Path: ex.place.Path, Volume: h.c.Volumes[ex.place.Volume].Name,
+			Start: at.began, End: h.now, Method: ex.method, Path: ex.place.Path, Volume: ex.vol.Name,
 			Class: h.c.Logic.Classes[ex.job.Class].Name, Status: at.status, Attempt: at.n, Node: at.node, Ended: o}
 		h.obs.Attempt(&h.span)
 	}
--- a/internal/head/trace.go
+++ b/internal/head/trace.go
@@ -53,7 +53,7 @@
 	}
 	if ex.id != 0 {
 		s.Start = ex.taken
-		s.Volume, s.Class = h.c.Volumes[ex.place.Volume].Name, h.c.Logic.Classes[ex.job.Class].Name
+		s.Volume, s.Class = ex.vol.Name, h.c.Logic.Classes[ex.job.Class].Name
 	}
 	h.span = s
 	h.obs.Request(&h.span)
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -354,6 +354,10 @@
 	switch len(name) {
 	case 2:
 		return Is(name, "te")
+	case 4:
+		if Is(name, "host") {
+			return false // whatever Connection lists: guards against a request without one at the node
+		}
 	case 7:
 		if Is(name, "trailer") || Is(name, "upgrade") {
 			return true
