Admission at work in the head: caps, reserve, refusals that are heard, a bounded log

Need: known clients are to be served while others flood. Change: directives admit and known, checked at load with the rest; the head asks internal/admit at each arrival, header and answer; refusals are 503 with Retry-After within a budget, a plain close beyond; start is refused where clients and what is kept for nodes pass the descriptor limit. The flood test found that a slot was used again before the driver had closed its old connection, which mixed two descriptors up: slots are free only after the next Advance.

--- a/cmd/maddergap/demo.go
+++ b/cmd/maddergap/demo.go
@@ -64,6 +64,7 @@
 
 // demoConf is the demo's configuration; operators may begin from it.
 const demoConf = `listen %s
+clients 512
 nodes nodes.list
 log-requests no
 class read effect safe aim 150ms deadline 2s worth 2 late 0.2
--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"maddergap/internal/admit"
 	"maddergap/internal/http1"
 	"maddergap/logic"
 )
@@ -44,6 +45,7 @@
 	ListingMax   int // bytes of a merged listing
 	Sizes        int // entries of the table of sizes seen
 	Clients      int // most client connections
+	Admit        admit.Config
 	Header       http1.Limits
 }
 
@@ -70,6 +72,8 @@
 		AnswerMargin: 20 * time.Millisecond, HeaderTime: 10 * time.Second, IdleTime: 60 * time.Second,
 		StallTime: 10 * time.Second, StopTime: 10 * time.Second, NodeIdle: 20 * time.Second, NodeConns: 64,
 		DialTime: time.Second, ListingMax: 8 << 20, Sizes: 1 << 14, Clients: 8192, Header: http1.DefaultLimits,
+		Admit: admit.Config{V6Bits: 64, Wide4: 24, Wide6: 48, Entries: 1 << 14, Learned: 1024, Forget: 10 * time.Minute,
+			AnswerRate: 50, AnswerBurst: 100, KnownMultiple: 4, IdleUnderPress: time.Second},
 		Logic: logic.Settings{Heads: 1, MostUnits: 1, MeanUnits: 1, ShareWorth: 0.3}}
 }
 
@@ -166,6 +170,12 @@
 			p.fault(0, "the last route must take every request: route * class NAME")
 		}
 	}
+	c.Admit.Total = c.Clients
+	if err := c.Admit.Check(); err != nil {
+		for reason := range strings.SplitSeq(err.Error(), "\n") {
+			p.fault(max(p.seen["admit"], p.seen["known"]), "%s", reason)
+		}
+	}
 	for i, d := range c.Deadlines {
 		if d <= c.AnswerMargin+10*time.Millisecond {
 			p.fault(p.seen["class "+c.Logic.Classes[i].Name], "the deadline %v leaves no time beside the answer-margin %v", d, c.AnswerMargin)
@@ -178,7 +188,7 @@
 	}
 }
 
-var many = map[string]bool{"listen": true, "class": true, "plan": true, "volume": true, "route": true}
+var many = map[string]bool{"listen": true, "class": true, "plan": true, "volume": true, "route": true, "known": true}
 
 var directives = map[string]func(*parser, int, *Args){
 	"listen": func(p *parser, line int, a *Args) {
@@ -243,6 +253,47 @@
 	"listing-max": func(p *parser, _ int, a *Args) { p.c.ListingMax = int(min(a.Bytes("size", 1024), 1<<30)) },
 	"sizes":       func(p *parser, _ int, a *Args) { p.c.Sizes = a.Int("entries", 1, 1<<24) },
 	"clients":     func(p *parser, _ int, a *Args) { p.c.Clients = a.Int("number", 1, 1<<20) },
+	"known": func(p *parser, line int, a *Args) {
+		for a.More() {
+			w := a.Word("prefix")
+			pre, err := netip.ParsePrefix(w)
+			if one, err1 := netip.ParseAddr(w); err != nil && err1 == nil {
+				pre, err = netip.PrefixFrom(one, one.BitLen()), nil
+			}
+			if err != nil || pre != pre.Masked() {
+				a.Fault("%q is not an address or a prefix, as 10.1.0.0/16", w)
+				return
+			}
+			p.seen["known"] = line
+			p.c.Admit.Known = append(p.c.Admit.Known, pre)
+		}
+	},
+	"admit": func(p *parser, _ int, a *Args) {
+		m := &p.c.Admit
+		count := func(n *int, most int) func(string) { return func(k string) { *n = a.Int(k, 1, most) } }
+		pairs(a, map[string]func(string){
+			"address":       count(&m.Address, 1<<20),
+			"wide":          count(&m.Wide, 1<<20),
+			"listener":      count(&m.Listener, 1<<20),
+			"reserve":       count(&m.Reserve, 1<<20),
+			"known-times":   count(&m.KnownMultiple, 1000),
+			"address-rate":  func(k string) { m.AddressRate = a.Float(k) },
+			"address-burst": count(&m.AddressBurst, 1<<20),
+			"wide-rate":     func(k string) { m.WideRate = a.Float(k) },
+			"wide-burst":    count(&m.WideBurst, 1<<20),
+			"v6":            count(&m.V6Bits, 128),
+			"wide4":         count(&m.Wide4, 32),
+			"wide6":         count(&m.Wide6, 128),
+			"learn":         count(&m.Learn, 1<<20),
+			"forget":        func(k string) { m.Forget = a.Duration(k, time.Second) },
+			"entries":       count(&m.Entries, 1<<24),
+			"learned":       count(&m.Learned, 1<<20),
+			"answers":       func(k string) { m.AnswerRate = a.Float(k) },
+			"answers-burst": count(&m.AnswerBurst, 1<<16),
+			"left":          count(&m.PressureIdle, 1<<20),
+			"idle":          func(k string) { m.IdleUnderPress = a.Duration(k, 0) },
+		})
+	},
 	"header": func(p *parser, _ int, a *Args) {
 		pairs(a, map[string]func(string){
 			"bytes":  func(k string) { p.c.Header.Header = int(min(a.Bytes(k, 256), 1<<20)) },
--- a/internal/conf/conf_test.go
+++ b/internal/conf/conf_test.go
@@ -69,6 +69,11 @@
 		{"multiple 2", "multiple 0.5", "m.conf:12: cold: multiple is 0.5"},
 		{"bytes 64k", "bytes 64q", "m.conf:13: units: bytes is \"64q\", want a size"},
 		{"bytes 64k", "size 64k", "m.conf:13: units: unknown keyword \"size\", want one of bytes, mean, most"},
+		{"heads 2", "heads 2\nclients 100\nadmit address 200", "m.conf:6: the cap address is 200, want 1 to 100"},
+		{"heads 2", "heads 2\nclients 100\nadmit reserve 100", "m.conf:6: the reserve is 100 of 100 connections"},
+		{"heads 2", "heads 2\nadmit address 0", "m.conf:5: admit: address is \"0\", want a whole number from 1"},
+		{"heads 2", "heads 2\nknown 10.0.0.0/8 10.1.0.0/16", "m.conf:5: the known prefixes 10.0.0.0/8 and 10.1.0.0/16 overlap"},
+		{"heads 2", "heads 2\nknown 10.1.0.1/16", "m.conf:5: known: \"10.1.0.1/16\" is not an address or a prefix"},
 		{"# a head", "\x00", "m.conf:1: holds a control character"},
 	} {
 		_, err := Parse("m.conf", []byte(strings.Replace(good, c.from, c.to, 1)))
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -12,6 +12,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"maddergap/internal/conf"
 	"maddergap/internal/head"
 	"maddergap/internal/loop"
@@ -35,6 +37,10 @@
 	stopped time.Time
 }
 
+// keptDescriptors are kept for connections to nodes, the node list, the
+// configuration and the log, so that a request taken can be carried to its end.
+const keptDescriptors = 512
+
 // pollNodes is how often the node list is read again though no notice came.
 // Guards against a notice that was lost or never comes, as on some file systems.
 const pollNodes = 5 * time.Second
@@ -55,7 +61,15 @@
 	if err != nil {
 		return nil, err
 	}
-	l, err := loop.New(c.Clients)
+	// Beyond the clients admitted: those being turned away for as long as they are
+	// listened to, and room to see that a known one has come.
+	most := c.Clients + c.Admit.AnswerBurst + 2*int(c.Admit.AnswerRate) + 64
+	var limit unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err == nil && uint64(most+keptDescriptors) > limit.Cur {
+		return nil, &conf.Mistake{File: c.File, Reason: fmt.Sprintf("clients %d, with refusals and %d descriptors kept for nodes and files, needs %d descriptors; the limit is %d",
+			c.Clients, keptDescriptors, most+keptDescriptors, limit.Cur)}
+	}
+	l, err := loop.New(most)
 	if err != nil {
 		return nil, err
 	}
@@ -210,7 +224,7 @@
 	})
 	n := d.head.Counts()
 	d.log.Info("stopped", "taken", n.Taken, "served", n.Served, "refused", n.Refused, "failed", n.Failed, "left", n.Left,
-		"attempts", n.Attempts, "bad", n.Bad, "own", n.Own, "took", time.Since(d.stopped))
+		"attempts", n.Attempts, "turned", n.Turned, "gave_way", n.GaveWay, "bad", n.Bad, "own", n.Own, "took", time.Since(d.stopped))
 	if cut > 0 {
 		return fmt.Errorf("%d requests were cut off after the stop time of %v", cut, d.c.StopTime)
 	}
--- a/internal/daemon/observer.go
+++ b/internal/daemon/observer.go
@@ -16,6 +16,8 @@
 	sdk "go.opentelemetry.io/otel/sdk/trace"
 	"go.opentelemetry.io/otel/trace"
 
+	"golang.org/x/time/rate"
+
 	"maddergap/internal/conf"
 	"maddergap/internal/head"
 	"maddergap/logic"
@@ -71,10 +73,12 @@
 	provider *sdk.TracerProvider
 	tracer   trace.Tracer
 	file     *os.File
+	turns    *rate.Limiter // of lines about connections not admitted
+	untold   int
 }
 
 func newObserver(c *conf.Config, log *slog.Logger, start time.Time) (*observer, error) {
-	o := &observer{log: log, quiet: c.Quiet, start: start}
+	o := &observer{log: log, quiet: c.Quiet, start: start, turns: rate.NewLimiter(turnLines, turnLines)}
 	if c.Traces == "" {
 		return o, nil
 	}
@@ -152,6 +156,21 @@
 		slog.Duration("took", s.End-s.Start), slog.String("reason", s.Reason))
 }
 
+// turnLines is how many lines a second tell of connections that are not admitted;
+// a flood must not be one of the log too.
+const turnLines = 5
+
+// Turned logs a connection that was not admitted, or counts it for the next line.
+func (o *observer) Turned(client, reason string, told bool) {
+	if !o.turns.Allow() {
+		o.untold++
+		return
+	}
+	o.log.LogAttrs(context.Background(), slog.LevelWarn, "connection not admitted", slog.String("client", client),
+		slog.String("by", reason), slog.Bool("told", told), slog.Int("others_not_logged", o.untold))
+	o.untold = 0
+}
+
 var outcomes = map[logic.Outcome]string{logic.OK: "ok", logic.Failed: "failed", logic.Full: "full", logic.TimedOut: "timed out",
 	logic.ConnectFailed: "no connection", logic.Reset: "reset", logic.Cancelled: "cancelled", logic.Moot: "not sent"}
 
--- a/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -621,3 +621,15 @@
 		return status == 201
 	})
 }
+
+// startError tells why a daemon does not start.
+func startError(t *testing.T, more string) error {
+	dir := t.TempDir()
+	nodelist.Replace(filepath.Join(dir, "nodes.list"), []nodelist.Node{{Name: "n0", Addr: "127.0.0.1:1"}})
+	c, err := conf.Parse(filepath.Join(dir, "m.conf"), []byte(headConf+more))
+	if err != nil {
+		return err
+	}
+	_, err = daemon.New(c, slog.New(slog.DiscardHandler))
+	return err
+}
--- a/internal/head/client.go
+++ b/internal/head/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net/netip"
 	"time"
 
 	"maddergap/internal/conf"
@@ -49,16 +50,57 @@
 	old      bool // kept for use again
 }
 
-// Accept tells a new client connection.
-func (h *Head) Accept(now Time, remote string) ConnID {
+// Accept tells a new client connection of a listener. Where it is not admitted,
+// the next actions answer or close it.
+func (h *Head) Accept(now Time, remote string, listener int) ConnID {
 	h.tick(now)
 	c := h.newConn()
 	c.remote = remote
 	h.counts.Clients++
 	h.by(c, h.now+h.c.HeaderTime)
+	from, _ := netip.ParseAddrPort(remote)
+	v := h.adm.Arrive(h.now, uint64(c.id), listener, from.Addr())
+	if v.Way {
+		if idle := h.conn(ConnID(v.Close)); idle != nil {
+			h.counts.GaveWay++
+			idle.admitted = false
+			h.drop(idle, Close)
+		}
+	}
+	if c.admitted = v.Accept; v.Accept {
+		for id, ok := h.adm.Pressed(h.now); ok; id, ok = h.adm.Pressed(h.now) {
+			h.counts.GaveWay++
+			h.drop(h.conn(ConnID(id)), Close)
+		}
+		return c.id
+	}
+	h.counts.Turned++
+	if h.obs != nil {
+		h.obs.Turned(remote, v.Reason.String(), v.Tell)
+	}
+	if v.Tell {
+		h.turnAway(c, 503, "too many connections ("+v.Reason.String()+"); trying again does no harm")
+	} else {
+		h.drop(c, Close)
+	}
 	return c.id
 }
 
+// turnAway answers a client of whose request nothing is known, and ends with it.
+func (h *Head) turnAway(c *conn, status int, reason string) {
+	ex := h.newExchange()
+	ex.client, c.ex, ex.whole, ex.reason = c, ex, true, reason
+	ex.req.Minor, ex.began = 1, h.now
+	c.closing = true
+	c.discard = status == 503 // its request is on the way, and must not take the answer with it
+	h.respond(ex, status, []byte(reason+"\n"), func(b []byte) []byte {
+		if status == 503 {
+			b = appendRetryAfter(b, time.Second)
+		}
+		return b
+	})
+}
+
 // clientData uses bytes of a client and returns those it cannot use yet.
 func (h *Head) clientData(c *conn, p []byte) []byte {
 	for len(p) > 0 && !c.gone {
@@ -131,6 +173,15 @@
 	if r.Close {
 		c.closing = true
 	}
+	if ok, why := h.adm.Begin(h.now, uint64(c.id)); !ok {
+		c.closing = true
+		h.counts.Turned++
+		if h.obs != nil {
+			h.obs.Turned(c.remote, why.String(), true)
+		}
+		h.own(ex, 503, "too many connections ("+why.String()+"); trying again does no harm")
+		return
+	}
 	if ex.method == "OPTIONS" && string(r.Target) == "*" {
 		h.judged(c, ex, dav.Verdict{Do: dav.Options})
 		return
@@ -293,14 +344,19 @@
 		h.drop(c, Close)
 	case c.ex != nil && !c.ex.whole: // in the middle of a body
 		h.do(Close, c)
-		h.clientGone(c)
+		h.clientGone(c, true)
 	} // else a half-close: what was asked is still owed
 }
 
-// clientGone ends what a client that left had under way.
-func (h *Head) clientGone(c *conn) {
+// clientGone ends what a client that left had under way; open: the driver has yet
+// to close its connection.
+func (h *Head) clientGone(c *conn, open bool) {
 	ex := c.ex
-	h.forget(c)
+	if open {
+		h.forgetLater(c)
+	} else {
+		h.forget(c)
+	}
 	if ex == nil {
 		return
 	}
@@ -315,7 +371,7 @@
 func (h *Head) clientDrop(c *conn) {
 	if !c.gone {
 		h.do(Abort, c)
-		h.clientGone(c)
+		h.clientGone(c, true)
 	}
 }
 
@@ -366,12 +422,8 @@
 		h.respond(ex, 408, []byte("the body did not come in time\n"), nil)
 	case ex != nil:
 	case c.reading > 0:
-		ex := h.newExchange()
-		ex.client, c.ex, ex.whole, ex.reason = c, ex, true, "the header stopped"
-		ex.req.Minor, ex.began = 1, h.now
-		c.closing = true
 		h.counts.Bad++
-		h.respond(ex, 408, []byte("the header did not come in time\n"), nil)
+		h.turnAway(c, 408, "the header did not come in time")
 	default:
 		h.drop(c, Close)
 	}
@@ -406,6 +458,7 @@
 	if !ex.whole { // RFC 9112 9.3: the rest of the body cannot be told from a request
 		c.closing, c.discard = true, true
 	}
+	h.adm.End(h.now, uint64(c.id), ex.id != 0 && ex.answer != nil && ex.status < 400)
 	c.ex, ex.client = nil, nil
 	h.recycle(ex)
 	h.flush(c)
--- a/internal/head/conn.go
+++ b/internal/head/conn.go
@@ -23,11 +23,12 @@
 	ready    bool // stands among Head.ready
 
 	// of a client
-	ex      *exchange // the request under way
-	closing bool      // after what is to be written
-	discard bool      // what it still sends is of no use
-	eof     bool      // it sends no more
-	reading Time      // when the first byte of a header came, 0: none
+	ex       *exchange // the request under way
+	admitted bool
+	closing  bool // after what is to be written
+	discard  bool // what it still sends is of no use
+	eof      bool // it sends no more
+	reading  Time // when the first byte of a header came, 0: none
 
 	// of a node
 	node      *node
@@ -67,7 +68,17 @@
 func (h *Head) drop(c *conn, op Op) {
 	if !c.gone {
 		h.do(op, c)
-		h.forget(c)
+		h.forgetLater(c)
+	}
+}
+
+// forgetLater is forget for a connection that the driver has yet to close: its
+// slot is used again only after that, or the driver would take one for the other.
+func (h *Head) forgetLater(c *conn) {
+	n := len(h.free)
+	if h.forget(c); len(h.free) > n {
+		h.free = h.free[:n]
+		h.closing = append(h.closing, uint32(c.id.Slot()))
 	}
 }
 
@@ -92,6 +103,9 @@
 		h.counts.NodeConns--
 	} else {
 		h.counts.Clients--
+		if c.admitted {
+			h.adm.Closed(h.now, uint64(c.id))
+		}
 	}
 }
 
@@ -220,7 +234,7 @@
 	case c.node != nil:
 		h.nodeClosed(c, false)
 	default:
-		h.clientGone(c)
+		h.clientGone(c, false)
 	}
 }
 
--- a/internal/head/head.go
+++ b/internal/head/head.go
@@ -18,6 +18,7 @@
 	"reflect"
 	"time"
 
+	"maddergap/internal/admit"
 	"maddergap/internal/conf"
 	"maddergap/internal/nodelist"
 	"maddergap/internal/route"
@@ -94,6 +95,7 @@
 type Observer interface {
 	Request(*Span)
 	Attempt(*Span)
+	Turned(client, reason string, told bool) // a connection that was not admitted
 }
 
 // Counts are sums since the start.
@@ -101,6 +103,7 @@
 	Taken, Served, Refused, Failed, Left uint64 // requests given to the module, and how they ended
 	Attempts, Own, Bad                   uint64 // sends; answers of the head's own; requests refused as malformed
 	Clients, NodeConns                   int    // connections now
+	Turned, GaveWay                      uint64 // connections not admitted; idle ones closed for others
 }
 
 // Core decides: the module, or in its place what a comparison or a test wants.
@@ -112,6 +115,7 @@
 type Head struct {
 	c      *conf.Config
 	t      *route.Table
+	adm    *admit.Admission
 	core   Core
 	obs    Observer
 	tag    uint32
@@ -124,11 +128,14 @@
 	acts   []Action
 	spare  []Action
 
-	slots  []*conn
-	gens   []uint32
-	free   []uint32
-	timers timers
-	ready  []*conn // clients whose next request may be looked at
+	slots []*conn
+	gens  []uint32
+	free  []uint32
+	// Slots of connections that a Close or Abort was asked for since the last
+	// Advance, and of those that it gave out, which the driver has carried out by the next.
+	closing, closed []uint32
+	timers          timers
+	ready           []*conn // clients whose next request may be looked at
 
 	nodes  map[string]*node
 	reqs   map[uint64]*exchange
@@ -165,8 +172,12 @@
 
 // NewWith returns a head with a core in the module's place.
 func NewWith(core Core, c *conf.Config, seed uint64, now Time, origin time.Time, obs Observer) *Head {
+	adm, err := admit.New(c.Admit, seed)
+	if err != nil { // never: the configuration is checked
+		panic(err)
+	}
 	r := rand.New(rand.NewPCG(seed, 0x6d616464))
-	return &Head{c: c, t: route.NewTable(c, nil), core: core, obs: obs, origin: origin, rand: r, tag: r.Uint32(), now: now,
+	return &Head{c: c, t: route.NewTable(c, nil), adm: adm, core: core, obs: obs, origin: origin, rand: r, tag: r.Uint32(), now: now,
 		nodes: map[string]*node{}, reqs: map[uint64]*exchange{}, wakeAt: never}
 }
 
@@ -176,6 +187,9 @@
 	if !reflect.DeepEqual(c.Logic, h.c.Logic) {
 		return fmt.Errorf("classes, plans, heads, cold, budget, units and attempts change with a restart only")
 	}
+	if err := h.adm.Change(c.Admit); err != nil {
+		return err
+	}
 	h.t = route.NewTable(c, h.t)
 	h.c = c
 	return nil
@@ -255,6 +269,7 @@
 // do and when to come back at the latest. The actions are good until the next call.
 func (h *Head) Advance(now Time) ([]Action, Time) {
 	h.tick(now)
+	h.free, h.closed = append(h.free, h.closed...), h.closed[:0]
 	for len(h.timers) > 0 && h.timers[0].armed <= h.now {
 		c := h.timers[0]
 		if c.deadline > h.now { // it was moved since
@@ -289,6 +304,7 @@
 	}
 	acts := h.acts
 	h.acts, h.spare = h.spare[:0], acts
+	h.closing, h.closed = h.closed[:0], h.closing
 	next := h.wakeAt
 	if len(h.timers) > 0 {
 		next = min(next, h.timers[0].armed)
--- a/internal/head/node.go
+++ b/internal/head/node.go
@@ -326,20 +326,22 @@
 	if at == nil {
 		h.unpark(c)
 		if eof {
-			h.do(Close, c)
+			h.drop(c, Close)
+		} else {
+			h.forget(c)
 		}
-		h.forget(c)
 		return
 	}
 	if eof && c.inBody && c.body.End() {
 		h.answerDone(c)
 		return
 	}
+	c.at = nil
 	if eof {
-		h.do(Close, c)
+		h.drop(c, Close)
+	} else {
+		h.forget(c)
 	}
-	c.at = nil
-	h.forget(c)
 	switch {
 	case c.inBody && at.verdict != logic.OK:
 		h.end(at, at.verdict)
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -67,8 +67,8 @@
 // as a node that is still cold, has a time above zero too.
 const past = 24 * time.Hour
 
-// New returns a loop. most is how many client
-// connections are held at once; more wait in the listen queue.
+// New returns a loop. most is how many client connections are held at once,
+// those that are just being turned away with them; more wait in the listen queue.
 func New(most int) (*Loop, error) {
 	epfd, err := unix.EpollCreate1(unix.EPOLL_CLOEXEC)
 	if err != nil {
@@ -309,7 +309,7 @@
 			continue
 		}
 		unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
-		id := l.Head.Accept(l.Now(), addrOf(sa))
+		id := l.Head.Accept(l.Now(), addrOf(sa), lfd)
 		l.clients++
 		l.put(id, sock{fd: fd, id: id, client: true, events: unix.EPOLLIN | unix.EPOLLRDHUP})
 		if l.add(fd, unix.EPOLLIN|unix.EPOLLRDHUP) != nil {
