Metrics on a listener of their own: requests by answer, connections turned away by reason

Need: an operator has to see a flood, and what keeps it out. Change: directive metrics; prometheus/client_golang over sums that the loop leaves every 100 ms, so that nothing of it is on the head's path. Measured: test over real sockets.

--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -100,6 +100,7 @@
 	ByAddressRate
 	ByWideRate
 	ByReserve // a request of an unknown client would take what is kept for known ones
+	Reasons   // how many there are
 )
 
 func (r Reason) String() string {
--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -22,6 +22,7 @@
 	Nodes   string   // the node list's path
 	Log     string   // "" for standard error
 	Traces  string   // file for spans, "" for none
+	Metrics string   // address of the metrics' own listener, "" for none
 	Quiet   bool     // requests are not logged
 	Seed    uint64   // of what is spread by chance, 0: drawn at start
 	Volumes []Volume
@@ -201,7 +202,14 @@
 		}
 	},
 	"nodes": func(p *parser, _ int, a *Args) { p.c.Nodes = p.path(a) },
-	"log":   func(p *parser, _ int, a *Args) { p.c.Log = p.path(a) },
+	"metrics": func(p *parser, _ int, a *Args) {
+		w := a.Word("address")
+		if _, err := netip.ParseAddrPort(w); w != "" && err != nil {
+			a.Fault("%q is not an address and port", w)
+		}
+		p.c.Metrics = w
+	},
+	"log": func(p *parser, _ int, a *Args) { p.c.Log = p.path(a) },
 	"log-requests": func(p *parser, _ int, a *Args) {
 		p.c.Quiet = a.OneOf("value", "yes", "no") == 1
 	},
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"net/http"
 	"os"
 	"sync/atomic"
 	"time"
@@ -23,18 +24,22 @@
 
 // Daemon is a head on its loop.
 type Daemon struct {
-	c       *conf.Config
-	log     *slog.Logger
-	loop    *loop.Loop
-	head    *head.Head
-	addrs   []string
-	obs     *observer
-	stop    atomic.Bool
-	reload  atomic.Bool
-	poll    atomic.Bool
-	list    []byte        // the node list's text, as last read
-	ending  time.Duration // when what is under way is cut off, 0: not stopping
-	stopped time.Time
+	c           *conf.Config
+	log         *slog.Logger
+	loop        *loop.Loop
+	head        *head.Head
+	addrs       []string
+	obs         *observer
+	stop        atomic.Bool
+	reload      atomic.Bool
+	poll        atomic.Bool
+	list        []byte                      // the node list's text, as last read
+	counts      atomic.Pointer[head.Counts] // as of published, for other goroutines
+	published   time.Duration
+	metrics     *http.Server
+	metricsAddr string
+	ending      time.Duration // when what is under way is cut off, 0: not stopping
+	stopped     time.Time
 }
 
 // keptDescriptors are kept for connections to nodes, the node list, the
@@ -76,6 +81,9 @@
 	d := &Daemon{c: c, log: log, loop: l, list: data}
 	if err := d.open(core, nodes); err != nil {
 		l.Close()
+		if d.metrics != nil {
+			d.metrics.Close()
+		}
 		if d.obs != nil {
 			d.obs.close()
 		}
@@ -106,6 +114,11 @@
 	if err := d.loop.Watch(c.Nodes); err != nil {
 		return err
 	}
+	if c.Metrics != "" {
+		if err := d.serveMetrics(c.Metrics); err != nil {
+			return err
+		}
+	}
 	for _, addr := range c.Listen {
 		bound, err := d.loop.Listen(addr)
 		if err != nil {
@@ -181,8 +194,8 @@
 		return err
 	}
 	if fmt.Sprint(c.Listen) != fmt.Sprint(d.c.Listen) || c.Nodes != d.c.Nodes || c.Clients != d.c.Clients ||
-		c.Log != d.c.Log || c.Traces != d.c.Traces {
-		return errors.New("listen, nodes, clients, log and traces change with a restart only")
+		c.Log != d.c.Log || c.Metrics != d.c.Metrics || c.Traces != d.c.Traces {
+		return errors.New("listen, nodes, clients, log, metrics and traces change with a restart only")
 	}
 	if err := d.head.Reload(c); err != nil {
 		return err
@@ -196,6 +209,9 @@
 func (d *Daemon) Run() error {
 	defer d.obs.close()
 	defer d.loop.Close()
+	if d.metrics != nil {
+		defer d.metrics.Close()
+	}
 	poll := time.NewTicker(pollNodes)
 	defer poll.Stop()
 	quit := make(chan struct{})
@@ -212,6 +228,7 @@
 		}
 	}()
 	err := d.loop.Run(func() bool {
+		d.publish()
 		return d.ending > 0 && (d.head.Idle() || d.loop.Now() >= d.ending)
 	})
 	if err != nil {
@@ -224,7 +241,7 @@
 	})
 	n := d.head.Counts()
 	d.log.Info("stopped", "taken", n.Taken, "served", n.Served, "refused", n.Refused, "failed", n.Failed, "left", n.Left,
-		"attempts", n.Attempts, "turned", n.Turned, "gave_way", n.GaveWay, "bad", n.Bad, "own", n.Own, "took", time.Since(d.stopped))
+		"attempts", n.Attempts, "turned", sum(n.Turned[:]), "gave_way", n.GaveWay, "bad", n.Bad, "own", n.Own, "took", time.Since(d.stopped))
 	if cut > 0 {
 		return fmt.Errorf("%d requests were cut off after the stop time of %v", cut, d.c.StopTime)
 	}
@@ -256,3 +273,6 @@
 	}
 	return len(nodes), errors.Join(errs...)
 }
+
+// MetricsAddr is the address of the metrics, "" for none.
+func (d *Daemon) MetricsAddr() string { return d.metricsAddr }
--- /dev/null
+++ b/internal/daemon/metrics.go
@@ -0,0 +1,92 @@
+package daemon
+
+import (
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"maddergap/internal/admit"
+	"maddergap/internal/head"
+)
+
+// publishEvery is how often the loop leaves its sums for other goroutines.
+const publishEvery = 100 * time.Millisecond
+
+func (d *Daemon) publish() {
+	if now := d.loop.Now(); d.counts.Load() == nil || now >= d.published+publishEvery {
+		c := d.head.Counts()
+		d.counts.Store(&c)
+		d.published = now
+	}
+}
+
+func sum(list []uint64) (n uint64) {
+	for _, x := range list {
+		n += x
+	}
+	return n
+}
+
+// serveMetrics opens the metrics' own listener; it is not on the head's path.
+func (d *Daemon) serveMetrics(addr string) error {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return err
+	}
+	r := prometheus.NewRegistry()
+	r.MustRegister(collector{d})
+	d.metrics = &http.Server{Handler: promhttp.HandlerFor(r, promhttp.HandlerOpts{}), ReadHeaderTimeout: 5 * time.Second}
+	d.metricsAddr = ln.Addr().String()
+	go d.metrics.Serve(ln)
+	return nil
+}
+
+// collector reads the sums that the loop left.
+type collector struct{ d *Daemon }
+
+var (
+	requestsDesc = prometheus.NewDesc("maddergap_requests_total", "Requests taken, by final answer; left: the client went before.", []string{"outcome"}, nil)
+	attemptsDesc = prometheus.NewDesc("maddergap_attempts_total", "Sends to nodes.", nil, nil)
+	badDesc      = prometheus.NewDesc("maddergap_malformed_total", "Requests answered as malformed or too slow.", nil, nil)
+	turnedDesc   = prometheus.NewDesc("maddergap_turned_away_total", "Connections and requests not admitted, by what kept them out.", []string{"reason"}, nil)
+	gaveWayDesc  = prometheus.NewDesc("maddergap_gave_way_total", "Idle connections closed to make room.", nil, nil)
+	connsDesc    = prometheus.NewDesc("maddergap_connections", "Connections now, by kind: client, known (of clients), node.", []string{"kind"}, nil)
+	tableDesc    = prometheus.NewDesc("maddergap_admission_entries", "Entries of admission's tables in use.", []string{"table"}, nil)
+)
+
+func (collector) Describe(ch chan<- *prometheus.Desc) {
+	for _, d := range []*prometheus.Desc{requestsDesc, attemptsDesc, badDesc, turnedDesc, gaveWayDesc, connsDesc, tableDesc} {
+		ch <- d
+	}
+}
+
+func (k collector) Collect(ch chan<- prometheus.Metric) {
+	c := k.d.counts.Load()
+	if c == nil {
+		return
+	}
+	count := func(d *prometheus.Desc, n uint64, labels ...string) {
+		ch <- prometheus.MustNewConstMetric(d, prometheus.CounterValue, float64(n), labels...)
+	}
+	gauge := func(d *prometheus.Desc, n int, labels ...string) {
+		ch <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, float64(n), labels...)
+	}
+	for o, n := range map[head.Outcome]uint64{head.Served: c.Served, head.Refused: c.Refused, head.Failed: c.Failed, head.Left: c.Left} {
+		count(requestsDesc, n, o.String())
+	}
+	count(attemptsDesc, c.Attempts)
+	count(badDesc, c.Bad)
+	count(gaveWayDesc, c.GaveWay)
+	for r := admit.None + 1; r < admit.Reasons; r++ {
+		count(turnedDesc, c.Turned[r], r.String())
+	}
+	gauge(connsDesc, c.Clients, "client")
+	gauge(connsDesc, c.Admitted.Known, "known")
+	gauge(connsDesc, c.NodeConns, "node")
+	gauge(tableDesc, c.Admitted.Addresses, "addresses")
+	gauge(tableDesc, c.Admitted.Prefixes, "prefixes")
+	gauge(tableDesc, c.Admitted.Learned, "learned")
+}
--- a/internal/e2e/flood_test.go
+++ b/internal/e2e/flood_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -126,3 +127,27 @@
 		t.Errorf("%v", err)
 	}
 }
+
+// The metrics tell of requests and of connections turned away, by reason.
+func TestMetrics(t *testing.T) {
+	_, addrs := standins(t, 1, standin.Options{})
+	s := start(t, "clients 4\nmetrics 127.0.0.1:0\n", addrs[0], addrs[0])
+	for range 6 {
+		c, r := s.dial(get("/feed-a/x"))
+		s.answer(r, "GET")
+		_ = c
+	}
+	tr := &http.Transport{DisableKeepAlives: true}
+	eventually(t, "the sums are there", func() bool {
+		req, _ := http.NewRequest("GET", "http://"+s.d.MetricsAddr()+"/metrics", nil)
+		resp, err := tr.RoundTrip(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer resp.Body.Close()
+		b, _ := io.ReadAll(resp.Body)
+		return strings.Contains(string(b), `maddergap_requests_total{outcome="served"} 4`) &&
+			strings.Contains(string(b), `maddergap_turned_away_total{reason="total"} 2`) &&
+			strings.Contains(string(b), `maddergap_connections{kind="client"} 4`)
+	})
+}
--- a/internal/head/client.go
+++ b/internal/head/client.go
@@ -74,7 +74,7 @@
 		}
 		return c.id
 	}
-	h.counts.Turned++
+	h.counts.Turned[v.Reason]++
 	if h.obs != nil {
 		h.obs.Turned(remote, v.Reason.String(), v.Tell)
 	}
@@ -175,7 +175,7 @@
 	}
 	if ok, why := h.adm.Begin(h.now, uint64(c.id)); !ok {
 		c.closing = true
-		h.counts.Turned++
+		h.counts.Turned[why]++
 		if h.obs != nil {
 			h.obs.Turned(c.remote, why.String(), true)
 		}
--- a/internal/head/head.go
+++ b/internal/head/head.go
@@ -100,10 +100,12 @@
 
 // Counts are sums since the start.
 type Counts struct {
-	Taken, Served, Refused, Failed, Left uint64 // requests given to the module, and how they ended
-	Attempts, Own, Bad                   uint64 // sends; answers of the head's own; requests refused as malformed
-	Clients, NodeConns                   int    // connections now
-	Turned, GaveWay                      uint64 // connections not admitted; idle ones closed for others
+	Taken, Served, Refused, Failed, Left uint64                // requests given to the module, and how they ended
+	Attempts, Own, Bad                   uint64                // sends; answers of the head's own; requests refused as malformed
+	Clients, NodeConns                   int                   // connections now
+	GaveWay                              uint64                // idle connections closed for others
+	Turned                               [admit.Reasons]uint64 // connections and requests not admitted
+	Admitted                             admit.Counts
 }
 
 // Core decides: the module, or in its place what a comparison or a test wants.
@@ -196,7 +198,11 @@
 }
 
 // Counts returns the sums.
-func (h *Head) Counts() Counts { return h.counts }
+func (h *Head) Counts() Counts {
+	c := h.counts
+	c.Admitted = h.adm.Counts()
+	return c
+}
 
 // Nodes tells a new node list.
 func (h *Head) Nodes(now Time, list []nodelist.Node) {
