--- /dev/null
+++ b/cmd/maddergap/flood.go
@@ -0,0 +1,165 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"maddergap/internal/flood"
+	"maddergap/internal/nodelist"
+	"maddergap/internal/standin"
+)
+
+type floodCmd struct {
+	Target  string        `help:"Head to press on, a loopback address; without it heads of its own are measured: calm, flood, flood with admission off."`
+	Path    string        `default:"/feed-a/segment" help:"Path that is read."`
+	Pattern string        `default:"hold" enum:"hold,close,slow-header,slow-body,slow-reader,greed,hoard" help:"hold, close, slow-header, slow-body, slow-reader, greed or hoard."`
+	Sources int           `default:"1" help:"Source addresses of the flood."`
+	Tries   int           `default:"10000" help:"Connections that the flood tries."`
+	AtOnce  int           `default:"1000" help:"Connections at once."`
+	Length  time.Duration `default:"8s" help:"How long."`
+	Known   int           `default:"20" help:"Known clients, from 127.9.0.1 on."`
+	Gap     time.Duration `default:"20ms" help:"Gap between a known client's connections."`
+}
+
+// floodConf is the head that is measured; %s is what admission is told.
+const floodConf = `listen %s
+nodes nodes.list
+log-requests no
+class read effect safe aim 300ms deadline 2s worth 1 late 0.5
+plan p rate 10000 reserve 10000
+volume feed-a plan p shards 0
+route * class read
+units bytes 64k
+clients 600
+%s`
+
+const admission = `admit address 16 wide 256 reserve 200 address-rate 50 address-burst 50 wide-rate 500 wide-burst 500
+known 127.9.0.0/16
+`
+
+func (c *floodCmd) options() flood.Options {
+	o := flood.Options{Target: c.Target, Path: c.Path, Pattern: c.Pattern, Tries: c.Tries, AtOnce: c.AtOnce, Length: c.Length, KnownGap: c.Gap}
+	for i := range c.Sources {
+		o.Sources = append(o.Sources, netip.AddrFrom4([4]byte{127, 20, byte(i / 250), byte(i%250 + 1)}))
+	}
+	for i := range c.Known {
+		o.Known = append(o.Known, netip.AddrFrom4([4]byte{127, 9, byte(i / 250), byte(i%250 + 1)}))
+	}
+	return o
+}
+
+func (c *floodCmd) Run(io *streams) error {
+	if c.Sources < 1 || c.Sources > 50000 || c.Known < 0 || c.Known > 1000 {
+		return usage{errors.New("--sources wants 1 to 50000, --known 0 to 1000")}
+	}
+	if c.Target != "" {
+		r, err := flood.Run(c.options())
+		if err != nil {
+			return usage{err}
+		}
+		r.Flood.Write(io.out, "flood")
+		r.Known.Write(io.out, "known")
+		return nil
+	}
+	node, err := standin.Start(standin.Options{Listen: "127.0.0.1:0", Name: "n0", Cores: 16, Queue: 1024, UnitTime: 2 * time.Millisecond, Forget: true})
+	if err != nil {
+		return err
+	}
+	defer node.Close()
+	fmt.Fprintf(io.out, "%s from %d addresses, %d tries, %d at once, %v; %d known clients\n", c.Pattern, c.Sources, c.Tries, c.AtOnce, c.Length, c.Known)
+	var calm int64
+	for i, run := range []struct {
+		name  string
+		admit string
+		tries int
+	}{{"calm", admission, 0}, {"flood", admission, c.Tries}, {"flood, admission off", "", c.Tries}} {
+		r, err := c.measure(fmt.Sprintf("127.0.97.%d:18000", i+1), run.admit, run.tries, node.Addr())
+		if err != nil {
+			return err
+		}
+		fmt.Fprintln(io.out, run.name+":")
+		if run.tries > 0 {
+			r.Flood.Write(io.out, "flood")
+		}
+		r.Known.Write(io.out, "known")
+		p99 := r.Known.Answer.ValueAtQuantile(99) + r.Known.Connect.ValueAtQuantile(99)
+		if run.tries == 0 {
+			calm = max(p99, 1)
+		}
+		fmt.Fprintf(io.out, "  known served %.1f%%, p99 of connect and answer %.2f times calm; head: %s\n",
+			100*float64(r.Known.Served)/float64(max(r.Known.Tries, 1)), float64(p99)/float64(calm), r.CPU)
+	}
+	return nil
+}
+
+type measured struct {
+	*flood.Result
+	CPU string
+}
+
+// measure runs a head of its own under a flood.
+func (c *floodCmd) measure(addr, admit string, tries int, node string) (*measured, error) {
+	dir, err := os.MkdirTemp("", "maddergap-flood-")
+	if err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(dir)
+	file := filepath.Join(dir, "m.conf")
+	if err := os.WriteFile(file, []byte(fmt.Sprintf(floodConf, addr, admit)), 0o644); err != nil {
+		return nil, err
+	}
+	if err := nodelist.Replace(filepath.Join(dir, "nodes.list"), []nodelist.Node{{Name: "n0", Addr: node}}); err != nil {
+		return nil, err
+	}
+	exe, err := os.Executable()
+	if err != nil {
+		return nil, err
+	}
+	cmd := exec.Command(exe, "serve", "--config", file)
+	var errs strings.Builder
+	cmd.Stderr = &errs
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return nil, err
+	}
+	stopped := false
+	defer func() {
+		if !stopped {
+			cmd.Process.Kill()
+			cmd.Wait()
+		}
+	}()
+	for until := time.Now().Add(5 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+		if conn, err := net.Dial("tcp", addr); err == nil {
+			conn.Close()
+			break
+		}
+		if time.Now().After(until) {
+			return nil, fmt.Errorf("the head does not listen: %s", errs.String())
+		}
+	}
+	o := c.options()
+	o.Target, o.Tries = addr, tries
+	began := time.Now()
+	r, err := flood.Run(o)
+	if err != nil {
+		return nil, usage{err}
+	}
+	wall := time.Since(began)
+	cmd.Process.Signal(syscall.SIGTERM)
+	err = cmd.Wait()
+	stopped = true
+	if err != nil {
+		return nil, fmt.Errorf("the head: %w: %s", err, errs.String())
+	}
+	s := cmd.ProcessState
+	return &measured{r, fmt.Sprintf("%.0f%% of a CPU", 100*(s.UserTime()+s.SystemTime()).Seconds()/wall.Seconds())}, nil
+}
--- a/cmd/maddergap/main.go
+++ b/cmd/maddergap/main.go
@@ -25,6 +25,7 @@
 	Demo    demoCmd    `cmd:"" help:"Run a head with embedded stand-in nodes and two volumes."`
 	Node    nodeCmd    `cmd:"" help:"Run a stand-in storage node (for tests and rehearsals, never for data)."`
 	Badday  baddayCmd  `cmd:"" name:"badday" help:"Run a scripted bad day and judge the seven rules from the socket records."`
+	Flood   floodCmd   `cmd:"" help:"Press on a head with connections from many loopback addresses and tell what each kind of client got."`
 	Bench   benchCmd   `cmd:"" help:"Measure the head against net/http/httputil.ReverseProxy."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 }
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -147,7 +147,7 @@
 	unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1)
 	err = unix.Bind(fd, sa)
 	if err == nil {
-		err = unix.Listen(fd, 1024)
+		err = unix.Listen(fd, 4096)
 	}
 	if err == nil {
 		l.kind[fd] = kindListener
