--- a/internal/admit/admit_test.go
+++ b/internal/admit/admit_test.go
@@ -414,3 +414,63 @@
 		})
 	}
 }
+
+// Known clients do not stand in the table that a flood fills.
+func TestKnownStandApart(t *testing.T) {
+	c := config()
+	c.Total, c.Listener, c.Address, c.Wide, c.AddressRate, c.WideRate, c.Entries = 100, 0, 1, 0, 0, 0, ways
+	a := must(t, c)
+	for i := range 40 {
+		if a.Arrive(0, uint64(i), 0, ip(fmt.Sprintf("1.1.%d.1", i))).Accept {
+			a.Begin(0, uint64(i))
+		}
+	}
+	if n := a.Counts().Conns; n != ways+1 {
+		t.Fatalf("%d connections, want one for each entry and one shared", n)
+	}
+	for i := range 4 {
+		if v := a.Arrive(0, uint64(100+i), 0, ip(fmt.Sprintf("10.9.%d.1", i))); !v.Accept {
+			t.Errorf("known client %d is refused by %v", i, v.Reason)
+		}
+	}
+}
+
+// Where every address of a set has used its rate up, none is forgotten for a newcomer.
+func TestSpentAddressesStay(t *testing.T) {
+	c := config()
+	c.Address, c.Wide, c.WideRate, c.AddressRate, c.AddressBurst, c.Entries = 0, 0, 0, 0.001, 2, ways
+	a := must(t, c)
+	for i := range 50 {
+		for k := range 2 {
+			if id := uint64(10*i + k); a.Arrive(0, id, 0, ip(fmt.Sprintf("1.1.%d.1", i))).Accept {
+				a.Closed(0, id)
+			}
+		}
+	}
+	for i := range ways {
+		if v := a.Arrive(0, uint64(1000+i), 0, ip(fmt.Sprintf("1.1.%d.1", i))); v.Accept {
+			t.Errorf("address %d was forgotten", i)
+		}
+	}
+}
+
+// A table of learned addresses that are all known takes no newcomer.
+func TestKnownAreNotEvicted(t *testing.T) {
+	l := newLearned(3, 2, time.Minute)
+	key := func(i int) netip.Prefix { return netip.PrefixFrom(netip.AddrFrom4([4]byte{1, 1, 1, byte(i)}), 32) }
+	now := Time(0)
+	for range 4 {
+		for i := range 3 {
+			l.good(now, key(i))
+		}
+		now += time.Second
+	}
+	for i := range 20 {
+		l.good(now, key(10+i))
+	}
+	for i := range 3 {
+		if !l.known(now, key(i)) {
+			t.Errorf("known address %d gave way to a newcomer", i)
+		}
+	}
+}
