--- a/internal/admit/admit_test.go
+++ b/internal/admit/admit_test.go
@@ -440,13 +440,18 @@
 	c := config()
 	c.Address, c.Wide, c.WideRate, c.AddressRate, c.AddressBurst, c.Entries = 0, 0, 0, 0.001, 2, ways
 	a := must(t, c)
+	accepted := 0
 	for i := range 50 {
 		for k := range 2 {
 			if id := uint64(10*i + k); a.Arrive(0, id, 0, ip(fmt.Sprintf("1.1.%d.1", i))).Accept {
 				a.Closed(0, id)
+				accepted++
 			}
 		}
 	}
+	if accepted != 2*ways+2 { // a newcomer has the shared rate, not what a spent address left
+		t.Errorf("%d accepted, want two of each entry and two of the shared one", accepted)
+	}
 	for i := range ways {
 		if v := a.Arrive(0, uint64(1000+i), 0, ip(fmt.Sprintf("1.1.%d.1", i))); v.Accept {
 			t.Errorf("address %d was forgotten", i)
