--- a/internal/flood/flood.go
+++ b/internal/flood/flood.go
@@ -190,7 +190,7 @@
 	for ctx.Err() == nil {
 		began := time.Now()
 		c, err := o.dial(ctx, from)
-		if ctx.Err() != nil {
+		if end, _ := ctx.Deadline(); !time.Now().Before(end) { // a dial ends by the deadline before ctx tells of it
 			if err == nil {
 				c.Close()
 			}
@@ -201,6 +201,7 @@
 		if err != nil {
 			f.Unreached++
 			mu.Unlock()
+			sleep(ctx, o.KnownGap)
 			continue
 		}
 		f.Connected++
