--- a/internal/e2e/flood_test.go
+++ b/internal/e2e/flood_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -151,3 +153,141 @@
 			strings.Contains(string(b), `maddergap_connections{kind="client"} 4`)
 	})
 }
+
+// Many readers that take nothing of large answers: each is held to its bound and
+// dropped in its time, and others are served meanwhile.
+func TestManySlowReaders(t *testing.T) {
+	_, addrs := standins(t, 1, standin.Options{})
+	s := start(t, "clients 400\nadmit reserve 50 answers 20 answers-burst 20\nknown 127.9.0.0/16\nbuffer 16k\n", addrs[0], addrs[0])
+	c, r := s.from("127.9.0.1")
+	io.WriteString(c, put("/feed-a/x", strings.Repeat("x", 4<<20)))
+	if status, _, _ := s.answer(r, "PUT"); status != 201 {
+		t.Fatal(status)
+	}
+	for i := range 300 {
+		slow, _ := s.from(fmt.Sprintf("127.30.%d.%d", i/200, i%200+1))
+		slow.(*net.TCPConn).SetReadBuffer(4096)
+		io.WriteString(slow, get("/feed-a/x"))
+	}
+	for i := range 10 {
+		c, r := s.from(fmt.Sprintf("127.9.0.%d", i+2))
+		io.WriteString(c, put(fmt.Sprint("/feed-a/small", i), "y"))
+		if status, _, _ := s.answer(r, "PUT"); status != 201 && status != 503 {
+			t.Errorf("a known client among slow readers: %d", status)
+		}
+	}
+	eventually(t, "the slow readers are dropped and the head serves as before", func() bool {
+		c, r := s.from("127.9.0.1")
+		io.WriteString(c, put("/feed-a/small", "y"))
+		status, _, _ := s.answer(r, "PUT")
+		return status == 201 || status == 204
+	})
+}
+
+// Connections that come while a head stops are refused by the kernel, or closed
+// unanswered without a request taken; those with one get their answer.
+func TestFloodWhileStopping(t *testing.T) {
+	nodes, addrs := standins(t, 1, standin.Options{UnitTime: 200 * time.Millisecond, Cores: 4, Queue: 64})
+	s := start(t, floodConf, addrs[0], addrs[0])
+	c, r := s.from("127.9.0.1")
+	io.WriteString(c, put("/feed-a/taken", "x"))
+	time.Sleep(50 * time.Millisecond)
+	quit := make(chan struct{})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for {
+			select {
+			case <-quit:
+				return
+			default:
+			}
+			if c, err := net.Dial("tcp", s.addr); err == nil {
+				io.WriteString(c, get("/feed-a/x"))
+				c.Close()
+			} else {
+				time.Sleep(time.Millisecond)
+			}
+		}
+	}()
+	time.Sleep(20 * time.Millisecond)
+	err := s.stop()
+	close(quit)
+	<-done
+	if err != nil {
+		t.Error(err)
+	}
+	if status, _, _ := s.answer(r, "PUT"); status != 201 {
+		t.Errorf("the request taken before the stop: %d", status)
+	}
+	ran := 0
+	for _, e := range nodes[0].Entries() {
+		if e.Path == "/feed-a/taken" {
+			ran++
+		}
+	}
+	if ran != 1 {
+		t.Errorf("it came to the node %d times", ran)
+	}
+}
+
+// A head that has just come up, knowing nothing, into a flood serves the
+// clients on its list at once.
+func TestRestartInFlood(t *testing.T) {
+	_, addrs := standins(t, 1, standin.Options{})
+	quit := make(chan struct{})
+	done := make(chan struct{})
+	s := start(t, floodConf, addrs[0], addrs[0])
+	go func() {
+		defer close(done)
+		var held []net.Conn
+		defer func() {
+			for _, c := range held {
+				c.Close()
+			}
+		}()
+		for {
+			select {
+			case <-quit:
+				return
+			case <-time.After(time.Millisecond):
+			}
+			if c, err := net.Dial("tcp", s.addr); err == nil && len(held) < 2000 {
+				held = append(held, c)
+			}
+		}
+	}()
+	time.Sleep(100 * time.Millisecond)
+	for i := range 10 {
+		c, r := s.from(fmt.Sprintf("127.9.0.%d", i+1))
+		if status := s.ask(c, r); status != 404 {
+			t.Errorf("known client %d in the flood: %d", i, status)
+		}
+	}
+	close(quit)
+	<-done
+}
+
+// A reload in the middle changes caps and drops nobody.
+func TestReloadOfCaps(t *testing.T) {
+	_, addrs := standins(t, 1, standin.Options{})
+	s := start(t, "clients 50\n", addrs[0], addrs[0])
+	c, r := s.from("127.0.8.1")
+	s.ask(c, r)
+	c2, r2 := s.from("127.0.8.1")
+	s.ask(c2, r2)
+	os.WriteFile(filepath.Join(s.dir, "m.conf"), []byte(headConf+"clients 50\nadmit address 1\n"), 0o644)
+	s.d.Reload()
+	eventually(t, "the reload", func() bool { return strings.Contains(s.log.String(), "reloaded") })
+	if a, b := s.ask(c, r), s.ask(c2, r2); a != 404 || b != 404 {
+		t.Errorf("connections that stood: %d, %d", a, b)
+	}
+	io.WriteString(c, put("/feed-a/x", "x")) // served: it does not give way
+	s.answer(r, "PUT")
+	io.WriteString(c2, put("/feed-a/x", "x"))
+	s.answer(r2, "PUT")
+	c3, r3 := s.from("127.0.8.1")
+	if status := s.ask(c3, r3); status != 503 {
+		t.Errorf("past the new cap: %d, want 503", status)
+	}
+}
