--- a/cmd/maddergap/descriptors_test.go
+++ b/cmd/maddergap/descriptors_test.go
@@ -49,7 +49,9 @@
 		defer c.Close()
 		held = append(held, c)
 	}
-	ask := func(c net.Conn, path string) { fmt.Fprintf(c, "PUT %s HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx", path) }
+	ask := func(c net.Conn, path string) {
+		fmt.Fprintf(c, "PUT %s HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx", path)
+	}
 	answer := func(c net.Conn) int {
 		c.SetReadDeadline(time.Now().Add(15 * time.Second))
 		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
