--- a/cmd/maddergap/badday.go
+++ b/cmd/maddergap/badday.go
@@ -15,6 +15,7 @@
 	Length  time.Duration `help:"Another length."`
 	Rate    float64       `help:"Another rate, requests a second."`
 	Compare bool          `help:"Run the same day with a pass-through head beside it."`
+	Flood   bool          `help:"Press on every head with connections from 500 addresses all day."`
 	Keep    string        `type:"path" help:"Folder for the records; without it they are removed."`
 	Story   bool          `help:"Print what the day holds and stop."`
 }
@@ -55,7 +56,7 @@
 		if err != nil {
 			return 0, false, err
 		}
-		report, err := badday.Run(&badday.Options{Plan: plan, Dir: dir, Exe: []string{exe}, HeadArgs: args, Progress: io.err})
+		report, err := badday.Run(&badday.Options{Plan: plan, Dir: dir, Exe: []string{exe}, HeadArgs: args, Flood: c.Flood, Progress: io.err})
 		if err != nil {
 			return 0, false, err
 		}
--- a/cmd/maddergap/main_test.go
+++ b/cmd/maddergap/main_test.go
@@ -174,7 +174,7 @@
 	}
 }
 
-// The short bad day, by processes.
+// The short bad day, by processes, every head under a flood of connections.
 func TestBadDay(t *testing.T) {
 	if testing.Short() {
 		t.Skip("half a minute")
@@ -183,7 +183,7 @@
 	defer os.Unsetenv(asProgram)
 	size := badday.Short
 	size.Rate = 150 // what two cores bear beside other tests
-	report, err := badday.Run(&badday.Options{Plan: badday.Draw(1, size), Dir: t.TempDir(), Exe: []string{os.Args[0]}, Late: time.Second})
+	report, err := badday.Run(&badday.Options{Plan: badday.Draw(1, size), Dir: t.TempDir(), Exe: []string{os.Args[0]}, Late: time.Second, Flood: true})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/badday/run.go
+++ b/internal/badday/run.go
@@ -21,6 +21,7 @@
 	"maddergap/internal/audit"
 	"maddergap/internal/conf"
 	"maddergap/internal/daemon"
+	"maddergap/internal/flood"
 	"maddergap/internal/nodelist"
 	"maddergap/internal/route"
 	"maddergap/internal/standin"
@@ -36,6 +37,9 @@
 	HeadArgs []string      // further arguments of serve
 	Core     daemon.CoreOf // in this process only
 	Progress io.Writer     // nil: none
+	// Flood presses on every head with connections from many addresses all day; the
+	// day's own clients are listed as known.
+	Flood bool
 	// Late is what an answer may come after its deadline by the clients' clock: the
 	// machine's part, not the head's. 0: 100 ms.
 	Late  time.Duration
@@ -75,7 +79,11 @@
 	for i := range p.Heads {
 		heads = append(heads, addr(2, i, 18000))
 		file := filepath.Join(o.Dir, fmt.Sprintf("head%d.conf", i))
-		if err := os.WriteFile(file, []byte(p.Conf(heads[i], "nodes.list")), 0o644); err != nil {
+		text := p.Conf(heads[i], "nodes.list")
+		if o.Flood {
+			text += floodCaps
+		}
+		if err := os.WriteFile(file, []byte(text), 0o644); err != nil {
 			return nil, err
 		}
 		confs = append(confs, file)
@@ -120,6 +128,14 @@
 		in.Starts = append(in.Starts, audit.Span{Name: fmt.Sprint("n", n), From: epoch.Add(at).UnixMicro()})
 	}
 	cs := newClients(c, heads)
+	var pressed sync.WaitGroup
+	defer pressed.Wait()
+	fates := make([]*flood.Result, len(heads))
+	if o.Flood {
+		for i, h := range heads {
+			pressed.Go(func() { fates[i], _ = flood.Run(p.flood(h)) })
+		}
+	}
 	late := time.Duration(0)
 	next, change := 0, 0
 	type happening struct {
@@ -187,6 +203,12 @@
 		next++
 	}
 	in.Clients = cs.finish()
+	pressed.Wait()
+	for i, f := range fates {
+		if f != nil {
+			f.Flood.Write(o.Progress, fmt.Sprintf("flood of head %d:", i))
+		}
+	}
 	fmt.Fprintf(o.Progress, "\rday over; the schedule was kept to within %v\n", late.Round(time.Millisecond))
 	for i, h := range running {
 		if err := h.stop(); err != nil && o.Core == nil { // a core of a test's may well leave requests
