One package starts, awaits and ends our own processes

Change: internal/child serves all three; what each kept of its own (a log, figures of /proc) stays there. Behaviour is as it was.

--- a/cmd/maddergap/flood.go
+++ b/cmd/maddergap/flood.go
@@ -3,15 +3,12 @@
 import (
 	"errors"
 	"fmt"
-	"net"
 	"net/netip"
 	"os"
-	"os/exec"
 	"path/filepath"
-	"strings"
-	"syscall"
 	"time"
 
+	"maddergap/internal/child"
 	"maddergap/internal/flood"
 	"maddergap/internal/nodelist"
 	"maddergap/internal/standin"
@@ -123,29 +120,11 @@
 	if err != nil {
 		return nil, err
 	}
-	cmd := exec.Command(exe, "serve", "--config", file)
-	var errs strings.Builder
-	cmd.Stderr = &errs
-	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := cmd.Start(); err != nil {
+	head, err := child.Start(addr, nil, exe, "serve", "--config", file)
+	if err != nil {
 		return nil, err
 	}
-	stopped := false
-	defer func() {
-		if !stopped {
-			cmd.Process.Kill()
-			cmd.Wait()
-		}
-	}()
-	for until := time.Now().Add(5 * time.Second); ; time.Sleep(5 * time.Millisecond) {
-		if conn, err := net.Dial("tcp", addr); err == nil {
-			conn.Close()
-			break
-		}
-		if time.Now().After(until) {
-			return nil, fmt.Errorf("the head does not listen: %s", errs.String())
-		}
-	}
+	defer head.Kill()
 	o := c.options()
 	o.Target, o.Tries = addr, tries
 	began := time.Now()
@@ -154,12 +133,8 @@
 		return nil, usage{err}
 	}
 	wall := time.Since(began)
-	cmd.Process.Signal(syscall.SIGTERM)
-	err = cmd.Wait()
-	stopped = true
-	if err != nil {
-		return nil, fmt.Errorf("the head: %w: %s", err, errs.String())
+	if err := head.Stop(); err != nil {
+		return nil, fmt.Errorf("the head: %w", err)
 	}
-	s := cmd.ProcessState
-	return &measured{r, fmt.Sprintf("%.0f%% of a CPU", 100*(s.UserTime()+s.SystemTime()).Seconds()/wall.Seconds())}, nil
+	return &measured{r, fmt.Sprintf("%.0f%% of a CPU", 100*head.CPU().Seconds()/wall.Seconds())}, nil
 }
--- a/internal/badday/run.go
+++ b/internal/badday/run.go
@@ -9,18 +9,16 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"maddergap/internal/audit"
+	"maddergap/internal/child"
 	"maddergap/internal/conf"
 	"maddergap/internal/daemon"
 	"maddergap/internal/flood"
@@ -314,10 +312,9 @@
 	}
 }
 
-// proc is a process that this run started.
+// proc is a process that this run started, and its log.
 type proc struct {
-	cmd *exec.Cmd
-	end chan error
+	*child.Process
 	log *os.File
 }
 
@@ -327,55 +324,21 @@
 	if err != nil {
 		return nil, err
 	}
-	cmd := exec.Command(o.Exe[0], append(append([]string{}, o.Exe[1:]...), args...)...)
-	cmd.Stdout, cmd.Stderr = log, log
-	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := cmd.Start(); err != nil {
+	p, err := child.Start(addr, log, append(slices.Clone(o.Exe), args...)...)
+	if err != nil {
 		log.Close()
 		return nil, err
 	}
-	x := &proc{cmd: cmd, end: make(chan error, 1), log: log}
-	go func() { x.end <- cmd.Wait() }()
-	for until := time.Now().Add(5 * time.Second); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
-		if c, err := net.Dial("tcp", addr); err == nil {
-			c.Close()
-			return x, nil
-		}
-		select {
-		case err := <-x.end:
-			text, _ := os.ReadFile(log.Name())
-			return nil, fmt.Errorf("%s did not start: %v: %s", name, err, bytes.TrimSpace(text))
-		default:
-		}
-	}
-	x.kill()
-	return nil, fmt.Errorf("%s does not listen on %s", name, addr)
+	return &proc{p, log}, nil
 }
 
 func (x *proc) stop() error {
-	if x.cmd == nil {
-		return nil
-	}
-	x.cmd.Process.Signal(syscall.SIGTERM)
-	select {
-	case err := <-x.end:
-		x.cmd = nil
-		return errors.Join(err, x.log.Close())
-	case <-time.After(15 * time.Second):
-		x.cmd.Process.Signal(syscall.SIGQUIT) // its log then says where it hangs
-		time.Sleep(200 * time.Millisecond)
-		x.kill()
-		return errors.New("it did not stop in 15 s")
-	}
+	defer x.log.Close()
+	return x.Stop()
 }
 
 func (x *proc) kill() {
-	if x.cmd == nil {
-		return
-	}
-	x.cmd.Process.Kill()
-	<-x.end
-	x.cmd = nil
+	x.Kill()
 	x.log.Close()
 }
 
--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -5,7 +5,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -14,16 +13,15 @@
 	"net/http/httputil"
 	"net/url"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"maddergap/internal/child"
 	"maddergap/internal/nodelist"
 	"maddergap/internal/standin"
 )
@@ -64,40 +62,18 @@
 
 // process is one that is measured.
 type process struct {
-	cmd  *exec.Cmd
+	*child.Process
 	addr string
 }
 
-func start(addr string, exe string, args ...string) (*process, error) {
-	cmd := exec.Command(exe, args...)
-	var errs bytes.Buffer
-	cmd.Stderr = &errs
-	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := cmd.Start(); err != nil {
-		return nil, err
-	}
-	for until := time.Now().Add(5 * time.Second); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
-		if c, err := net.Dial("tcp", addr); err == nil {
-			c.Close()
-			return &process{cmd, addr}, nil
-		}
-	}
-	cmd.Process.Kill()
-	cmd.Wait()
-	return nil, fmt.Errorf("%s does not listen: %s", addr, errs.String())
-}
-
-func (p *process) stop() {
-	if p.cmd.ProcessState != nil {
-		return
-	}
-	p.cmd.Process.Kill()
-	p.cmd.Wait()
+func start(addr string, argv ...string) (*process, error) {
+	p, err := child.Start(addr, nil, argv...)
+	return &process{p, addr}, err
 }
 
 // cpu reads the process's user and system time.
 func (p *process) cpu() (time.Duration, error) {
-	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.Pid()))
 	if err != nil {
 		return 0, err
 	}
@@ -109,7 +85,7 @@
 
 // memory reads a line of the process's status, in bytes.
 func (p *process) memory(what string) int64 {
-	b, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	b, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.Pid()))
 	for l := range strings.SplitSeq(string(b), "\n") {
 		if rest, ok := strings.CutPrefix(l, what+":"); ok {
 			n, _ := strconv.ParseInt(strings.Fields(rest)[0], 10, 64)
@@ -257,12 +233,12 @@
 	if err != nil {
 		return err
 	}
-	defer head.stop()
+	defer head.Kill()
 	proxy, err := start(proxyAddr, o.Exe, "bench", "--proxy", proxyAddr, "--target", nodes[0].Addr())
 	if err != nil {
 		return err
 	}
-	defer proxy.stop()
+	defer proxy.Kill()
 	if err := o.put(nodes[0].Addr(), "/feed/x"); err != nil {
 		return err
 	}
@@ -290,12 +266,12 @@
 	}
 	fmt.Fprintf(o.Out, "requests a CPU second, head over proxy: %s\n", formatRatios(ratios))
 	fmt.Fprintf(o.Out, "over all turns: head p50 %v p99 %v, proxy p50 %v p99 %v\n", us(all[head], 50), us(all[head], 99), us(all[proxy], 50), us(all[proxy], 99))
-	head.stop() // what it holds by now would hide what idle connections cost
+	head.Kill() // what it holds by now would hide what idle connections cost
 	fresh, err := o.head(1)
 	if err != nil {
 		return err
 	}
-	defer fresh.stop()
+	defer fresh.Kill()
 	return o.idle(fresh)
 }
 
@@ -353,7 +329,7 @@
 				if err != nil {
 					return err
 				}
-				defer head.stop()
+				defer head.Kill()
 				var paths []string
 				for i := range 4 * many {
 					paths = append(paths, fmt.Sprintf("/feed/s%d", i))
@@ -401,7 +377,7 @@
 	if err != nil {
 		return err
 	}
-	defer head.stop()
+	defer head.Kill()
 	before := head.memory("VmHWM")
 	for _, method := range []string{"PUT", "GET"} {
 		began := time.Now()
--- /dev/null
+++ b/internal/child/child.go
@@ -0,0 +1,90 @@
+// Package child runs the program's own commands as processes, for rehearsals and
+// measurements: it starts one, waits until it listens, and ends it.
+package child
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"syscall"
+	"time"
+)
+
+// Process is a running command. It dies with the process that started it.
+type Process struct {
+	cmd *exec.Cmd
+	end chan error
+}
+
+// Start starts a command and waits until addr takes connections. What it says
+// goes to out and, where it does not come up, into the error.
+func Start(addr string, out io.Writer, argv ...string) (*Process, error) {
+	var said bytes.Buffer
+	cmd := exec.Command(argv[0], argv[1:]...)
+	cmd.Stdout, cmd.Stderr = out, out
+	if out == nil {
+		cmd.Stdout, cmd.Stderr = nil, &said
+	}
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return nil, err
+	}
+	p := &Process{cmd: cmd, end: make(chan error, 1)}
+	go func() { p.end <- cmd.Wait() }()
+	for until := time.Now().Add(5 * time.Second); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
+		if c, err := net.Dial("tcp", addr); err == nil {
+			c.Close()
+			return p, nil
+		}
+		select {
+		case err := <-p.end:
+			if f, ok := out.(*os.File); ok {
+				text, _ := os.ReadFile(f.Name())
+				said.Write(text)
+			}
+			return nil, fmt.Errorf("%v did not start: %v: %s", argv, err, bytes.TrimSpace(said.Bytes()))
+		default:
+		}
+	}
+	p.Kill()
+	return nil, fmt.Errorf("%v does not listen on %s", argv, addr)
+}
+
+// Pid is the process's id.
+func (p *Process) Pid() int { return p.cmd.Process.Pid }
+
+// Stop asks it to end and waits; one that does not end says where it hangs and is killed.
+func (p *Process) Stop() error {
+	if p.end == nil {
+		return nil
+	}
+	p.cmd.Process.Signal(syscall.SIGTERM)
+	select {
+	case err := <-p.end:
+		p.end = nil
+		return err
+	case <-time.After(15 * time.Second):
+		p.cmd.Process.Signal(syscall.SIGQUIT)
+		time.Sleep(200 * time.Millisecond)
+		p.Kill()
+		return errors.New("it did not stop in 15 s")
+	}
+}
+
+// Kill ends it at once. Stop and Kill do nothing to one that has ended.
+func (p *Process) Kill() {
+	if p.end != nil {
+		p.cmd.Process.Kill()
+		<-p.end
+		p.end = nil
+	}
+}
+
+// CPU is the user and system time of one that has ended.
+func (p *Process) CPU() time.Duration {
+	return p.cmd.ProcessState.UserTime() + p.cmd.ProcessState.SystemTime()
+}
