Newcomers come last in a turn, known ones from a queue of their own, refusals cost four calls

Cause: under a flood the loop took newcomers before answers that were due, each one turned away cost a slot, a timer, two epoll calls and a lingering read, and known clients waited behind the burst in the one listen queue.

Change: a turn serves nodes, then clients, then what is due, then newcomers for 0.2 to 1 ms; one turned away is answered straight after accept without epoll, or closed; a classic BPF program sorts listed prefixes into a listen queue of their own; several listeners take turns.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -13,8 +13,10 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/net/bpf"
 	"golang.org/x/sys/unix"
 
+	"maddergap/internal/admit"
 	"maddergap/internal/conf"
 	"maddergap/internal/head"
 	"maddergap/internal/loop"
@@ -68,13 +70,13 @@
 	}
 	// Beyond the clients admitted: those being turned away for as long as they are
 	// listened to, and room to see that a known one has come.
-	most := c.Clients + c.Admit.AnswerBurst + 2*int(c.Admit.AnswerRate) + 64
+	most, told := c.Clients+64, c.Admit.AnswerBurst+2*int(c.Admit.AnswerRate)
 	var limit unix.Rlimit
-	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err == nil && uint64(most+keptDescriptors) > limit.Cur {
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err == nil && uint64(most+told+keptDescriptors) > limit.Cur {
 		return nil, &conf.Mistake{File: c.File, Reason: fmt.Sprintf("clients %d, with refusals and %d descriptors kept for nodes and files, needs %d descriptors; the limit is %d",
-			c.Clients, keptDescriptors, most+keptDescriptors, limit.Cur)}
+			c.Clients, keptDescriptors, most+told+keptDescriptors, limit.Cur)}
 	}
-	l, err := loop.New(most)
+	l, err := loop.New(most, told)
 	if err != nil {
 		return nil, err
 	}
@@ -120,7 +122,7 @@
 		}
 	}
 	for _, addr := range c.Listen {
-		bound, err := d.loop.Listen(addr)
+		bound, err := d.loop.Listen(addr, sorter(c))
 		if err != nil {
 			return err
 		}
@@ -200,6 +202,9 @@
 	if err := d.head.Reload(c); err != nil {
 		return err
 	}
+	if err := d.loop.Sort(sorter(c)); err != nil { // what is decided does not hang on it
+		d.log.Warn("known clients are not sorted anew", "cause", err)
+	}
 	d.c = c
 	return nil
 }
@@ -276,3 +281,6 @@
 
 // MetricsAddr is the address of the metrics, "" for none.
 func (d *Daemon) MetricsAddr() string { return d.metricsAddr }
+
+// sorter is the program that lets known clients wait in a queue of their own.
+func sorter(c *conf.Config) []bpf.RawInstruction { return c.Admit.Sorter(admit.NetworkHeader) }
--- a/internal/daemon/observer.go
+++ b/internal/daemon/observer.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"net/netip"
 	"os"
 	"sync/atomic"
 	"time"
@@ -18,6 +19,7 @@
 
 	"golang.org/x/time/rate"
 
+	"maddergap/internal/admit"
 	"maddergap/internal/conf"
 	"maddergap/internal/head"
 	"maddergap/logic"
@@ -161,13 +163,13 @@
 const turnLines = 5
 
 // Turned logs a connection that was not admitted, or counts it for the next line.
-func (o *observer) Turned(client, reason string, told bool) {
+func (o *observer) Turned(client netip.AddrPort, why admit.Reason, told bool) {
 	if !o.turns.Allow() {
 		o.untold++
 		return
 	}
-	o.log.LogAttrs(context.Background(), slog.LevelWarn, "connection not admitted", slog.String("client", client),
-		slog.String("by", reason), slog.Bool("told", told), slog.Int("others_not_logged", o.untold))
+	o.log.LogAttrs(context.Background(), slog.LevelWarn, "connection not admitted", slog.String("client", client.String()),
+		slog.String("by", why.String()), slog.Bool("told", told), slog.Int("others_not_logged", o.untold))
 	o.untold = 0
 }
 
--- a/internal/head/client.go
+++ b/internal/head/client.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"maddergap/internal/admit"
 	"maddergap/internal/conf"
 	"maddergap/internal/dav"
 	"maddergap/internal/http1"
@@ -50,55 +51,96 @@
 	old      bool // kept for use again
 }
 
-// Accept tells a new client connection of a listener. Where it is not admitted,
-// the next actions answer or close it.
-func (h *Head) Accept(now Time, remote string, listener int) ConnID {
+// Welcome says what becomes of a new connection.
+type Welcome struct {
+	ID       ConnID // of one that is admitted
+	Admitted bool
+	// Answer is written to one that is not, as far as it goes at once; then its
+	// sending side is shut, and it is closed after Linger, read or not. It is good
+	// until the next call. With none the connection is closed without a word.
+	Answer []byte
+	Linger time.Duration
+}
+
+// Accept tells a new client connection of a listener. One that is not admitted
+// gets no slot, no timer and no event more: turning it away is cheap.
+func (h *Head) Accept(now Time, remote netip.AddrPort, listener int) Welcome {
 	h.tick(now)
-	c := h.newConn()
-	c.remote = remote
-	h.counts.Clients++
-	h.by(c, h.now+h.c.HeaderTime)
-	from, _ := netip.ParseAddrPort(remote)
-	v := h.adm.Arrive(h.now, uint64(c.id), listener, from.Addr())
+	id := h.nextID()
+	v := h.adm.Arrive(h.now, uint64(id), listener, remote.Addr())
 	if v.Way {
 		if idle := h.conn(ConnID(v.Close)); idle != nil {
 			h.counts.GaveWay++
 			idle.admitted = false
-			h.drop(idle, Close)
+			h.gaveWay(idle)
 		}
 	}
-	if c.admitted = v.Accept; v.Accept {
-		for id, ok := h.adm.Pressed(h.now); ok; id, ok = h.adm.Pressed(h.now) {
-			h.counts.GaveWay++
-			h.drop(h.conn(ConnID(id)), Close)
+	if !v.Accept {
+		h.turned(remote, v.Reason, v.Tell)
+		if !v.Tell {
+			return Welcome{}
 		}
-		return c.id
+		return Welcome{Answer: h.turnAnswer(v.Reason), Linger: linger}
 	}
-	h.counts.Turned[v.Reason]++
-	if h.obs != nil {
-		h.obs.Turned(remote, v.Reason.String(), v.Tell)
+	c := h.newConn()
+	c.remote, c.admitted = remote, true
+	h.counts.Clients++
+	h.by(c, h.now+h.c.HeaderTime)
+	for id, ok := h.adm.Pressed(h.now); ok; id, ok = h.adm.Pressed(h.now) {
+		h.counts.GaveWay++
+		h.gaveWay(h.conn(ConnID(id)))
 	}
-	if v.Tell {
-		h.turnAway(c, 503, "too many connections ("+v.Reason.String()+"); trying again does no harm")
-	} else {
-		h.drop(c, Close)
+	return Welcome{ID: c.id, Admitted: true}
+}
+
+// gaveWay closes a connection for room: idle, or with a request that was not taken.
+func (h *Head) gaveWay(c *conn) {
+	if c.ex != nil {
+		h.do(Close, c)
+		h.clientGone(c, true)
+		return
 	}
-	return c.id
+	h.drop(c, Close)
+}
+
+// turned counts what was not admitted.
+func (h *Head) turned(client netip.AddrPort, why admit.Reason, told bool) {
+	h.counts.Turned[why]++
+	if h.obs != nil {
+		h.obs.Turned(client, why, told)
+	}
+}
+
+// turnAnswer is the whole answer to a connection that is turned away (RFC 9110
+// 15.6.4). It is made anew for each reason once a second, for its date.
+func (h *Head) turnAnswer(why admit.Reason) []byte {
+	t := &h.turnTexts[why]
+	if s := h.origin.Add(h.now).Unix(); t.text == nil || t.of != s {
+		text := notAdmitted(why) + "\n"
+		b := h.appendDate(http1.AppendStatus(t.text[:0], 503))
+		b = http1.AppendField(b, "Content-Type", []byte("text/plain; charset=utf-8"))
+		b = appendRetryAfter(http1.AppendInt(b, "Content-Length", int64(len(text))), time.Second)
+		t.text, t.of = append(append(b, "Connection: close\r\n\r\n"...), text...), s
+	}
+	return t.text
+}
+
+type turnText struct {
+	text []byte
+	of   int64 // second
 }
 
-// turnAway answers a client of whose request nothing is known, and ends with it.
-func (h *Head) turnAway(c *conn, status int, reason string) {
+func notAdmitted(why admit.Reason) string {
+	return "too many connections (" + why.String() + "); trying again does no harm"
+}
+
+// giveUp answers a client whose request's header does not come, and ends with it.
+func (h *Head) giveUp(c *conn, reason string) {
 	ex := h.newExchange()
 	ex.client, c.ex, ex.whole, ex.reason = c, ex, true, reason
 	ex.req.Minor, ex.began = 1, h.now
 	c.closing = true
-	c.discard = status == 503 // its request is on the way, and must not take the answer with it
-	h.respond(ex, status, []byte(reason+"\n"), func(b []byte) []byte {
-		if status == 503 {
-			b = appendRetryAfter(b, time.Second)
-		}
-		return b
-	})
+	h.respond(ex, 408, []byte(reason+"\n"), nil)
 }
 
 // clientData uses bytes of a client and returns those it cannot use yet.
@@ -175,11 +217,8 @@
 	}
 	if ok, why := h.adm.Begin(h.now, uint64(c.id)); !ok {
 		c.closing = true
-		h.counts.Turned[why]++
-		if h.obs != nil {
-			h.obs.Turned(c.remote, why.String(), true)
-		}
-		h.own(ex, 503, "too many connections ("+why.String()+"); trying again does no harm")
+		h.turned(c.remote, why, true)
+		h.own(ex, 503, notAdmitted(why))
 		return
 	}
 	if ex.method == "OPTIONS" && string(r.Target) == "*" {
@@ -422,7 +461,7 @@
 	case ex != nil:
 	case c.reading > 0:
 		h.counts.Bad++
-		h.turnAway(c, 408, "the header did not come in time")
+		h.giveUp(c, "the header did not come in time")
 	default:
 		h.drop(c, Close)
 	}
--- a/internal/head/conn.go
+++ b/internal/head/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"net/netip"
 
 	"maddergap/internal/http1"
 )
@@ -9,7 +10,7 @@
 // conn is a connection of either kind.
 type conn struct {
 	id       ConnID
-	remote   string
+	remote   netip.AddrPort
 	in       []byte // told, and not yet used
 	scanned  int    // bytes of in that hold no end of a header
 	out      []byte // to be written
@@ -42,6 +43,15 @@
 
 func (c *conn) pending() []byte { return c.out[c.wrote:] }
 
+// nextID is the id that newConn will give.
+func (h *Head) nextID() ConnID {
+	if n := len(h.free); n > 0 {
+		slot := h.free[n-1]
+		return ConnID(h.gens[slot])<<32 | ConnID(slot)
+	}
+	return ConnID(len(h.slots))
+}
+
 func (h *Head) newConn() *conn {
 	var slot uint32
 	if n := len(h.free); n > 0 {
--- a/internal/head/head.go
+++ b/internal/head/head.go
@@ -15,6 +15,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"net/netip"
 	"reflect"
 	"time"
 
@@ -95,7 +96,7 @@
 type Observer interface {
 	Request(*Span)
 	Attempt(*Span)
-	Turned(client, reason string, told bool) // a connection that was not admitted
+	Turned(client netip.AddrPort, why admit.Reason, told bool) // a connection that was not admitted
 }
 
 // Counts are sums since the start.
@@ -144,12 +145,13 @@
 	lastID uint64
 	wakeAt Time
 
-	oldEx    []*exchange
-	oldBufs  [][]byte
-	scratch  []byte
-	span     Span
-	stopping bool
-	counts   Counts
+	oldEx     []*exchange
+	oldBufs   [][]byte
+	scratch   []byte
+	span      Span
+	turnTexts [admit.Reasons]turnText
+	stopping  bool
+	counts    Counts
 }
 
 // node is where a storage node is reached.
--- a/internal/head/head_test.go
+++ b/internal/head/head_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"strings"
 	"testing"
 	"time"
@@ -666,10 +667,10 @@
 // A slot whose connection the driver has yet to close is not used again before.
 func TestSlotIsFreeAfterItsClose(t *testing.T) {
 	r := newRig(t, "clients 2\nadmit reserve 1\nknown 10.0.0.0/8\n")
-	first := r.h.Accept(r.now, "127.0.0.1:1", 0)
-	r.h.Accept(r.now, "127.0.0.1:2", 0)
+	first := r.h.Accept(r.now, netip.MustParseAddrPort("127.0.0.1:1"), 0).ID
+	r.h.Accept(r.now, netip.MustParseAddrPort("127.0.0.1:2"), 0)
 	r.run()
-	known := r.h.Accept(r.now, "10.0.0.1:3", 0) // the first gives way, in the same turn
+	known := r.h.Accept(r.now, netip.MustParseAddrPort("10.0.0.1:3"), 0).ID // the first gives way, in the same turn
 	if known.Slot() == first.Slot() {
 		t.Error("the driver would close the new connection for the old, or neither")
 	}
@@ -678,7 +679,7 @@
 		t.Fatalf("%v", r.ended)
 	}
 	r.run()
-	if again := r.h.Accept(r.now, "10.0.0.1:4", 0); again.Slot() != first.Slot() {
+	if again := r.h.Accept(r.now, netip.MustParseAddrPort("10.0.0.1:4"), 0).ID; again.Slot() != first.Slot() {
 		t.Error("the slot is lost")
 	}
 }
--- a/internal/head/rig_test.go
+++ b/internal/head/rig_test.go
@@ -3,11 +3,13 @@
 import (
 	"fmt"
 	"maps"
+	"net/netip"
 	"slices"
 	"strings"
 	"testing"
 	"time"
 
+	"maddergap/internal/admit"
 	"maddergap/internal/conf"
 	"maddergap/internal/nodelist"
 )
@@ -50,7 +52,9 @@
 func (r *rig) Request(s *Span) { r.spans = append(r.spans, *s) }
 func (r *rig) Attempt(s *Span) { r.spans = append(r.spans, *s) }
 
-func (r *rig) Turned(client, reason string, _ bool) { r.turned = append(r.turned, reason) }
+func (r *rig) Turned(_ netip.AddrPort, why admit.Reason, _ bool) {
+	r.turned = append(r.turned, why.String())
+}
 
 func newRig(t *testing.T, more string) *rig {
 	t.Helper()
@@ -130,7 +134,7 @@
 }
 
 func (r *rig) client(text string) ConnID {
-	id := r.h.Accept(r.now, "127.0.0.1:1000", 0)
+	id := r.h.Accept(r.now, netip.MustParseAddrPort("127.0.0.1:1000"), 0).ID
 	r.say(id, text)
 	return id
 }
--- a/internal/head/trace.go
+++ b/internal/head/trace.go
@@ -49,7 +49,7 @@
 		Start: ex.began, End: h.now, Method: ex.method, Path: ex.place.Path, Status: ex.status, Outcome: o,
 		Attempts: ex.sends, Reason: ex.reason}
 	if ex.client != nil {
-		s.Client = ex.client.remote
+		s.Client = ex.client.remote.String()
 	}
 	if ex.id != 0 {
 		s.Start = ex.taken
--- /dev/null
+++ b/internal/loop/listen.go
@@ -0,0 +1,245 @@
+package loop
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"golang.org/x/net/bpf"
+	"golang.org/x/sys/unix"
+)
+
+// listener is one listen queue. An address may have two: the second is for the
+// clients that the sorter names, so that no burst of others stands before them.
+type listener struct {
+	fd     int
+	key    int  // the same of both queues of an address
+	sorted bool // the second queue
+}
+
+// Listen opens a listener and returns its address. sorter is a program that the
+// kernel runs over a new connection's packet: 1 puts it into a queue of its own.
+// With none, or where the kernel does not take it, all wait in one queue.
+func (l *Loop) Listen(addr string, sorter []bpf.RawInstruction) (string, error) {
+	sa, family, err := sockaddr(addr)
+	if err != nil {
+		return "", err
+	}
+	fail := func(err error) (string, error) { return "", fmt.Errorf("listen %s: %w", addr, err) }
+	if len(sorter) > 0 {
+		// Two queues of one address need SO_REUSEPORT, which would also let a second
+		// head in beside this one: that the address is free is seen first without it.
+		probe, err := l.bound(sa, family, false)
+		if err != nil {
+			return fail(err)
+		}
+		unix.Close(probe)
+	}
+	fd, err := l.bound(sa, family, len(sorter) > 0)
+	if err != nil {
+		return fail(err)
+	}
+	if sa, err = unix.Getsockname(fd); err != nil {
+		unix.Close(fd)
+		return fail(err)
+	}
+	bound := addrOf(sa)
+	if err := l.listen(listener{fd: fd, key: fd}); err != nil {
+		return fail(err)
+	}
+	if len(sorter) > 0 {
+		second, err := l.bound(sa, family, true)
+		if err == nil {
+			err = l.listen(listener{fd: second, key: fd, sorted: true})
+		}
+		if err != nil {
+			return fail(err)
+		}
+		if l.Sort(sorter) != nil { // an old kernel: one queue does for all
+			l.drop(len(l.listeners) - 1)
+		}
+	}
+	return bound.String(), nil
+}
+
+// bound returns a socket bound to an address. What is accepted from it inherits
+// TCP_NODELAY, which saves a call for each.
+func (l *Loop) bound(sa unix.Sockaddr, family int, shared bool) (int, error) {
+	fd, err := unix.Socket(family, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return -1, err
+	}
+	unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1)
+	unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
+	if shared {
+		err = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
+	}
+	if err == nil {
+		err = unix.Bind(fd, sa)
+	}
+	if err != nil {
+		unix.Close(fd)
+		return -1, err
+	}
+	return fd, nil
+}
+
+func (l *Loop) listen(n listener) error {
+	err := unix.Listen(n.fd, backlog)
+	if err == nil {
+		err = l.add(n.fd, unix.EPOLLIN)
+	}
+	if err != nil {
+		unix.Close(n.fd)
+		return err
+	}
+	l.kind[n.fd] = kindListener
+	l.listeners = append(l.listeners, n)
+	return nil
+}
+
+// Sort puts another sorter in force, for the addresses that have two queues.
+func (l *Loop) Sort(sorter []bpf.RawInstruction) error {
+	if len(sorter) == 0 { // no one has the queue to himself
+		sorter = []bpf.RawInstruction{{Op: unix.BPF_RET | unix.BPF_K}}
+	}
+	filter := make([]unix.SockFilter, len(sorter))
+	for i, in := range sorter {
+		filter[i] = unix.SockFilter{Code: in.Op, Jt: in.Jt, Jf: in.Jf, K: in.K}
+	}
+	for _, n := range l.listeners {
+		if n.sorted {
+			if err := unix.SetsockoptSockFprog(n.fd, unix.SOL_SOCKET, unix.SO_ATTACH_REUSEPORT_CBPF,
+				&unix.SockFprog{Len: uint16(len(filter)), Filter: &filter[0]}); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (l *Loop) drop(i int) {
+	n := l.listeners[i]
+	l.listeners = append(l.listeners[:i], l.listeners[i+1:]...)
+	delete(l.kind, n.fd)
+	unix.Close(n.fd)
+}
+
+// CloseListeners takes no more connections.
+func (l *Loop) CloseListeners() {
+	for len(l.listeners) > 0 {
+		l.drop(len(l.listeners) - 1)
+	}
+}
+
+// accepting stops or goes on taking connections. Guards against a busy loop
+// over a listener that is ready while no descriptor is free for what it has.
+func (l *Loop) accepting(on bool) {
+	l.resumeAt = 0
+	events := uint32(unix.EPOLLIN)
+	if !on {
+		l.resumeAt, events = l.Now()+acceptRest, 0
+	}
+	for _, n := range l.listeners {
+		unix.EpollCtl(l.epfd, unix.EPOLL_CTL_MOD, n.fd, &unix.EpollEvent{Events: events, Fd: int32(n.fd)})
+	}
+}
+
+// accept takes newcomers until a time: first from the queues of those that the
+// sorter names, then from the others, one of each in turn.
+func (l *Loop) accept(until time.Duration) {
+	left := acceptTurn
+	for _, sorted := range []bool{true, false} {
+		for more := true; more && left > 0; {
+			more = false
+			for i := range l.listeners {
+				n := l.listeners[(l.first+i)%len(l.listeners)]
+				if n.sorted != sorted {
+					continue
+				}
+				if !l.acceptOne(n) {
+					continue
+				}
+				more = true
+				if left--; left == 0 || l.resumeAt > 0 || l.Now() >= until {
+					l.first++
+					return
+				}
+			}
+			if l.resumeAt > 0 {
+				return
+			}
+		}
+	}
+}
+
+// acceptOne takes one newcomer and tells whether there was one.
+func (l *Loop) acceptOne(n listener) bool {
+	if l.clients >= l.most {
+		l.accepting(false)
+		return false
+	}
+	fd, sa, err := unix.Accept4(n.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+	switch {
+	case errors.Is(err, unix.EAGAIN):
+		return false
+	case errors.Is(err, unix.EMFILE), errors.Is(err, unix.ENFILE), errors.Is(err, unix.ENOBUFS), errors.Is(err, unix.ENOMEM):
+		l.accepting(false)
+		return false
+	case err != nil: // that connection ended meanwhile
+		return true
+	}
+	w := l.Head.Accept(l.Now(), addrOf(sa), n.key)
+	switch {
+	case w.Admitted:
+		l.clients++
+		l.put(w.ID, sock{fd: fd, id: w.ID, client: true, events: unix.EPOLLIN | unix.EPOLLRDHUP})
+		if l.add(fd, unix.EPOLLIN|unix.EPOLLRDHUP) != nil {
+			l.lost(w.ID)
+		}
+	case len(w.Answer) > 0 && l.lingering.room():
+		// Straight away and without epoll: the buffer of a new socket has room for it.
+		unix.Write(fd, w.Answer)
+		unix.Shutdown(fd, unix.SHUT_WR)
+		l.lingering.add(fd, l.Now()+w.Linger)
+	default:
+		unix.Close(fd)
+	}
+	return true
+}
+
+// lingering are connections that were turned away with an answer. They are closed
+// a while later, and not before, lest a reset for what they still send take the
+// answer from them.
+type lingering struct {
+	queue []lingerer
+	most  int
+}
+
+type lingerer struct {
+	fd    int
+	until time.Duration
+}
+
+func (q *lingering) room() bool { return len(q.queue) < q.most }
+
+func (q *lingering) add(fd int, until time.Duration) {
+	q.queue = append(q.queue, lingerer{fd, until})
+}
+
+func (q *lingering) next() time.Duration {
+	if len(q.queue) == 0 {
+		return 1 << 62
+	}
+	return q.queue[0].until
+}
+
+// end closes those whose time is over; they stand in its order.
+func (q *lingering) end(now time.Duration) {
+	n := 0
+	for n < len(q.queue) && q.queue[n].until <= now {
+		unix.Close(q.queue[n].fd)
+		n++
+	}
+	q.queue = append(q.queue[:0], q.queue[n:]...)
+}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -6,6 +6,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"net/netip"
 	"path/filepath"
 	"sync"
@@ -19,10 +20,48 @@
 const (
 	readSize   = 64 << 10
 	maxEvents  = 256
-	acceptTurn = 16 // connections taken of a listener in one turn, so that a burst does not starve the rest
+	acceptTurn = 64 // connections taken of the listeners in one turn
 	acceptRest = 50 * time.Millisecond
+	backlog    = 4096
+
+	// What newcomers may take of a turn: as long as all else in it took, but no less
+	// than the one, lest an idle head keep them waiting, and no more than the other.
+	acceptLeast = 200 * time.Microsecond
+	acceptMost  = time.Millisecond
+)
+
+// Part of a turn of the loop.
+type Part int
+
+// Parts, in their order within a turn: what is due, and answers, before newcomers.
+const (
+	Wake    Part = iota // how much later than asked the kernel woke the loop
+	Nodes               // what nodes sent
+	Clients             // what clients sent
+	Acts                // timers, decisions and writes
+	Accept              // newcomers, those turned away with them
+	Files               // node list, configuration, signals
+	Parts               // how many there are
 )
 
+func (p Part) String() string {
+	return [...]string{"wake", "nodes", "clients", "acts", "accept", "files"}[p]
+}
+
+// Turn is what one turn of the loop took, without the wait for events.
+type Turn struct {
+	Took   [Parts]time.Duration
+	Events int
+}
+
+// Sum is all that a turn took.
+func (t *Turn) Sum() (sum time.Duration) {
+	for _, d := range t.Took {
+		sum += d
+	}
+	return sum
+}
+
 // Loop is an epoll loop around a head.
 type Loop struct {
 	Head *head.Head
@@ -31,6 +70,8 @@
 	Watched func()
 	// Woken is called after Wake.
 	Woken func()
+	// Turned is told of every turn, if it is not nil. It must not keep the turn.
+	Turned func(*Turn)
 
 	epfd      int
 	mu        sync.Mutex // of wakefd
@@ -38,7 +79,9 @@
 	inotify   int
 	watchName string
 	start     time.Time
-	listeners []int
+	listeners []listener
+	first     int // listener whose turn it is to be first
+	lingering lingering
 	conns     []sock  // by the head's slot
 	byFD      []int32 // slot + 1 of a descriptor, 0: none
 	buf       []byte
@@ -46,6 +89,8 @@
 	clients   int
 	most      int
 	kind      map[int]int // descriptors that are no connections
+	mark      time.Duration
+	turn      Turn
 }
 
 type sock struct {
@@ -67,14 +112,16 @@
 // as a node that is still cold, has a time above zero too.
 const past = 24 * time.Hour
 
-// New returns a loop. most is how many client connections are held at once,
-// those that are just being turned away with them; more wait in the listen queue.
-func New(most int) (*Loop, error) {
+// New returns a loop. most is how many client connections are held at once; more
+// wait in the listen queue. told is how many of those turned away with an answer
+// are held beside them until they have read it.
+func New(most, told int) (*Loop, error) {
 	epfd, err := unix.EpollCreate1(unix.EPOLL_CLOEXEC)
 	if err != nil {
 		return nil, fmt.Errorf("epoll: %w", err)
 	}
 	l := &Loop{epfd: epfd, inotify: -1, start: time.Now().Add(-past), buf: make([]byte, readSize), most: most, kind: map[int]int{}}
+	l.lingering.most = told
 	if l.wakefd, err = unix.Eventfd(0, unix.EFD_CLOEXEC|unix.EFD_NONBLOCK); err != nil {
 		unix.Close(epfd)
 		return nil, fmt.Errorf("eventfd: %w", err)
@@ -124,53 +171,14 @@
 	return &unix.SockaddrInet6{Port: int(ap.Port()), Addr: ap.Addr().As16()}, unix.AF_INET6, nil
 }
 
-func addrOf(sa unix.Sockaddr) string {
+func addrOf(sa unix.Sockaddr) netip.AddrPort {
 	switch a := sa.(type) {
 	case *unix.SockaddrInet4:
-		return netip.AddrPortFrom(netip.AddrFrom4(a.Addr), uint16(a.Port)).String()
+		return netip.AddrPortFrom(netip.AddrFrom4(a.Addr), uint16(a.Port))
 	case *unix.SockaddrInet6:
-		return netip.AddrPortFrom(netip.AddrFrom16(a.Addr), uint16(a.Port)).String()
+		return netip.AddrPortFrom(netip.AddrFrom16(a.Addr), uint16(a.Port))
 	}
-	return ""
-}
-
-// Listen opens a listener and returns its address.
-func (l *Loop) Listen(addr string) (string, error) {
-	sa, family, err := sockaddr(addr)
-	if err != nil {
-		return "", err
-	}
-	fd, err := unix.Socket(family, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
-	if err != nil {
-		return "", fmt.Errorf("listen %s: %w", addr, err)
-	}
-	unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1)
-	err = unix.Bind(fd, sa)
-	if err == nil {
-		err = unix.Listen(fd, 4096)
-	}
-	if err == nil {
-		l.kind[fd] = kindListener
-		err = l.add(fd, unix.EPOLLIN)
-	}
-	if err != nil {
-		unix.Close(fd)
-		return "", fmt.Errorf("listen %s: %w", addr, err)
-	}
-	l.listeners = append(l.listeners, fd)
-	if sa, err = unix.Getsockname(fd); err != nil {
-		return addr, nil
-	}
-	return addrOf(sa), nil
-}
-
-// CloseListeners takes no more connections.
-func (l *Loop) CloseListeners() {
-	for _, fd := range l.listeners {
-		delete(l.kind, fd)
-		unix.Close(fd)
-	}
-	l.listeners = nil
+	return netip.AddrPort{}
 }
 
 // Watch calls Watched when the file is replaced or written.
@@ -191,6 +199,7 @@
 // Close lets go of every descriptor.
 func (l *Loop) Close() {
 	l.CloseListeners()
+	l.lingering.end(math.MaxInt64)
 	for i := range l.conns {
 		if l.conns[i].fd >= 0 {
 			unix.Close(l.conns[i].fd)
@@ -208,43 +217,99 @@
 	}
 }
 
-// Run goes on until done says so; that is asked once a turn.
+// took books the time since the last call on a part of the turn.
+func (l *Loop) took(p Part) {
+	now := l.Now()
+	l.turn.Took[p] += now - l.mark
+	l.mark = now
+}
+
+// Run goes on until done says so; that is asked once a turn. In a turn, what nodes
+// sent comes first, then clients, then what is due and what is to be written, and
+// newcomers last and for a bounded time. Guards against a burst of connections
+// behind which answers that are due would wait.
 func (l *Loop) Run(done func() bool) error {
 	events := make([]unix.EpollEvent, maxEvents)
+	l.mark = l.Now()
 	for {
 		next := l.act()
+		l.took(Acts)
+		if l.Turned != nil {
+			l.Turned(&l.turn)
+		}
+		l.turn = Turn{}
 		if done() {
 			return nil
 		}
 		wait := -1
+		next = min(next, l.lingering.next())
 		if l.resumeAt > 0 {
 			next = min(next, l.resumeAt)
 		}
-		if d := next - l.Now(); next < 1<<62 {
-			wait = int(min(max((d+time.Millisecond-1)/time.Millisecond, 0), 60000))
+		if next < 1<<62 {
+			wait = int(min(max((next-l.Now()+time.Millisecond-1)/time.Millisecond, 0), 60000))
 		}
 		n, err := unix.EpollWait(l.epfd, events, wait)
 		if err != nil && !errors.Is(err, unix.EINTR) {
 			return fmt.Errorf("epoll_wait: %w", err)
 		}
-		if l.resumeAt > 0 && l.Now() >= l.resumeAt {
-			l.accepting(true)
+		l.mark = l.Now()
+		if n <= 0 && next < 1<<62 {
+			l.turn.Took[Wake] = max(l.mark-next-time.Millisecond, 0)
 		}
-		for i := range max(n, 0) {
+		l.serve(events[:max(n, 0)])
+	}
+}
+
+// serve takes the events of one turn.
+func (l *Loop) serve(events []unix.EpollEvent) {
+	l.turn.Events = len(events)
+	began := l.mark
+	newcomers, files := false, false
+	for _, client := range []bool{false, true} {
+		for i := range events {
 			fd := int(events[i].Fd)
-			if kind, ok := l.kind[fd]; ok {
-				l.special(fd, kind)
-			} else if fd < len(l.byFD) && l.byFD[fd] > 0 {
-				l.ready(&l.conns[l.byFD[fd]-1], events[i].Events)
+			if fd < len(l.byFD) && l.byFD[fd] > 0 {
+				if s := &l.conns[l.byFD[fd]-1]; s.client == client {
+					l.ready(s, events[i].Events)
+					events[i].Events = 0
+				}
+			} else if kind := l.kind[fd]; kind == kindListener {
+				newcomers = true
+			} else if kind != 0 {
+				files = true
 			}
 		}
+		if client {
+			l.took(Clients)
+		} else {
+			l.took(Nodes)
+		}
 	}
+	if files {
+		for i := range events {
+			if fd := int(events[i].Fd); l.kind[fd] == kindWake || l.kind[fd] == kindInotify {
+				l.special(fd, l.kind[fd])
+			}
+		}
+		l.took(Files)
+	}
+	l.lingering.end(l.mark)
+	if l.resumeAt > 0 && l.mark >= l.resumeAt {
+		l.accepting(true)
+	}
+	if !newcomers || l.resumeAt > 0 {
+		return
+	}
+	due := l.act()
+	l.took(Acts)
+	until := l.mark + min(max(l.mark-began, acceptLeast), acceptMost)
+	l.accept(min(until, max(due, l.mark+acceptLeast)))
+	l.took(Accept)
 }
 
 func (l *Loop) special(fd, kind int) {
 	switch kind {
-	case kindListener:
-		l.accept(fd)
 	case kindWake:
 		var b [8]byte
 		unix.Read(fd, b[:])
@@ -279,45 +344,6 @@
 	}
 }
 
-// accepting stops or goes on taking connections. Guards against a busy loop
-// over a listener that is ready while no descriptor is free for what it has.
-func (l *Loop) accepting(on bool) {
-	l.resumeAt = 0
-	events := uint32(unix.EPOLLIN)
-	if !on {
-		l.resumeAt, events = l.Now()+acceptRest, 0
-	}
-	for _, fd := range l.listeners {
-		unix.EpollCtl(l.epfd, unix.EPOLL_CTL_MOD, fd, &unix.EpollEvent{Events: events, Fd: int32(fd)})
-	}
-}
-
-func (l *Loop) accept(lfd int) {
-	for range acceptTurn {
-		if l.clients >= l.most {
-			l.accepting(false)
-			return
-		}
-		fd, sa, err := unix.Accept4(lfd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
-		switch {
-		case errors.Is(err, unix.EAGAIN):
-			return
-		case errors.Is(err, unix.EMFILE), errors.Is(err, unix.ENFILE), errors.Is(err, unix.ENOBUFS), errors.Is(err, unix.ENOMEM):
-			l.accepting(false)
-			return
-		case err != nil: // that connection ended meanwhile
-			continue
-		}
-		unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
-		id := l.Head.Accept(l.Now(), addrOf(sa), lfd)
-		l.clients++
-		l.put(id, sock{fd: fd, id: id, client: true, events: unix.EPOLLIN | unix.EPOLLRDHUP})
-		if l.add(fd, unix.EPOLLIN|unix.EPOLLRDHUP) != nil {
-			l.lost(id)
-		}
-	}
-}
-
 func (l *Loop) put(id head.ConnID, s sock) {
 	for id.Slot() >= len(l.conns) {
 		l.conns = append(l.conns, sock{fd: -1})
@@ -382,6 +408,9 @@
 		l.Head.Connected(l.Now(), id)
 		return
 	}
+	if events == 0 { // served in this turn
+		return
+	}
 	if events&unix.EPOLLERR != 0 {
 		l.lost(id)
 		return
