--- a/cmd/maddergap/badday.go
+++ b/cmd/maddergap/badday.go
@@ -16,6 +16,7 @@
 	Rate    float64       `help:"Another rate, requests a second."`
 	Compare bool          `help:"Run the same day with a pass-through head beside it."`
 	Flood   bool          `help:"Press on every head with connections from 500 addresses all day."`
+	Tries   int           `help:"Connections that the flood tries on each head; 0: 300 for each second."`
 	Keep    string        `type:"path" help:"Folder for the records; without it they are removed."`
 	Story   bool          `help:"Print what the day holds and stop."`
 }
@@ -45,6 +46,11 @@
 		return nil
 	}
 	run := func(args ...string) (float64, bool, error) {
+		if c.Keep != "" {
+			if err := os.MkdirAll(c.Keep, 0o755); err != nil {
+				return 0, false, err
+			}
+		}
 		dir, err := os.MkdirTemp(c.Keep, "badday-")
 		if err != nil {
 			return 0, false, err
@@ -56,7 +62,7 @@
 		if err != nil {
 			return 0, false, err
 		}
-		report, err := badday.Run(&badday.Options{Plan: plan, Dir: dir, Exe: []string{exe}, HeadArgs: args, Flood: c.Flood, Progress: io.err})
+		report, err := badday.Run(&badday.Options{Plan: plan, Dir: dir, Exe: []string{exe}, HeadArgs: args, Flood: c.Flood, Tries: c.Tries, Progress: io.err})
 		if err != nil {
 			return 0, false, err
 		}
--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -55,6 +55,8 @@
 	Grace   time.Duration // of rule 3
 	Starts  []Span        // nodes that came up cold, From
 	Cold    Cold
+	Began   int64  // when the day began
+	Lags    []Span // when the rig itself was held up
 	// Blur is how far a time on one socket may lie from the same on another.
 	Blur time.Duration
 	// Late is what an answer may come after its deadline, for the machine's sake.
@@ -95,8 +97,28 @@
 	Attempts int
 	Late     int
 	Took     []time.Duration // of answers served, sorted
+	Past     Past
+	First    Opening
 }
 
+// Past are the answers that came after their deadline, by the clients' clock,
+// whether rule 1 allows it or not.
+type Past struct {
+	By      []time.Duration // sorted
+	Opening int             // of them in the day's first seconds
+	Rig     int             // of them while the rig itself was held up
+	RigMost time.Duration   // longest that it was
+}
+
+// Opening is the day's first seconds, in which heads know nobody.
+type Opening struct {
+	Due, Earned   float64
+	Refused, Lost int
+}
+
+// opening is how long they last.
+const opening = 5 * time.Second
+
 // Good tells whether no rule is broken.
 func (r *Report) Good() bool {
 	for _, x := range r.Rules {
@@ -151,6 +173,7 @@
 	}
 	r := &Report{Rules: []Rule{j.answers(), j.effects(), j.drains(), j.cold(), j.order(), j.budget(), j.limits()}}
 	j.worth(r)
+	j.past(r)
 	return r
 }
 
@@ -409,6 +432,33 @@
 	return r
 }
 
+// past collects answers after their deadline, and tells those that came while the
+// rig was held up, which may be its own doing.
+func (j *judge) past(r *Report) {
+	p := &r.Past
+	for _, l := range j.in.Lags {
+		p.RigMost = max(p.RigMost, time.Duration(l.To-l.From)*time.Microsecond)
+	}
+	for i := range j.in.Clients {
+		c := &j.in.Clients[i]
+		if c.Answered == 0 || c.Answered <= c.Deadline || c.Deadline == 0 {
+			continue
+		}
+		p.By = append(p.By, time.Duration(c.Answered-c.Deadline)*time.Microsecond)
+		if j.early(c) {
+			p.Opening++
+		}
+		if slices.ContainsFunc(j.in.Lags, func(l Span) bool { return l.From <= c.Answered && l.To >= c.Deadline }) {
+			p.Rig++
+		}
+	}
+	slices.Sort(p.By)
+}
+
+func (j *judge) early(c *Client) bool {
+	return j.in.Began > 0 && c.Sent < j.in.Began+opening.Microseconds()
+}
+
 // worth sums what was due and what was earned.
 func (j *judge) worth(r *Report) {
 	for _, c := range j.clients {
@@ -421,8 +471,24 @@
 			}
 		}
 		worth := class.Worth * price * c.Units
+		early := j.early(c)
 		if c.GaveUp == 0 {
 			r.Due += worth
+			if early {
+				r.First.Due += worth
+			}
+		}
+		if early && c.Status == 503 {
+			r.First.Refused++
+		}
+		if early && c.Answers == 0 && c.GaveUp == 0 {
+			r.First.Lost++
+		}
+		earn := func(part float64) {
+			r.Earned += worth * part
+			if early {
+				r.First.Earned += worth * part
+			}
 		}
 		took := time.Duration(c.Answered-c.Sent) * time.Microsecond
 		switch {
@@ -438,10 +504,10 @@
 			r.Served++
 			r.Took = append(r.Took, took)
 			if took <= class.Aim {
-				r.Earned += worth
+				earn(1)
 			} else {
 				r.Late++
-				r.Earned += worth * class.LateWorth
+				earn(class.LateWorth)
 			}
 		}
 	}
@@ -450,11 +516,13 @@
 }
 
 // Quantile of the answers served.
-func (r *Report) Quantile(q float64) time.Duration {
-	if len(r.Took) == 0 {
+func (r *Report) Quantile(q float64) time.Duration { return quantile(r.Took, q) }
+
+func quantile(sorted []time.Duration, q float64) time.Duration {
+	if len(sorted) == 0 {
 		return 0
 	}
-	return r.Took[min(int(math.Ceil(q*float64(len(r.Took))))-1, len(r.Took)-1)]
+	return sorted[min(int(math.Ceil(q*float64(len(sorted))))-1, len(sorted)-1)]
 }
 
 // Write prints the report.
@@ -474,10 +542,19 @@
 			fmt.Fprintf(w, "rule %d: %s\n", x.Number, strings.TrimSpace(e))
 		}
 	}
-	share := 0.0
-	if r.Due > 0 {
-		share = r.Earned / r.Due
+	ms := func(d time.Duration) time.Duration { return d.Round(100 * time.Microsecond) }
+	fmt.Fprintf(w, "answers after their deadline: %d (p50 %v, p99 %v, most %v); %d in the first %v; %d while the rig was held up (most %v)\n",
+		len(r.Past.By), ms(quantile(r.Past.By, 0.5)), ms(quantile(r.Past.By, 0.99)), ms(quantile(r.Past.By, 1)), r.Past.Opening, opening,
+		r.Past.Rig, ms(r.Past.RigMost))
+	part := func(earned, due float64) float64 {
+		if due == 0 {
+			return 0
+		}
+		return earned / due
 	}
+	fmt.Fprintf(w, "the first %v: worth on time %.3f of what was due, refused %d, without answer %d\n", opening,
+		part(r.First.Earned, r.First.Due), r.First.Refused, r.First.Lost)
+	share := part(r.Earned, r.Due)
 	fmt.Fprintf(w, "requests %d: served %d (late %d), refused %d, failed %d, gave up %d, lost with a killed head %d; attempts %d\n",
 		r.Requests, r.Served, r.Late, r.Refused, r.Failed, r.GaveUp, r.Lost, r.Attempts)
 	fmt.Fprintf(w, "served: p50 %v, p99 %v\n", r.Quantile(0.5).Round(100*time.Microsecond), r.Quantile(0.99).Round(100*time.Microsecond))
--- a/internal/badday/plan.go
+++ b/internal/badday/plan.go
@@ -254,8 +254,11 @@
 const floodCaps = "clients 300\nadmit address 32 known-times 10 reserve 200\nknown 127.0.0.1\n"
 
 // flood is the press on one head: connections that are held, from 500 addresses.
-func (p *Plan) flood(head string) flood.Options {
-	o := flood.Options{Target: head, Path: "/", Pattern: "hold", Tries: 300 * int(p.Length/time.Second), AtOnce: 600, Length: p.Length}
+func (p *Plan) flood(head string, tries int) flood.Options {
+	if tries == 0 {
+		tries = 300 * int(p.Length/time.Second)
+	}
+	o := flood.Options{Target: head, Path: "/", Pattern: "hold", Tries: tries, AtOnce: 600, Length: p.Length}
 	for i := range 500 {
 		o.Sources = append(o.Sources, netip.AddrFrom4([4]byte{127, 20, byte(i / 250), byte(i%250 + 1)}))
 	}
--- a/internal/badday/run.go
+++ b/internal/badday/run.go
@@ -40,8 +40,9 @@
 	// Flood presses on every head with connections from many addresses all day; the
 	// day's own clients are listed as known.
 	Flood bool
+	Tries int // connections that press on each head, 0: 300 for each second of the day
 	// Late is what an answer may come after its deadline by the clients' clock: the
-	// machine's part, not the head's. 0: 100 ms.
+	// machine's part, not the head's. 0: 50 ms.
 	Late  time.Duration
 	Block int // second byte of the loopback addresses; 0: by process id
 
@@ -61,7 +62,7 @@
 		o.Progress = io.Discard
 	}
 	if o.Late == 0 {
-		o.Late = 100 * time.Millisecond
+		o.Late = 50 * time.Millisecond
 	}
 	if o.Block == 0 {
 		o.Block = 1 + os.Getpid()%200
@@ -92,7 +93,8 @@
 	if err != nil {
 		return nil, err
 	}
-	const settle = 2 * time.Second // for processes and objects, before the day begins
+	// For processes and objects, before the day begins.
+	settle := 2*time.Second + time.Duration(p.Nodes+p.Heads)*100*time.Millisecond
 	epoch := time.Now().Add(settle).Truncate(time.Millisecond)
 	if err := nodelist.Replace(list, p.list(nodes, epoch, -1)); err != nil {
 		return nil, err
@@ -122,7 +124,7 @@
 		}
 		parts = append(parts, running[i])
 	}
-	in := audit.Input{Config: c, Grace: grace, Blur: 100 * time.Millisecond, Late: o.Late,
+	in := audit.Input{Config: c, Began: epoch.UnixMicro(), Grace: grace, Blur: 100 * time.Millisecond, Late: o.Late,
 		Cold: audit.Cold{Rate: cores / unitTime.Seconds(), From: coldFrom, For: p.Cold, Multiple: coldTimes, Window: coldWindow}}
 	for n, at := range p.Starts {
 		in.Starts = append(in.Starts, audit.Span{Name: fmt.Sprint("n", n), From: epoch.Add(at).UnixMicro()})
@@ -130,10 +132,15 @@
 	cs := newClients(c, heads)
 	var pressed sync.WaitGroup
 	defer pressed.Wait()
-	fates := make([]*flood.Result, len(heads))
+	fates := make([]string, len(heads))
+	watch := startWatch()
 	if o.Flood {
 		for i, h := range heads {
-			pressed.Go(func() { fates[i], _ = flood.Run(p.flood(h)) })
+			pressed.Go(func() {
+				if fates[i], err = o.press(p.flood(h, o.Tries)); err != nil {
+					fmt.Fprintf(o.Progress, "\rflood of head %d: %v\n", i, err)
+				}
+			})
 		}
 	}
 	late := time.Duration(0)
@@ -155,24 +162,36 @@
 			return nodelist.Replace(list, p.list(nodes, epoch, ch.At))
 		}})
 	}
+	var starting sync.WaitGroup
+	var back sync.Mutex // of what a start aside leaves
+	var failed error
+	defer starting.Wait()
 	for _, k := range p.Kills {
 		events = append(events, happening{k.At, func() error {
+			back.Lock()
+			defer back.Unlock()
 			in.Down = append(in.Down, audit.Span{Name: fmt.Sprint(k.Head), From: micro()})
 			running[k.Head].kill()
 			cs.forget(k.Head)
 			return nil
 		}}, happening{k.Back, func() error {
-			var err error
-			if running[k.Head], err = o.startHead(k.Head, confs[k.Head], heads[k.Head]); err != nil {
-				return err
-			}
-			parts = append(parts, running[k.Head])
-			cs.forget(k.Head)
-			for i := range in.Down {
-				if in.Down[i].Name == fmt.Sprint(k.Head) && in.Down[i].To == 0 {
-					in.Down[i].To = micro()
+			// Aside, so that the schedule does not stand still while a head starts.
+			starting.Go(func() {
+				h, err := o.startHead(k.Head, confs[k.Head], heads[k.Head])
+				back.Lock()
+				defer back.Unlock()
+				if err != nil {
+					failed = errors.Join(failed, err)
+					return
 				}
-			}
+				running[k.Head], parts = h, append(parts, h)
+				cs.forget(k.Head)
+				for i := range in.Down {
+					if in.Down[i].Name == fmt.Sprint(k.Head) && in.Down[i].To == 0 {
+						in.Down[i].To = micro()
+					}
+				}
+			})
 			return nil
 		}})
 	}
@@ -203,10 +222,15 @@
 		next++
 	}
 	in.Clients = cs.finish()
+	starting.Wait()
+	if failed != nil {
+		return nil, failed
+	}
+	in.Lags = watch.stop()
 	pressed.Wait()
 	for i, f := range fates {
-		if f != nil {
-			f.Flood.Write(o.Progress, fmt.Sprintf("flood of head %d:", i))
+		if f != "" {
+			fmt.Fprintf(o.Progress, "\rflood of head %d: %s\n", i, f)
 		}
 	}
 	fmt.Fprintf(o.Progress, "\rday over; the schedule was kept to within %v\n", late.Round(time.Millisecond))
@@ -273,6 +297,63 @@
 	return o.process(addr, fmt.Sprint("head", i), append([]string{"serve", "--config", file}, o.HeadArgs...)...)
 }
 
+// press runs a flood in a process of its own, so that it does not take the
+// clients' time, and returns what became of it.
+func (o *Options) press(f flood.Options) (string, error) {
+	if len(o.Exe) == 0 {
+		r, err := flood.Run(f)
+		if err != nil {
+			return "", err
+		}
+		var b strings.Builder
+		r.Flood.Write(&b, "")
+		return strings.TrimSpace(b.String()), nil
+	}
+	out, err := child.Output(append(slices.Clone(o.Exe), "flood", "--target", f.Target, "--path", f.Path, "--pattern", f.Pattern,
+		"--sources", fmt.Sprint(len(f.Sources)), "--tries", fmt.Sprint(f.Tries), "--at-once", fmt.Sprint(f.AtOnce),
+		"--length", f.Length.String(), "--known", "0")...)
+	first, _, _ := strings.Cut(string(out), "\n")
+	return first, err
+}
+
+// watch sees when this process itself was held up, so that a late rig is told from
+// a late head.
+type watch struct {
+	quit chan struct{}
+	lags chan []audit.Span
+}
+
+const (
+	watchEvery = 2 * time.Millisecond
+	lagLeast   = 5 * time.Millisecond
+)
+
+func startWatch() *watch {
+	w := &watch{make(chan struct{}), make(chan []audit.Span, 1)}
+	go func() {
+		var lags []audit.Span
+		for last := time.Now(); ; {
+			select {
+			case <-w.quit:
+				w.lags <- lags
+				return
+			case <-time.After(watchEvery):
+			}
+			now := time.Now()
+			if late := now.Sub(last) - watchEvery; late >= lagLeast && len(lags) < 1<<16 {
+				lags = append(lags, audit.Span{From: last.Add(watchEvery).UnixMicro(), To: now.UnixMicro()})
+			}
+			last = now
+		}
+	}()
+	return w
+}
+
+func (w *watch) stop() []audit.Span {
+	close(w.quit)
+	return <-w.lags
+}
+
 type inNode struct {
 	n    *standin.Node
 	over bool
--- a/internal/child/child.go
+++ b/internal/child/child.go
@@ -54,6 +54,18 @@
 	return nil, fmt.Errorf("%v does not listen on %s", argv, addr)
 }
 
+// Output runs a command to its end and returns what it prints; what it says of a
+// failure goes into the error.
+func Output(argv ...string) ([]byte, error) {
+	cmd := exec.Command(argv[0], argv[1:]...)
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	out, err := cmd.Output()
+	if e := (*exec.ExitError)(nil); errors.As(err, &e) {
+		err = fmt.Errorf("%v: %w: %s", argv, err, bytes.TrimSpace(e.Stderr))
+	}
+	return out, err
+}
+
 // Pid is the process's id.
 func (p *Process) Pid() int { return p.cmd.Process.Pid }
 
