Admission: slow requests give way, paces, requests a connection, buffers in all, turn metrics

Cause: what was open of admission of connections; and an answer still in a connection's buffer counted as idle and could be cut for room.

Change: a request not taken gives way to known clients after idle ones; pace gives up peers that move a byte now and then; requests N a connection; buffers bounds what all hold, with a least for each; an answer is ended for admission when it went out. Entries carry when they may be taken over, and the hoard of their address, so that no decision reads limiters of others or walks idle lists.

--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -8,7 +8,8 @@
 //     under their caps;
 //   - unknown clients' connections with a request under way leave the reserve
 //     free, so that known clients get it back at once by closing idle ones;
-//   - a connection with a request under way is never closed for room;
+//   - a connection with a request taken is never closed for room;
+//   - no request is begun for which the buffers of all have no room;
 //   - an address that used its rate up is not forgotten for one that did not.
 package admit
 
@@ -45,8 +46,10 @@
 	Learned        int           // addresses that may be known by what was learned
 	AnswerRate     float64       // refusals a second that are told, the rest is closed
 	AnswerBurst    int
-	KnownMultiple  int // known addresses may have so many times the caps of one address
-	PressureIdle   int // connections left, under which idle unknown ones are not kept
+	KnownMultiple  int   // known addresses may have so many times the caps of one address
+	Buffers        int64 // bytes held for all client connections, 0: any
+	BufferLeast    int   // bytes that a connection may hold whatever the others do
+	PressureIdle   int   // connections left, under which idle unknown ones are not kept
 	IdleUnderPress time.Duration
 }
 
@@ -77,6 +80,9 @@
 	if c.Learn > 0 && (c.Learned < 1 || time.Duration(c.Learn)*time.Second > c.Forget) {
 		bad("an address is known after %d good seconds, but they fade within %v, or none is kept", c.Learn, c.Forget)
 	}
+	if c.Buffers > 0 && (c.BufferLeast < 1 || c.Buffers < int64(c.Total)*int64(c.BufferLeast)) {
+		bad("%d bytes of buffers are less than %d for each of %d connections", c.Buffers, c.BufferLeast, c.Total)
+	}
 	for i, a := range c.Known {
 		for _, b := range c.Known[:i] {
 			if a.Overlaps(b) {
@@ -100,11 +106,12 @@
 	ByAddressRate
 	ByWideRate
 	ByReserve // a request of an unknown client would take what is kept for known ones
+	ByBuffers // what is held for all leaves no room for another request
 	Reasons   // how many there are
 )
 
 func (r Reason) String() string {
-	return [...]string{"", "total", "listener", "address", "prefix", "address rate", "prefix rate", "reserve"}[r]
+	return [...]string{"", "total", "listener", "address", "prefix", "address rate", "prefix rate", "reserve", "buffers"}[r]
 }
 
 // Verdict on an arrival.
@@ -113,7 +120,7 @@
 	Tell   bool   // refuse with an answer, else close quietly
 	Reason Reason // of a refusal
 	Known  bool
-	Close  uint64 // an idle connection that gives way, if Way
+	Close  uint64 // a connection that gives way, if Way: idle, or with a request that is not taken
 	Way    bool
 }
 
@@ -124,12 +131,22 @@
 	addr     *entry
 	wide     *entry
 	known    bool
-	busy     bool // a request is under way
-	served   bool // it had one
-	since    Time // of its present state
-	at       *list.Element
+	state    state
+	served   bool          // it had one
+	since    Time          // of its present state
+	at       *list.Element // among those that may give way
+	hoarded  *list.Element // the same of its address, while it was never served
 }
 
+// state is what a connection is doing.
+type state uint8
+
+const (
+	idle  state = iota
+	slow        // a request has begun, and its body is still to come: nothing of it is taken
+	taken       // a request is owed its answer
+)
+
 // Admission holds the connections of one head. It is not safe for concurrent use.
 type Admission struct {
 	c         Config
@@ -142,12 +159,20 @@
 	learned   *learned
 	answers   *rate.Limiter
 	known     int // connections of known clients
-	busy      int // of unknown clients with a request under way
-	// Idle connections, those longest so first: unknown that never had a request
-	// served, unknown that had, known.
-	idle [3]list.List
+	busy      int // of unknown clients with a request begun or taken
+	// Connections that may give way, those longest so first, by class.
+	idle [classes]list.List
 }
 
+// Classes of connections that may give way, in the order in which they do.
+const (
+	neverServed = iota // idle, of unknown clients
+	onceServed
+	slowBody // of unknown clients, with a request not taken
+	ofKnown  // idle; these give way to nobody
+	classes
+)
+
 // New returns an admission for a checked configuration.
 func New(c Config, seed uint64) (*Admission, error) {
 	if err := c.Check(); err != nil {
@@ -172,8 +197,8 @@
 	a.c = c
 	a.answers.SetLimitAt(clock(a.now), rate.Limit(c.AnswerRate))
 	a.answers.SetBurstAt(clock(a.now), c.AnswerBurst)
-	a.addrs.change(c.AddressRate, c.AddressBurst)
-	a.wides.change(c.WideRate, c.WideBurst)
+	a.addrs.change(a.now, c.AddressRate, c.AddressBurst)
+	a.wides.change(a.now, c.WideRate, c.WideBurst)
 	return nil
 }
 
@@ -225,15 +250,14 @@
 	c := &conn{id: id, listener: listener, addr: ea, wide: ew, known: known, since: a.now}
 	a.conns[id] = c
 	a.listeners[listener]++
-	ea.conns++
 	if known {
 		a.known++
+		a.knowns.join(a.now, ea)
 	} else {
-		ew.conns++
-		ea.limiter.AllowN(clock(a.now), 1)
-		ew.limiter.AllowN(clock(a.now), 1)
+		a.addrs.join(a.now, ea)
+		a.wides.join(a.now, ew)
 	}
-	a.rest(c)
+	a.enter(c, idle)
 	return v
 }
 
@@ -266,20 +290,20 @@
 	return None
 }
 
-// giveWay picks the idle connection that makes room, nil if none may.
+// giveWay picks the connection that makes room, nil if none may: within a full
+// address one of its own that was never served, for a known client any unknown one
+// that is idle, then one whose request has not come whole.
 func (a *Admission) giveWay(why Reason, ea *entry, known bool) *conn {
 	if why == ByAddress {
-		for e := a.idle[0].Front(); e != nil; e = e.Next() {
-			if c := e.Value.(*conn); c.addr == ea {
-				return c
-			}
+		if e := ea.hoard.Front(); e != nil {
+			return e.Value.(*conn)
 		}
 		return nil
 	}
 	if !known {
 		return nil
 	}
-	for i := range 2 {
+	for i := range ofKnown {
 		if e := a.idle[i].Front(); e != nil {
 			return e.Value.(*conn)
 		}
@@ -287,54 +311,103 @@
 	return nil
 }
 
-// rest puts a connection among the idle ones.
-func (a *Admission) rest(c *conn) {
-	c.busy, c.since = false, a.now
-	c.at = a.idle[c.class()].PushBack(c)
-}
-
-func (c *conn) class() int {
+// enter puts a connection into a state, and among those that may give way in it.
+func (a *Admission) enter(c *conn, s state) {
+	a.leave(c)
+	c.state, c.since = s, a.now
+	if s != idle && !c.known {
+		a.busy++
+	}
+	class := neverServed
 	switch {
+	case s == taken, s == slow && c.known:
+		return
 	case c.known:
-		return 2
+		class = ofKnown
+	case s == slow:
+		class = slowBody
 	case c.served:
-		return 1
+		class = onceServed
+	}
+	c.at = a.idle[class].PushBack(c)
+	if !c.served {
+		c.hoarded = c.addr.hoard.PushBack(c)
 	}
-	return 0
 }
 
-// Begin tells that a connection has a whole request header, and returns whether
-// the request may be taken; one that may not is refused, its connection closed.
-func (a *Admission) Begin(now Time, id uint64) (bool, Reason) {
+// leave takes a connection out of its state.
+func (a *Admission) leave(c *conn) {
+	if c.state != idle && !c.known {
+		a.busy--
+	}
+	if c.at != nil {
+		for i := range a.idle {
+			a.idle[i].Remove(c.at) // of the one list that has it
+		}
+		c.at = nil
+	}
+	if c.hoarded != nil {
+		c.addr.hoard.Remove(c.hoarded)
+		c.hoarded = nil
+	}
+	c.state = idle
+}
+
+// Begin tells that a connection has a whole request header, and how much is held
+// for all, and returns whether the request may go on; one that may not is refused,
+// its connection closed. Until Taken nothing is owed for it.
+func (a *Admission) Begin(now Time, id uint64, held int64) (bool, Reason) {
 	a.now = max(now, a.now)
 	c := a.conns[id]
-	if c == nil || c.busy {
+	switch {
+	case c == nil || c.state != idle:
 		return c != nil, None
-	}
-	if !c.known && a.busy >= a.c.Total-a.c.Reserve {
+	case !c.known && a.busy >= a.c.Total-a.c.Reserve:
 		return false, ByReserve
+	case a.c.Buffers > 0 && held >= a.buffers(c.known):
+		return false, ByBuffers
 	}
-	a.idle[c.class()].Remove(c.at)
-	c.at, c.busy = nil, true
-	if !c.known {
-		a.busy++
-	}
+	a.enter(c, slow)
 	return true, None
 }
 
+// buffers is up to how many bytes held another request may begin: known clients
+// have the reserve's part to themselves.
+func (a *Admission) buffers(known bool) int64 {
+	if known {
+		return a.c.Buffers
+	}
+	return a.c.Buffers / int64(a.c.Total) * int64(a.c.Total-a.c.Reserve)
+}
+
+// Room returns how much of its bound one connection may hold while so much is held
+// for all. Past the bound of all, each has its least alone: what others hold drains
+// meanwhile, and none stands still for good.
+func (a *Admission) Room(held int64, bound int) int {
+	if a.c.Buffers > 0 && held >= a.c.Buffers {
+		return min(bound, a.c.BufferLeast)
+	}
+	return bound
+}
+
+// Taken tells that a connection's request is owed its answer from now on.
+func (a *Admission) Taken(now Time, id uint64) {
+	a.now = max(now, a.now)
+	if c := a.conns[id]; c != nil && c.state == slow {
+		a.enter(c, taken)
+	}
+}
+
 // End tells that a request's answer went out. good: it was served, to a client
 // that took it in time.
 func (a *Admission) End(now Time, id uint64, good bool) {
 	a.now = max(now, a.now)
 	c := a.conns[id]
-	if c == nil || !c.busy {
+	if c == nil || c.state == idle {
 		return
 	}
-	if !c.known {
-		a.busy--
-	}
 	c.served = c.served || good
-	a.rest(c)
+	a.enter(c, idle)
 	if good && !c.addr.shared {
 		a.learned.good(a.now, c.addr.key)
 	}
@@ -353,29 +426,26 @@
 	if a.listeners[c.listener]--; a.listeners[c.listener] == 0 {
 		delete(a.listeners, c.listener)
 	}
-	c.addr.conns--
+	a.leave(c)
 	if c.known {
 		a.known--
+		a.knowns.part(a.now, c.addr)
 	} else {
-		c.wide.conns--
-		if c.busy {
-			a.busy--
-		}
-	}
-	if c.at != nil {
-		a.idle[c.class()].Remove(c.at)
+		a.addrs.part(a.now, c.addr)
+		a.wides.part(a.now, c.wide)
 	}
 }
 
-// Pressed returns an idle unknown connection that is not worth its place while
-// few are left: idle for longer than IdleUnderPress, those never served first.
+// Pressed returns an unknown connection that is not worth its place while few are
+// left: idle, or with a request that has not come whole, for longer than
+// IdleUnderPress; those never served first, the slow ones last.
 // It is to be closed, and told of as Closed, before the next is asked for.
 func (a *Admission) Pressed(now Time) (id uint64, ok bool) {
 	a.now = max(now, a.now)
 	if a.c.Total-len(a.conns) >= a.c.PressureIdle {
 		return 0, false
 	}
-	for i := range 2 {
+	for i := range ofKnown {
 		if e := a.idle[i].Front(); e != nil {
 			if c := e.Value.(*conn); a.now >= c.since+a.c.IdleUnderPress {
 				return c.id, true
--- a/internal/admit/admit_test.go
+++ b/internal/admit/admit_test.go
@@ -25,6 +25,15 @@
 	return a
 }
 
+// take begins a request and has it taken.
+func take(a *Admission, now Time, id uint64) (bool, Reason) {
+	ok, why := a.Begin(now, id, 0)
+	if ok {
+		a.Taken(now, id)
+	}
+	return ok, why
+}
+
 func ip(s string) netip.Addr { return netip.MustParseAddr(s) }
 
 func TestCheck(t *testing.T) {
@@ -76,7 +85,7 @@
 				t.Errorf("%s: an idle connection gave way to an equal", c.name)
 			}
 			if v.Accept {
-				a.Begin(time.Second, uint64(i)) // so that none is idle
+				take(a, time.Second, uint64(i)) // so that none is idle
 				taken++
 			} else if v.Reason != c.reason {
 				t.Errorf("%s: refused by %v", c.name, v.Reason)
@@ -99,7 +108,7 @@
 		if v := a.Arrive(0, uint64(i), 0, ip(fmt.Sprintf("1.%d.1.1", i))); !v.Accept {
 			t.Fatalf("connection %d of 20 is refused by %v: the reserve is not lent", i, v.Reason)
 		}
-		if ok, why := a.Begin(0, uint64(i)); ok {
+		if ok, why := take(a, 0, uint64(i)); ok {
 			begun++
 		} else if why != ByReserve {
 			t.Fatal(why)
@@ -128,7 +137,7 @@
 	for i := range uint64(4) {
 		a.Arrive(0, i, 0, ip("1.1.1.1"))
 	}
-	a.Begin(0, 0)
+	take(a, 0, 0)
 	a.End(0, 0, true)
 	for i := range uint64(10) {
 		v := a.Arrive(0, 10+i, 0, ip("1.1.1.1"))
@@ -144,14 +153,14 @@
 	a := must(t, config())
 	serve := func(now Time, id uint64, addr string) Verdict {
 		v := a.Arrive(now, id, 0, ip(addr))
-		a.Begin(now, id)
+		take(a, now, id)
 		a.End(now, id, true)
 		a.Closed(now, id)
 		return v
 	}
 	for i := range uint64(100) { // a hundred requests within a second
 		a.Arrive(0, i, 0, ip("2.2.2.2"))
-		a.Begin(0, i)
+		take(a, 0, i)
 		a.End(0, i, true)
 		a.Closed(0, i)
 	}
@@ -224,7 +233,7 @@
 	c.Address = 1
 	a := must(t, c)
 	a.Arrive(0, 1, 0, ip("1.1.1.1"))
-	a.Begin(0, 1)
+	take(a, 0, 1)
 	told := 0
 	for i := range 50 {
 		if v := a.Arrive(0, uint64(2+i), 0, ip("1.1.1.1")); v.Tell {
@@ -243,7 +252,7 @@
 	for i := range 16 {
 		a.Arrive(0, uint64(i), 0, ip(fmt.Sprintf("1.%d.1.1", i)))
 	}
-	a.Begin(0, 0)
+	take(a, 0, 0)
 	a.End(0, 1, true)
 	if _, ok := a.Pressed(time.Second / 2); ok {
 		t.Error("closed before its time")
@@ -258,6 +267,71 @@
 	}
 }
 
+// Buffers: an unknown client's request begins while the reserve's part is free, a
+// known one's up to the bound; past it each connection has its least.
+func TestBuffers(t *testing.T) {
+	c := config()
+	c.AddressRate, c.WideRate, c.Listener = 0, 0, 0
+	c.Buffers, c.BufferLeast = 20*100, 100
+	a := must(t, c)
+	a.Arrive(0, 1, 0, ip("1.1.1.1"))
+	a.Arrive(0, 2, 0, ip("10.9.0.1"))
+	if ok, why := a.Begin(0, 1, 1500); ok || why != ByBuffers {
+		t.Errorf("an unknown client past its part: %v %v", ok, why)
+	}
+	if ok, _ := a.Begin(0, 2, 1999); !ok {
+		t.Error("a known client within the bound is refused")
+	}
+	a.End(0, 2, true)
+	if ok, why := a.Begin(0, 2, 2000); ok || why != ByBuffers {
+		t.Errorf("a known client past the bound: %v %v", ok, why)
+	}
+	if ok, _ := a.Begin(0, 1, 1499); !ok {
+		t.Error("an unknown client within its part is refused")
+	}
+	if a.Room(1999, 500) != 500 || a.Room(2000, 500) != 100 || a.Room(2000, 50) != 50 {
+		t.Error("what one may hold")
+	}
+	c.Buffers = 20*100 - 1
+	if c.Check() == nil {
+		t.Error("buffers under the least of all connections")
+	}
+}
+
+// Among unknown connections those give way first that were never served, then idle
+// ones, then slow ones; taken ones never.
+func TestOrderOfGivingWay(t *testing.T) {
+	c := config()
+	c.AddressRate, c.WideRate, c.Listener, c.Reserve = 0, 0, 0, 5
+	c.Total = 12
+	a := must(t, c)
+	for i := range uint64(12) {
+		a.Arrive(Time(i), i, 0, ip(fmt.Sprintf("1.%d.1.1", i)))
+	}
+	a.Begin(20, 0, 0) // slow
+	take(a, 20, 1)    // taken
+	for i := uint64(2); i < 12; i++ {
+		if i != 5 {
+			take(a, 30, i)
+			a.End(30, i, true)
+		}
+	}
+	var order []uint64
+	for i := range uint64(11) {
+		v := a.Arrive(40, 100+i, 0, ip(fmt.Sprintf("10.9.0.%d", i)))
+		if !v.Accept {
+			t.Fatalf("known client %d: %+v", i, v)
+		}
+		order = append(order, v.Close)
+	}
+	if order[0] != 5 || order[10] != 0 {
+		t.Errorf("gave way in the order %v, want 5 (never served) first and 0 (slow) last", order)
+	}
+	if v := a.Arrive(40, 200, 0, ip("10.9.0.50")); v.Accept || v.Reason != ByTotal {
+		t.Errorf("what was taken gave way: %+v", v)
+	}
+}
+
 // At every step of any history the caps, the reserve and the bounds hold, by a
 // count of the test's own.
 func TestAnyHistory(t *testing.T) {
@@ -276,6 +350,7 @@
 			listener int
 			known    bool
 			busy     bool
+			taken    bool
 		}
 		live := map[uint64]*state{}
 		ids := []uint64{}
@@ -308,7 +383,7 @@
 				v := a.Arrive(now, next, listener, addr)
 				if v.Way {
 					s := live[v.Close]
-					if s == nil || s.busy || s.known {
+					if s == nil || s.taken || s.known {
 						t.Fatalf("%d gave way: %+v", v.Close, s)
 					}
 					drop(v.Close)
@@ -320,7 +395,7 @@
 					t.Fatalf("a known client is refused with %d of the reserve of %d used", knownNow, c.Reserve)
 				}
 				if v.Accept {
-					live[next] = &state{addr, listener, v.Known, false}
+					live[next] = &state{addr, listener, v.Known, false, false}
 					ids = append(ids, next)
 				}
 				next++
@@ -330,14 +405,17 @@
 				}
 				id := ids[rapid.IntRange(0, len(ids)-1).Draw(t, "which")]
 				s := live[id]
-				switch rapid.IntRange(0, 2).Draw(t, "do") {
+				switch rapid.IntRange(0, 3).Draw(t, "do") {
 				case 0:
-					if ok, _ := a.Begin(now, id); ok {
+					if ok, _ := a.Begin(now, id, 0); ok {
 						s.busy = true
 					}
+				case 3:
+					a.Taken(now, id)
+					s.taken = s.busy
 				case 1:
 					a.End(now, id, rapid.Bool().Draw(t, "good"))
-					s.busy = false
+					s.busy, s.taken = false, false
 				case 2:
 					a.Closed(now, id)
 					drop(id)
@@ -383,33 +461,71 @@
 	})
 }
 
-// Decisions cost the same after ten addresses and after a million.
+// Decisions cost the same after ten addresses and after a million, like for like:
+// each arrival is of an address seen long ago, in a table that is as full as it
+// gets, and all are accepted, or all refused.
 func BenchmarkArrive(b *testing.B) {
-	for _, seen := range []int{10, 1_000_000} {
-		b.Run(fmt.Sprint(seen), func(b *testing.B) {
+	for _, refused := range []bool{false, true} {
+		for _, seen := range []int{10, 1000, 100_000, 1_000_000} {
+			b.Run(fmt.Sprintf("refused=%v/seen=%d", refused, seen), func(b *testing.B) {
+				c := config()
+				c.Total, c.Listener, c.Entries, c.Known = 1000, 0, 1<<16, nil
+				c.AddressRate, c.WideRate = 1e6, 1e6
+				c.AddressBurst, c.WideBurst = 1e6, 1e6
+				if refused {
+					c.Listener = 1
+				}
+				a, err := New(c, 1)
+				if err != nil {
+					b.Fatal(err)
+				}
+				if refused {
+					a.Arrive(0, 1<<40, 0, ip("9.9.9.9"))
+				}
+				addr := func(i int) netip.Addr {
+					return netip.AddrFrom4([4]byte{byte(i>>24) + 20, byte(i >> 16), byte(i >> 8), byte(i)})
+				}
+				id := uint64(0)
+				come := func(i int) {
+					id++
+					now := Time(id) * time.Millisecond
+					if a.Arrive(now, id, 0, addr(i)).Accept {
+						a.Closed(now, id)
+					}
+				}
+				for i := range max(seen, 100_000) { // tables as warm in every run
+					come(i % seen * 256)
+				}
+				b.ReportAllocs()
+				for i := 0; b.Loop(); i++ {
+					come(i % seen * 256)
+				}
+			})
+		}
+	}
+}
+
+// A flood from an address at its cap costs the same however many others are idle.
+func BenchmarkFullAddress(b *testing.B) {
+	for _, idle := range []int{10, 1000, 100_000} {
+		b.Run(fmt.Sprint(idle), func(b *testing.B) {
 			c := config()
-			c.Total, c.Listener, c.Entries = 1000, 0, 1<<16
+			c.Total, c.Listener, c.Wide, c.Address, c.Entries, c.AddressRate, c.WideRate = 200_000, 0, 0, 4, 1<<18, 0, 0
 			a, err := New(c, 1)
 			if err != nil {
 				b.Fatal(err)
 			}
-			addr := func(i int) netip.Addr {
-				return netip.AddrFrom4([4]byte{byte(i>>24) + 20, byte(i >> 16), byte(i >> 8), byte(i)})
+			for i := range idle {
+				a.Arrive(0, uint64(i), 0, netip.AddrFrom4([4]byte{20, byte(i >> 16), byte(i >> 8), byte(i)}))
 			}
-			id := uint64(0)
-			come := func(i int) {
-				id++
-				now := Time(id) * time.Millisecond
-				if a.Arrive(now, id, 0, addr(i)).Accept {
-					a.Closed(now, id)
-				}
+			for i := range uint64(4) {
+				a.Arrive(0, 1<<40+i, 0, ip("9.9.9.9"))
+				take(a, 0, 1<<40+i)
 			}
-			for i := range seen {
-				come(i * 256)
-			}
-			b.ReportAllocs()
-			for i := 0; b.Loop(); i++ {
-				come(i % seen * 256)
+			for id := uint64(1 << 41); b.Loop(); id++ {
+				if a.Arrive(0, id, 0, ip("9.9.9.9")).Accept {
+					b.Fatal("past its cap")
+				}
 			}
 		})
 	}
@@ -422,7 +538,7 @@
 	a := must(t, c)
 	for i := range 40 {
 		if a.Arrive(0, uint64(i), 0, ip(fmt.Sprintf("1.1.%d.1", i))).Accept {
-			a.Begin(0, uint64(i))
+			take(a, 0, uint64(i))
 		}
 	}
 	if n := a.Counts().Conns; n != ways+1 {
--- a/internal/admit/table.go
+++ b/internal/admit/table.go
@@ -1,6 +1,7 @@
 package admit
 
 import (
+	"container/list"
 	"math"
 	"net/netip"
 	"slices"
@@ -18,18 +19,33 @@
 	key     netip.Prefix
 	conns   int
 	limiter *rate.Limiter
-	shared  bool // of all that found no place
-	used    bool
+	hoard   list.List // connections that were never served and may give way
+	shared  bool      // of all that found no place
+	set     *set      // where it stands, nil for the shared one
+	at      int
 }
 
+// set is the places that an address may stand in. What a look at it needs stands
+// together, so that a flood of addresses costs a few lines of memory for each.
+type set struct {
+	hash    [ways]uint64
+	free    [ways]Time // from when on the entry may be taken over; never, while it has connections
+	entries [ways]entry
+}
+
+const (
+	unused  = Time(-1)
+	notFree = Time(math.MaxInt64)
+)
+
 // table holds a fixed number of entries in sets of eight. A newcomer takes the
-// place of the entry of its set with the most of its rate left and no
+// place of the entry of its set whose rate was whole again first, and which has no
 // connection; an entry whose rate is used up, or that holds connections, stays.
 // Where all eight stay, newcomers share one entry and its caps: a flood from very
 // many addresses is then held as if it came from one, and a heavy hitter is never
 // forgotten for it. The seed keeps anybody from choosing who shares a set.
 type table struct {
-	sets  [][ways]entry
+	sets  []set
 	seed  uint64
 	rate  rate.Limit
 	burst int
@@ -45,63 +61,98 @@
 }
 
 func newTable(entries int, seed uint64, perSecond float64, burst int) *table {
-	t := &table{sets: make([][ways]entry, max(1, entries/ways)), seed: seed}
+	t := &table{sets: make([]set, max(1, entries/ways)), seed: seed}
+	for i := range t.sets {
+		for k := range ways {
+			t.sets[i].free[k] = unused
+		}
+	}
 	t.rate, t.burst = limits(perSecond, burst)
 	t.crowd = entry{shared: true, limiter: rate.NewLimiter(t.rate, t.burst)}
 	return t
 }
 
-func (t *table) change(perSecond float64, burst int) {
+// change puts another rate in force, of every entry.
+func (t *table) change(now Time, perSecond float64, burst int) {
 	t.rate, t.burst = limits(perSecond, burst)
-	set := func(e *entry) {
+	change := func(e *entry) {
 		if e.limiter != nil {
-			e.limiter.SetLimit(t.rate)
-			e.limiter.SetBurst(t.burst)
+			e.limiter.SetLimitAt(clock(now), t.rate)
+			e.limiter.SetBurstAt(clock(now), t.burst)
+			t.mark(now, e)
 		}
 	}
-	set(&t.crowd)
+	change(&t.crowd)
 	for i := range t.sets {
-		for k := range t.sets[i] {
-			set(&t.sets[i][k])
+		for k := range t.sets[i].entries {
+			change(&t.sets[i].entries[k])
 		}
 	}
 }
 
+// mark books when an entry may be taken over: once its whole rate is left, as
+// nothing is lost with it then, and not while it has connections.
+func (t *table) mark(now Time, e *entry) {
+	if e.set == nil {
+		return
+	}
+	free := now
+	if e.conns > 0 {
+		free = notFree
+	} else if t.rate != rate.Inf {
+		if missing := float64(t.burst) - e.limiter.TokensAt(clock(now)); missing > 0 {
+			free += Time(missing/float64(t.rate)*float64(time.Second)) + 1
+		}
+	}
+	e.set.free[e.at] = free
+}
+
+// join and part count an entry's connections; join takes one from its rate.
+func (t *table) join(now Time, e *entry) {
+	e.conns++
+	if t.rate != rate.Inf {
+		e.limiter.AllowN(clock(now), 1)
+	}
+	if e.set != nil {
+		e.set.free[e.at] = notFree
+	}
+}
+
+func (t *table) part(now Time, e *entry) {
+	if e.conns--; e.conns == 0 {
+		t.mark(now, e)
+	}
+}
+
 func (t *table) get(now Time, key netip.Prefix) *entry {
 	b := key.Addr().As16()
 	var d xxhash.Digest
 	d.ResetWithSeed(t.seed)
 	d.Write(b[:])
-	set := &t.sets[d.Sum64()%uint64(len(t.sets))]
-	var place *entry
-	most := -1.0
-	for i := range set {
-		e := &set[i]
-		switch {
-		case e.used && e.key == key:
-			return e
-		case !e.used && most < math.Inf(1):
-			place, most = e, math.Inf(1)
-		case e.used && e.conns == 0 && t.rate == rate.Inf && most < 0:
-			place, most = e, 0
-		case e.used && e.conns == 0 && t.rate != rate.Inf:
-			// The whole rate is left: nothing is lost with it. Part of it is left: it stays.
-			if left := e.limiter.TokensAt(clock(now)); left >= float64(t.burst) && left > most {
-				place, most = e, left
-			}
+	hash := d.Sum64()
+	s := &t.sets[hash%uint64(len(t.sets))]
+	place := -1
+	for i, free := range s.free {
+		if s.hash[i] == hash && free != unused && s.entries[i].key == key {
+			return &s.entries[i]
+		}
+		if free <= now && (place < 0 || free < s.free[place]) {
+			place = i
 		}
 	}
-	if place == nil {
+	if place < 0 {
 		return &t.crowd
 	}
-	if !place.used {
+	if s.free[place] == unused {
 		t.used++
 	}
-	*place = entry{key: key, used: true, limiter: place.limiter} // whose whole rate is left
-	if place.limiter == nil {
-		place.limiter = rate.NewLimiter(t.rate, t.burst)
+	e := &s.entries[place]
+	s.hash[place], s.free[place] = hash, now
+	e.key, e.set, e.at = key, s, place // its whole rate is left, and it has no connection
+	if e.limiter == nil {
+		e.limiter = rate.NewLimiter(t.rate, t.burst)
 	}
-	return place
+	return e
 }
 
 // learned holds addresses that behaved well lately: one point for each second
--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -46,8 +46,13 @@
 	ListingMax   int // bytes of a merged listing
 	Sizes        int // entries of the table of sizes seen
 	Clients      int // most client connections
-	Admit        admit.Config
-	Header       http1.Limits
+	Requests     int // that a client connection may have, 0: any
+	// Bytes a second that a body must come, and an answer be taken, at the least once
+	// PaceAfter is over; 0: any.
+	BodyPace, AnswerPace int64
+	PaceAfter            time.Duration
+	Admit                admit.Config
+	Header               http1.Limits
 }
 
 // Volume is a set of shards under one plan; its name is the first path segment.
@@ -72,12 +77,19 @@
 	return &Config{File: file, Unit: 64 << 10, BodyHold: 256 << 10, BodyRate: 1 << 20, Buffer: 256 << 10,
 		AnswerMargin: 20 * time.Millisecond, HeaderTime: 10 * time.Second, IdleTime: 60 * time.Second,
 		StallTime: 10 * time.Second, StopTime: 10 * time.Second, NodeIdle: 20 * time.Second, NodeConns: 64,
-		DialTime: time.Second, ListingMax: 8 << 20, Sizes: 1 << 14, Clients: 8192, Header: http1.DefaultLimits,
+		DialTime: time.Second, ListingMax: 8 << 20, BodyPace: 100, AnswerPace: 1000, PaceAfter: 30 * time.Second, Sizes: 1 << 14, Clients: 8192, Header: http1.DefaultLimits,
 		Admit: admit.Config{V6Bits: 64, Wide4: 24, Wide6: 48, Entries: 1 << 14, Learned: 1024, Forget: 10 * time.Minute,
 			AnswerRate: 50, AnswerBurst: 100, KnownMultiple: 4, IdleUnderPress: time.Second},
 		Logic: logic.Settings{Heads: 1, MostUnits: 1, MeanUnits: 1, ShareWorth: 0.3}}
 }
 
+// What every client connection may hold whatever the others do, and what all may
+// hold where the file does not say.
+const (
+	bufferLeast    = 4 << 10
+	buffersDefault = 512 << 20
+)
+
 // Load reads and checks a file.
 func Load(file string) (*Config, error) {
 	data, err := os.ReadFile(file)
@@ -171,10 +183,13 @@
 			p.fault(0, "the last route must take every request: route * class NAME")
 		}
 	}
-	c.Admit.Total = c.Clients
+	c.Admit.Total, c.Admit.BufferLeast = c.Clients, bufferLeast
+	if c.Admit.Buffers == 0 {
+		c.Admit.Buffers = max(buffersDefault, 4*bufferLeast*int64(c.Clients))
+	}
 	if err := c.Admit.Check(); err != nil {
 		for reason := range strings.SplitSeq(err.Error(), "\n") {
-			p.fault(max(p.seen["admit"], p.seen["known"]), "%s", reason)
+			p.fault(max(p.seen["admit"], p.seen["known"], p.seen["buffers"]), "%s", reason)
 		}
 	}
 	for i, d := range c.Deadlines {
@@ -260,7 +275,16 @@
 	"dial-time":   func(p *parser, _ int, a *Args) { p.c.DialTime = a.Duration("time", time.Millisecond) },
 	"listing-max": func(p *parser, _ int, a *Args) { p.c.ListingMax = int(min(a.Bytes("size", 1024), 1<<30)) },
 	"sizes":       func(p *parser, _ int, a *Args) { p.c.Sizes = a.Int("entries", 1, 1<<24) },
-	"clients":     func(p *parser, _ int, a *Args) { p.c.Clients = a.Int("number", 1, 1<<20) },
+	"requests":    func(p *parser, _ int, a *Args) { p.c.Requests = a.Int("number", 1, 1<<30) },
+	"buffers":     func(p *parser, _ int, a *Args) { p.c.Admit.Buffers = a.Bytes("size", 1) },
+	"pace": func(p *parser, _ int, a *Args) {
+		pairs(a, map[string]func(string){
+			"body":   func(k string) { p.c.BodyPace = a.Bytes(k, 0) },
+			"answer": func(k string) { p.c.AnswerPace = a.Bytes(k, 0) },
+			"after":  func(k string) { p.c.PaceAfter = a.Duration(k, 0) },
+		})
+	},
+	"clients": func(p *parser, _ int, a *Args) { p.c.Clients = a.Int("number", 1, 1<<20) },
 	"known": func(p *parser, line int, a *Args) {
 		for a.More() {
 			w := a.Word("prefix")
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -35,9 +35,10 @@
 	stop        atomic.Bool
 	reload      atomic.Bool
 	poll        atomic.Bool
-	list        []byte                      // the node list's text, as last read
-	counts      atomic.Pointer[head.Counts] // as of published, for other goroutines
-	published   time.Duration
+	list        []byte                    // the node list's text, as last read
+	counts      atomic.Pointer[published] // for other goroutines
+	publishedAt time.Duration
+	turns       *turns
 	metrics     *http.Server
 	metricsAddr string
 	ending      time.Duration // when what is under way is cut off, 0: not stopping
@@ -80,7 +81,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Daemon{c: c, log: log, loop: l, list: data}
+	d := &Daemon{c: c, log: log, loop: l, list: data, turns: newTurns(log)}
 	if err := d.open(core, nodes); err != nil {
 		l.Close()
 		if d.metrics != nil {
@@ -112,6 +113,7 @@
 	}
 	d.head = head.NewWith(decides, c, seed, d.loop.Now(), d.loop.Start(), d.obs)
 	d.loop.Head, d.loop.Watched, d.loop.Woken = d.head, d.reread, d.woken
+	d.loop.Turned = func(t *loop.Turn) { d.turns.took(d.loop.Now(), t) }
 	d.head.Nodes(d.loop.Now(), nodes)
 	if err := d.loop.Watch(c.Nodes); err != nil {
 		return err
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -10,19 +10,25 @@
 
 	"maddergap/internal/admit"
 	"maddergap/internal/head"
+	"maddergap/internal/loop"
 )
 
 // publishEvery is how often the loop leaves its sums for other goroutines.
 const publishEvery = 100 * time.Millisecond
 
 func (d *Daemon) publish() {
-	if now := d.loop.Now(); d.counts.Load() == nil || now >= d.published+publishEvery {
-		c := d.head.Counts()
-		d.counts.Store(&c)
-		d.published = now
+	if now := d.loop.Now(); d.counts.Load() == nil || now >= d.publishedAt+publishEvery {
+		d.counts.Store(&published{d.head.Counts(), d.turns.most()})
+		d.publishedAt = now
 	}
 }
 
+// published is what other goroutines may read of a head.
+type published struct {
+	head.Counts
+	longest [loop.Parts + 1]time.Duration
+}
+
 func sum(list []uint64) (n uint64) {
 	for _, x := range list {
 		n += x
@@ -37,7 +43,7 @@
 		return err
 	}
 	r := prometheus.NewRegistry()
-	r.MustRegister(collector{d})
+	r.MustRegister(collector{d}, d.turns.seconds)
 	d.metrics = &http.Server{Handler: promhttp.HandlerFor(r, promhttp.HandlerOpts{}), ReadHeaderTimeout: 5 * time.Second}
 	d.metricsAddr = ln.Addr().String()
 	go d.metrics.Serve(ln)
@@ -54,11 +60,13 @@
 	turnedDesc   = prometheus.NewDesc("maddergap_turned_away_total", "Connections and requests not admitted, by what kept them out.", []string{"reason"}, nil)
 	gaveWayDesc  = prometheus.NewDesc("maddergap_gave_way_total", "Idle connections closed to make room.", nil, nil)
 	connsDesc    = prometheus.NewDesc("maddergap_connections", "Connections now, by kind: client, known (of clients), node.", []string{"kind"}, nil)
+	turnDesc     = prometheus.NewDesc("maddergap_turn_longest_seconds", "The longest turn of the loop within this minute and the last, and the longest of each part.", []string{"part"}, nil)
+	heldDesc     = prometheus.NewDesc("maddergap_client_buffers_bytes", "Bytes held for all client connections.", nil, nil)
 	tableDesc    = prometheus.NewDesc("maddergap_admission_entries", "Entries of admission's tables in use.", []string{"table"}, nil)
 )
 
 func (collector) Describe(ch chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{requestsDesc, attemptsDesc, badDesc, turnedDesc, gaveWayDesc, connsDesc, tableDesc} {
+	for _, d := range []*prometheus.Desc{requestsDesc, attemptsDesc, badDesc, turnedDesc, gaveWayDesc, connsDesc, tableDesc, turnDesc, heldDesc} {
 		ch <- d
 	}
 }
@@ -74,6 +82,13 @@
 	gauge := func(d *prometheus.Desc, n int, labels ...string) {
 		ch <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, float64(n), labels...)
 	}
+	for p, took := range c.longest {
+		name := "whole"
+		if p < int(loop.Parts) {
+			name = loop.Part(p).String()
+		}
+		ch <- prometheus.MustNewConstMetric(turnDesc, prometheus.GaugeValue, took.Seconds(), name)
+	}
 	for o, n := range map[head.Outcome]uint64{head.Served: c.Served, head.Refused: c.Refused, head.Failed: c.Failed, head.Left: c.Left} {
 		count(requestsDesc, n, o.String())
 	}
@@ -86,6 +101,7 @@
 	gauge(connsDesc, c.Clients, "client")
 	gauge(connsDesc, c.Admitted.Known, "known")
 	gauge(connsDesc, c.NodeConns, "node")
+	gauge(heldDesc, int(c.Held))
 	gauge(tableDesc, c.Admitted.Addresses, "addresses")
 	gauge(tableDesc, c.Admitted.Prefixes, "prefixes")
 	gauge(tableDesc, c.Admitted.Learned, "learned")
--- a/internal/head/client.go
+++ b/internal/head/client.go
@@ -172,12 +172,13 @@
 			p = p[n:]
 		case !ex.whole:
 			if ex.upload == nil && len(ex.held) >= h.c.BodyHold && ex.id != 0 ||
-				ex.upload != nil && len(ex.upload.conn.pending()) > h.c.Buffer {
+				ex.upload != nil && len(ex.upload.conn.pending()) > h.room() {
 				h.pause(c)
 				h.by(c, never) // it waits for us
 				return p
 			}
-			h.by(c, h.now+h.c.StallTime)
+			c.body.moved += int64(len(p))
+			h.by(c, h.bodyBy(c))
 			data, rest, err := ex.body.Next(p)
 			if err != nil {
 				h.badBody(c, ex, err)
@@ -215,7 +216,11 @@
 	if r.Close {
 		c.closing = true
 	}
-	if ok, why := h.adm.Begin(h.now, uint64(c.id)); !ok {
+	if c.requests++; h.c.Requests > 0 && c.requests >= h.c.Requests {
+		c.closing = true // the last that this connection may have
+	}
+	h.endAdmitted(c)
+	if ok, why := h.adm.Begin(h.now, uint64(c.id), h.held); !ok {
 		c.closing = true
 		h.turned(c.remote, why, true)
 		h.own(ex, 503, notAdmitted(why))
@@ -300,7 +305,35 @@
 	}
 	ex.invited = true
 	if !ex.whole {
-		h.by(c, h.now+h.c.StallTime)
+		h.bodyOn(c)
+	}
+}
+
+// bodyBy and answerBy are when a client is given up that sends its body, or takes
+// its answer, too slowly.
+func (h *Head) bodyBy(c *conn) Time {
+	return c.body.by(h.now, h.c.StallTime, h.c.PaceAfter, h.c.BodyPace)
+}
+
+func (h *Head) answerBy(c *conn) Time {
+	return c.answer.by(h.now, h.c.StallTime, h.c.PaceAfter, h.c.AnswerPace)
+}
+
+// bodyOn begins to wait for a client's body, or goes on after it waited for us.
+func (h *Head) bodyOn(c *conn) {
+	c.body = pace{from: h.now}
+	h.by(c, h.bodyBy(c))
+}
+
+// room is how much of an answer or a body a connection may hold now.
+func (h *Head) room() int { return h.adm.Room(h.held, h.c.Buffer) }
+
+// endAdmitted tells admission that a request's answer went out, or that the next
+// request has come. Not before: what is still to be written must not be closed for room.
+func (h *Head) endAdmitted(c *conn) {
+	if c.owed {
+		c.owed = false
+		h.adm.End(h.now, uint64(c.id), c.good)
 	}
 }
 
@@ -343,6 +376,9 @@
 	ex.due = h.now + ex.job.Time
 	h.reqs[ex.id] = ex
 	h.counts.Taken++
+	if ex.client != nil {
+		h.adm.Taken(h.now, uint64(ex.client.id))
+	}
 	v := ex.vol
 	h.events = append(h.events, logic.Arrival{ID: ex.id, Shard: ex.place.Shard, Plan: v.Plan, Class: ex.job.Class,
 		Key: ex.job.Key, Volume: v.Name, Left: ex.job.Time, Units: ex.job.Units, Hosts: v.Hosts})
@@ -470,10 +506,13 @@
 // clientWrote goes on with what waited for room.
 func (h *Head) clientWrote(c *conn) {
 	if len(c.pending()) > 0 {
-		h.by(c, h.now+h.c.StallTime)
+		h.by(c, h.answerBy(c))
+	} else {
+		c.answer = pace{}
+		h.endAdmitted(c)
 	}
 	if ex := c.ex; ex != nil {
-		if ex.answer != nil && len(c.pending()) <= h.c.Buffer/2 {
+		if ex.answer != nil && len(c.pending()) <= h.room()/2 {
 			h.readOn(ex.answer.conn)
 		}
 		if len(c.pending()) == 0 && !ex.final && ex.whole {
@@ -496,12 +535,14 @@
 	if !ex.whole { // RFC 9112 9.3: the rest of the body cannot be told from a request
 		c.closing, c.discard = true, true
 	}
-	h.adm.End(h.now, uint64(c.id), ex.id != 0 && ex.answer != nil && ex.status < 400)
+	c.owed, c.good = true, ex.id != 0 && ex.answer != nil && ex.status < 400
 	c.ex, ex.client = nil, nil
 	h.recycle(ex)
 	h.flush(c)
 	if len(c.pending()) > 0 {
-		h.by(c, h.now+h.c.StallTime)
+		h.by(c, h.answerBy(c))
+	} else {
+		h.endAdmitted(c)
 	}
 	if !c.ready && !c.gone {
 		c.ready = true
--- a/internal/head/conn.go
+++ b/internal/head/conn.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"net/netip"
+	"time"
 
 	"maddergap/internal/http1"
 )
@@ -30,6 +31,12 @@
 	discard  bool // what it still sends is of no use
 	eof      bool // it sends no more
 	reading  Time // when the first byte of a header came, 0: none
+	owed     bool // admission is to be told of its request's end, once the answer went out
+	good     bool // it was served
+	requests int  // that it had
+	body     pace // of what it sends
+	answer   pace // of what it takes
+	weight   int  // bytes booked on Head.held
 
 	// of a node
 	node      *node
@@ -37,10 +44,39 @@
 	connected bool
 	used      bool // it carried a request before
 	resp      http1.Response
-	body      http1.Body
+	content   http1.Body
 	inBody    bool
 }
 
+// pace is how a body or an answer moves.
+type pace struct {
+	from  Time
+	moved int64
+}
+
+// by is when a mover is given up that keeps less than a rate, after a grace; stall
+// is for how long it may stand still. Guards against peers that move a byte now and
+// then, which no time-out between bytes ends.
+func (p *pace) by(now Time, stall, grace time.Duration, rate int64) Time {
+	if rate <= 0 {
+		return now + stall
+	}
+	return min(now+stall, p.from+grace+Time(float64(p.moved)/float64(rate)*float64(time.Second)))
+}
+
+// weigh books what a client connection holds.
+func (h *Head) weigh(c *conn) {
+	n := len(c.in) + len(c.out)
+	if c.ex != nil {
+		n += len(c.ex.held)
+		if c.ex.listing != nil {
+			n += c.ex.listing.size
+		}
+	}
+	h.held += int64(n - c.weight)
+	c.weight = n
+}
+
 func (c *conn) pending() []byte { return c.out[c.wrote:] }
 
 // nextID is the id that newConn will give.
@@ -104,6 +140,8 @@
 	h.release(c.in)
 	h.release(c.out)
 	c.in, c.out, c.wrote = nil, nil, 0
+	h.held -= int64(c.weight)
+	c.weight = 0
 	if c.node != nil {
 		c.node.conns--
 		h.counts.NodeConns--
@@ -117,9 +155,15 @@
 
 // flush asks for what is to be written to be written.
 func (h *Head) flush(c *conn) {
+	if c.node == nil && !c.gone {
+		h.weigh(c)
+	}
 	if !c.flushing && !c.gone && len(c.pending()) > 0 {
+		if c.node == nil && c.answer.from == 0 {
+			c.answer = pace{from: h.now}
+		}
 		if c.node == nil && c.deadline == never {
-			h.by(c, h.now+h.c.StallTime) // to take it
+			h.by(c, h.answerBy(c)) // to take it
 		}
 		c.flushing = true
 		h.do(Flush, c)
@@ -194,9 +238,11 @@
 	}
 	if c.node != nil {
 		h.nodeWrote(c)
-	} else {
-		h.clientWrote(c)
+		return
 	}
+	c.answer.moved += int64(n)
+	h.weigh(c)
+	h.clientWrote(c)
 }
 
 // Data tells bytes read from a connection. They are not kept after the call.
@@ -214,6 +260,9 @@
 		h.keep(c, h.nodeData(c, p))
 	} else {
 		h.keep(c, h.clientData(c, p))
+		if !c.gone {
+			h.weigh(c)
+		}
 	}
 }
 
--- a/internal/head/head.go
+++ b/internal/head/head.go
@@ -107,6 +107,7 @@
 	GaveWay                              uint64                // idle connections closed for others
 	Turned                               [admit.Reasons]uint64 // connections and requests not admitted
 	Admitted                             admit.Counts
+	Held                                 int64 // bytes held for clients
 }
 
 // Core decides: the module, or in its place what a comparison or a test wants.
@@ -149,6 +150,7 @@
 	oldBufs   [][]byte
 	scratch   []byte
 	span      Span
+	held      int64 // bytes of all client connections
 	turnTexts [admit.Reasons]turnText
 	stopping  bool
 	counts    Counts
@@ -202,7 +204,7 @@
 // Counts returns the sums.
 func (h *Head) Counts() Counts {
 	c := h.counts
-	c.Admitted = h.adm.Counts()
+	c.Admitted, c.Held = h.adm.Counts(), h.held
 	return c
 }
 
--- a/internal/head/listing.go
+++ b/internal/head/listing.go
@@ -45,6 +45,7 @@
 		h.respond(ex, 207, dav.ListVolumes(find, names, depth), nil)
 		return
 	}
+	h.adm.Taken(h.now, uint64(ex.client.id))
 	ex.vol = &h.c.Volumes[ex.place.Volume]
 	shards := ex.vol.Shards
 	if depth == "0" {
@@ -76,6 +77,9 @@
 		return false
 	}
 	l.bodies[p.part] = append(l.bodies[p.part], data...)
+	if l.parent != nil && l.parent.client != nil {
+		h.weigh(l.parent.client)
+	}
 	return true
 }
 
--- a/internal/head/node.go
+++ b/internal/head/node.go
@@ -115,7 +115,7 @@
 		ex.upload = at
 		if cl := ex.client; cl != nil {
 			h.invite(cl, ex)
-			h.by(cl, h.now+h.c.StallTime)
+			h.bodyOn(cl)
 			h.readOn(cl)
 		}
 	}
@@ -170,8 +170,8 @@
 		return
 	}
 	at.written = true
-	if cl := at.ex.client; at.ex.upload == at && cl != nil && cl.paused && len(c.pending()) <= h.c.Buffer/2 {
-		h.by(cl, h.now+h.c.StallTime)
+	if cl := at.ex.client; at.ex.upload == at && cl != nil && cl.paused && len(c.pending()) <= h.room()/2 {
+		h.bodyOn(cl)
 		h.readOn(cl)
 	}
 }
@@ -200,17 +200,17 @@
 			}
 			if c.resp.Status >= 200 {
 				c.inBody = true
-				c.body.Reset(&c.resp.Message)
+				c.content.Reset(&c.resp.Message)
 				h.answerHead(at)
 			}
 			p = p[n:]
 		} else {
-			if cl := at.ex.client; at.ex.answer == at && cl != nil && len(cl.pending()) > h.c.Buffer {
+			if cl := at.ex.client; at.ex.answer == at && cl != nil && len(cl.pending()) > h.room() {
 				h.pause(c)
 				h.by(c, never) // it waits for the client
 				break
 			}
-			data, rest, err := c.body.Next(p)
+			data, rest, err := c.content.Next(p)
 			if err != nil {
 				h.broken(c, logic.Reset)
 				return nil
@@ -218,7 +218,7 @@
 			p = rest
 			h.answerData(at, data)
 		}
-		if c.inBody && c.body.Done() && !c.gone {
+		if c.inBody && c.content.Done() && !c.gone {
 			h.answerDone(c)
 		}
 	}
@@ -332,7 +332,7 @@
 		}
 		return
 	}
-	if eof && c.inBody && c.body.End() {
+	if eof && c.inBody && c.content.End() {
 		h.answerDone(c)
 		return
 	}
