Floods of 10,000 tries over sockets; a head called late takes it from its clients' time

The head keeps how much later than asked it was called lately and tells the module so much less time, twice, half at most.

--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -62,11 +62,12 @@
 	connsDesc    = prometheus.NewDesc("maddergap_connections", "Connections now, by kind: client, known (of clients), node.", []string{"kind"}, nil)
 	turnDesc     = prometheus.NewDesc("maddergap_turn_longest_seconds", "The longest turn of the loop within this minute and the last, and the longest of each part.", []string{"part"}, nil)
 	heldDesc     = prometheus.NewDesc("maddergap_client_buffers_bytes", "Bytes held for all client connections.", nil, nil)
+	lagDesc      = prometheus.NewDesc("maddergap_lag_seconds", "How much later than asked the head was woken lately; taken twice from its clients' time.", nil, nil)
 	tableDesc    = prometheus.NewDesc("maddergap_admission_entries", "Entries of admission's tables in use.", []string{"table"}, nil)
 )
 
 func (collector) Describe(ch chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{requestsDesc, attemptsDesc, badDesc, turnedDesc, gaveWayDesc, connsDesc, tableDesc, turnDesc, heldDesc} {
+	for _, d := range []*prometheus.Desc{requestsDesc, attemptsDesc, badDesc, turnedDesc, gaveWayDesc, connsDesc, tableDesc, turnDesc, heldDesc, lagDesc} {
 		ch <- d
 	}
 }
@@ -101,6 +102,7 @@
 	gauge(connsDesc, c.Clients, "client")
 	gauge(connsDesc, c.Admitted.Known, "known")
 	gauge(connsDesc, c.NodeConns, "node")
+	ch <- prometheus.MustNewConstMetric(lagDesc, prometheus.GaugeValue, c.Lag.Seconds())
 	gauge(heldDesc, int(c.Held))
 	gauge(tableDesc, c.Admitted.Addresses, "addresses")
 	gauge(tableDesc, c.Admitted.Prefixes, "prefixes")
--- a/internal/e2e/flood_test.go
+++ b/internal/e2e/flood_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"os"
@@ -12,6 +13,8 @@
 	"testing"
 	"time"
 
+	"maddergap/internal/conf"
+	"maddergap/internal/daemon"
 	"maddergap/internal/standin"
 )
 
@@ -33,6 +36,29 @@
 	return c, bufio.NewReader(c)
 }
 
+// flood connects so many times and holds on; of those turned away the last 3,000 are
+// kept, for the sake of the test's own descriptors.
+func (s *system) flood(tries int, addr func(i int) string) {
+	s.t.Helper()
+	var held []net.Conn
+	s.t.Cleanup(func() {
+		for _, c := range held {
+			c.Close()
+		}
+	})
+	for i := range tries {
+		d := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(addr(i))}, Timeout: 5 * time.Second}
+		c, err := d.Dial("tcp", s.addr)
+		if err != nil {
+			s.t.Fatalf("try %d: %v", i, err)
+		}
+		if held = append(held, c); len(held) > 3000 {
+			held[200].Close() // the first ones are those that may have a place
+			held = append(held[:200], held[201:]...)
+		}
+	}
+}
+
 func (s *system) ask(c net.Conn, r *bufio.Reader) int {
 	s.t.Helper()
 	io.WriteString(c, get("/feed-a/x"))
@@ -45,9 +71,9 @@
 func TestFlood(t *testing.T) {
 	for name, addr := range map[string]func(i int) string{
 		"from one address":       func(int) string { return "127.0.5.1" },
-		"from many addresses":    func(i int) string { return fmt.Sprintf("127.20.%d.%d", i/200, i%200+1) },
+		"from 2,000 addresses":   func(i int) string { return fmt.Sprintf("127.20.%d.%d", i%2000/200, i%200+1) },
 		"within a known prefix":  func(int) string { return "127.9.200.1" },
-		"many in a known prefix": func(i int) string { return fmt.Sprintf("127.9.%d.%d", 100+i/200, i%200+1) },
+		"many in a known prefix": func(i int) string { return fmt.Sprintf("127.9.%d.%d", 100+i%2000/200, i%200+1) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			_, addrs := standins(t, 1, standin.Options{})
@@ -59,9 +85,7 @@
 				t.Fatalf("before the flood: %d", status)
 			}
 			many := strings.HasPrefix(name, "many in")
-			for i := range 400 {
-				s.from(addr(i))
-			}
+			s.flood(10_000, addr)
 			served := 0
 			for i := range 10 {
 				c, r := s.from(fmt.Sprintf("127.9.0.%d", i+1))
@@ -81,7 +105,7 @@
 					t.Errorf("a client from before the flood: %d", status)
 				}
 			}
-			if name == "from many addresses" && !strings.Contains(s.log.String(), "connection not admitted") {
+			if name == "from 2,000 addresses" && !strings.Contains(s.log.String(), "connection not admitted") {
 				t.Error("the log does not tell of the flood")
 			}
 			if n := strings.Count(s.log.String(), "connection not admitted"); n > 60 {
@@ -158,13 +182,13 @@
 // dropped in its time, and others are served meanwhile.
 func TestManySlowReaders(t *testing.T) {
 	_, addrs := standins(t, 1, standin.Options{})
-	s := start(t, "clients 400\nadmit reserve 50 answers 20 answers-burst 20\nknown 127.9.0.0/16\nbuffer 16k\n", addrs[0], addrs[0])
+	s := start(t, "clients 1200\nadmit reserve 50 answers 20 answers-burst 20\nknown 127.9.0.0/16\nbuffer 16k\nbuffers 8m\n", addrs[0], addrs[0])
 	c, r := s.from("127.9.0.1")
 	io.WriteString(c, put("/feed-a/x", strings.Repeat("x", 4<<20)))
 	if status, _, _ := s.answer(r, "PUT"); status != 201 {
 		t.Fatal(status)
 	}
-	for i := range 300 {
+	for i := range 1000 {
 		slow, _ := s.from(fmt.Sprintf("127.30.%d.%d", i/200, i%200+1))
 		slow.(*net.TCPConn).SetReadBuffer(4096)
 		io.WriteString(slow, get("/feed-a/x"))
@@ -291,3 +315,83 @@
 		t.Errorf("past the new cap: %d, want 503", status)
 	}
 }
+
+// One that connects again at once after every refusal gets nothing by it, costs no
+// one else anything, and has its place when there is room.
+func TestReconnectsAtOnce(t *testing.T) {
+	_, addrs := standins(t, 1, standin.Options{})
+	s := start(t, "clients 20\nadmit address 4 reserve 4 answers 20 answers-burst 20\nknown 127.9.0.0/16\n", addrs[0], addrs[0])
+	var mine []net.Conn
+	for range 4 { // served, so that none gives way to the next
+		c, r := s.from("127.0.8.8")
+		io.WriteString(c, put("/feed-a/x", "x"))
+		s.answer(r, "PUT")
+		mine = append(mine, c)
+	}
+	refused, closed := 0, 0
+	for i := range 3000 {
+		c, r := s.from("127.0.8.8")
+		io.WriteString(c, get("/feed-a/x"))
+		line, err := r.ReadString('\n')
+		switch {
+		case strings.Contains(line, " 503 "):
+			refused++
+		case err != nil:
+			closed++
+		default:
+			t.Fatalf("past its cap: %q", line)
+		}
+		c.Close()
+		if i%300 == 0 {
+			k, kr := s.from(fmt.Sprintf("127.9.0.%d", i/300+1))
+			if status := s.ask(k, kr); status != 200 {
+				t.Errorf("a known client meanwhile: %d", status)
+			}
+			k.Close()
+		}
+	}
+	if refused < 20 || closed == 0 {
+		t.Errorf("%d refused in words, %d closed: want the burst told and the rest not", refused, closed)
+	}
+	mine[0].Close()
+	eventually(t, "its place is free again", func() bool {
+		c, r := s.from("127.0.8.8")
+		defer c.Close()
+		io.WriteString(c, get("/feed-a/x"))
+		line, _ := r.ReadString('\n')
+		return strings.Contains(line, " 200 ")
+	})
+}
+
+// A peer that half-closes behind its request, in a flood, still gets the answer.
+func TestHalfCloseInFlood(t *testing.T) {
+	_, addrs := standins(t, 1, standin.Options{UnitTime: 50 * time.Millisecond, Cores: 16, Queue: 64})
+	s := start(t, floodConf, addrs[0], addrs[0])
+	s.flood(200, func(i int) string { return fmt.Sprintf("127.20.0.%d", i%200+1) })
+	for i := range 10 {
+		c, r := s.from(fmt.Sprintf("127.9.0.%d", i+1))
+		io.WriteString(c, put(fmt.Sprint("/feed-a/half", i), "x"))
+		c.(*net.TCPConn).CloseWrite()
+		if status, _, _ := s.answer(r, "PUT"); status != 201 {
+			t.Errorf("%d", status)
+		}
+		if _, err := r.ReadByte(); err != io.EOF {
+			t.Errorf("after the answer: %v", err)
+		}
+	}
+}
+
+// Two listen queues of one address let no second head in beside the first.
+func TestSecondHeadIsKeptOut(t *testing.T) {
+	_, addrs := standins(t, 1, standin.Options{})
+	s := start(t, floodConf, addrs[0], addrs[0])
+	file := filepath.Join(s.dir, "second.conf")
+	os.WriteFile(file, []byte(strings.Replace(headConf, "listen 127.0.0.1:0", "listen "+s.addr, 1)+floodConf), 0o644)
+	c, err := conf.Load(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := daemon.New(c, slog.New(slog.DiscardHandler)); err == nil || !strings.Contains(err.Error(), "address already in use") {
+		t.Errorf("a second head on one address: %v", err)
+	}
+}
--- a/internal/head/admit_test.go
+++ b/internal/head/admit_test.go
@@ -186,3 +186,40 @@
 		t.Errorf("%d told, %d slots, %d timers", told, len(r.h.slots), len(r.h.timers))
 	}
 }
+
+// A head that is called late takes that twice from its clients' time, so that the
+// last answer is still in time; half of the time is left whatever happens, and the
+// lag is forgotten.
+func TestLag(t *testing.T) {
+	last := func(lateBy, after time.Duration) time.Duration {
+		r := newRig(t, "")
+		r.refuse = true // no node is reached: the answer is the head's own, at the end
+		first := r.client(get("/feed-a/s/x"))
+		if lateBy > 0 {
+			r.now = r.next + lateBy
+			r.run()
+		}
+		r.pass(after)
+		r.h.Closed(r.now, first)
+		r.run()
+		c, began := r.client(get("/feed-a/s/y")), r.now
+		for range 10000 {
+			if r.take(c) != "" {
+				return r.now - began
+			}
+			r.pass(time.Millisecond)
+		}
+		t.Fatal("no answer")
+		return 0
+	}
+	calm, late, fast, old := last(0, 0), last(60*time.Millisecond, 0), last(5*time.Second, 0), last(60*time.Millisecond, 30*time.Second)
+	if d := calm - late; d < 100*time.Millisecond || d > 130*time.Millisecond {
+		t.Errorf("answered after %v, %v when called 60 ms late: want 120 ms sooner", calm, late)
+	}
+	if fast < calm/3 {
+		t.Errorf("answered after %v: half of %v is the client's whatever happens", fast, calm)
+	}
+	if d := calm - old; d > 5*time.Millisecond || d < -5*time.Millisecond {
+		t.Errorf("answered after %v long after it was late, %v in calm", old, calm)
+	}
+}
--- a/internal/head/client.go
+++ b/internal/head/client.go
@@ -373,7 +373,8 @@
 func (h *Head) take(ex *exchange) {
 	h.lastID++
 	ex.id, ex.taken = h.lastID, h.now
-	ex.due = h.now + ex.job.Time
+	left := h.left(ex.job.Time)
+	ex.due = h.now + left
 	h.reqs[ex.id] = ex
 	h.counts.Taken++
 	if ex.client != nil {
@@ -381,7 +382,7 @@
 	}
 	v := ex.vol
 	h.events = append(h.events, logic.Arrival{ID: ex.id, Shard: ex.place.Shard, Plan: v.Plan, Class: ex.job.Class,
-		Key: ex.job.Key, Volume: v.Name, Left: ex.job.Time, Units: ex.job.Units, Hosts: v.Hosts})
+		Key: ex.job.Key, Volume: v.Name, Left: left, Units: ex.job.Units, Hosts: v.Hosts})
 }
 
 // badBody ends a request whose body is malformed: nothing of it may run.
--- a/internal/head/head.go
+++ b/internal/head/head.go
@@ -108,6 +108,7 @@
 	Turned                               [admit.Reasons]uint64 // connections and requests not admitted
 	Admitted                             admit.Counts
 	Held                                 int64 // bytes held for clients
+	Lag                                  time.Duration
 }
 
 // Core decides: the module, or in its place what a comparison or a test wants.
@@ -145,6 +146,7 @@
 	reqs   map[uint64]*exchange
 	lastID uint64
 	wakeAt Time
+	lag    lag
 
 	oldEx     []*exchange
 	oldBufs   [][]byte
@@ -204,7 +206,7 @@
 // Counts returns the sums.
 func (h *Head) Counts() Counts {
 	c := h.counts
-	c.Admitted, c.Held = h.adm.Counts(), h.held
+	c.Admitted, c.Held, c.Lag = h.adm.Counts(), h.held, h.lag.now(h.now)
 	return c
 }
 
@@ -273,12 +275,42 @@
 	}
 }
 
+// lag is how much later than asked the head was called lately: the most of it,
+// fading by half in lagHalf. Guards against a machine too busy to run the head in
+// time, whatever keeps it busy: a request is read so much later than it came, and
+// its last answer is written so much later than it is due.
+type lag struct {
+	asked Time
+	late  Time
+	at    Time
+}
+
+const (
+	lagHalf  = 2 * time.Second
+	lagLeast = 2 * time.Millisecond // a timer's own grain
+)
+
+func (l *lag) now(now Time) Time {
+	return Time(float64(l.late) * math.Exp2(-float64(now-l.at)/float64(lagHalf)))
+}
+
+func (l *lag) called(now Time) {
+	if late := now - l.asked; l.asked > 0 && late >= lagLeast && late > l.now(now) {
+		l.late, l.at = late, now
+	}
+}
+
+// left is what is left of a client's time: less what reading its request took and
+// what bringing it the answer will take, half of the time at most.
+func (h *Head) left(t time.Duration) time.Duration { return max(t-2*h.lag.now(h.now), t/2) }
+
 func (h *Head) tick(now Time) { h.now = max(h.now, now) }
 
 // Advance runs timers and the module over what was told, and returns what to
 // do and when to come back at the latest. The actions are good until the next call.
 func (h *Head) Advance(now Time) ([]Action, Time) {
 	h.tick(now)
+	h.lag.called(h.now)
 	h.free, h.closed = append(h.free, h.closed...), h.closed[:0]
 	for len(h.timers) > 0 && h.timers[0].armed <= h.now {
 		c := h.timers[0]
@@ -319,6 +351,7 @@
 	if len(h.timers) > 0 {
 		next = min(next, h.timers[0].armed)
 	}
+	h.lag.asked = next
 	return acts, next
 }
 
