A head killed in mid-flood comes back to its known clients; unlisted clients in the flood's report

Cause: the restart in a flood was tested as a fresh head coming into one, and what a flood costs clients on no list was not told.

--- a/cmd/maddergap/flood.go
+++ b/cmd/maddergap/flood.go
@@ -23,6 +23,7 @@
 	AtOnce  int           `default:"1000" help:"Connections at once."`
 	Length  time.Duration `default:"8s" help:"How long."`
 	Known   int           `default:"20" help:"Known clients, from 127.9.0.1 on."`
+	Others  int           `default:"20" help:"Clients that behave alike but are on no list, from 127.10.1.1 on, one of each prefix."`
 	Gap     time.Duration `default:"20ms" help:"Gap between a known client's connections."`
 }
 
@@ -50,12 +51,15 @@
 	for i := range c.Known {
 		o.Known = append(o.Known, netip.AddrFrom4([4]byte{127, 9, byte(i / 250), byte(i%250 + 1)}))
 	}
+	for i := range c.Others {
+		o.Others = append(o.Others, netip.AddrFrom4([4]byte{127, 10, byte(i%250 + 1), byte(i/250 + 1)}))
+	}
 	return o
 }
 
 func (c *floodCmd) Run(io *streams) error {
-	if c.Sources < 1 || c.Sources > 50000 || c.Known < 0 || c.Known > 1000 {
-		return usage{errors.New("--sources wants 1 to 50000, --known 0 to 1000")}
+	if c.Sources < 1 || c.Sources > 50000 || c.Known < 0 || c.Known > 1000 || c.Others < 0 || c.Others > 1000 {
+		return usage{errors.New("--sources wants 1 to 50000, --known and --others 0 to 1000")}
 	}
 	if c.Target != "" {
 		r, err := flood.Run(c.options())
@@ -64,6 +68,7 @@
 		}
 		r.Flood.Write(io.out, "flood")
 		r.Known.Write(io.out, "known")
+		r.Others.Write(io.out, "others")
 		return nil
 	}
 	node, err := standin.Start(standin.Options{Listen: "127.0.0.1:0", Name: "n0", Cores: 16, Queue: 1024, UnitTime: 2 * time.Millisecond, Forget: true})
@@ -87,19 +92,27 @@
 			r.Flood.Write(io.out, "flood")
 		}
 		r.Known.Write(io.out, "known")
+		if c.Others > 0 {
+			r.Others.Write(io.out, "others")
+		}
 		p99 := r.Known.Answer.ValueAtQuantile(99) + r.Known.Connect.ValueAtQuantile(99)
 		if run.tries == 0 {
 			calm = max(p99, 1)
 		}
-		fmt.Fprintf(io.out, "  known served %.1f%%, p99 of connect and answer %.2f times calm; head: %s\n",
+		fmt.Fprintf(io.out, "  known served %.1f%%, p99 of connect and answer %.2f times calm; head: %s",
 			100*float64(r.Known.Served)/float64(max(r.Known.Tries, 1)), float64(p99)/float64(calm), r.CPU)
+		if n := r.Flood.Refused + r.Flood.Closed; n > 0 {
+			fmt.Fprintf(io.out, ", %.0f turned away a CPU second, known clients' answers with it", float64(n)/r.Seconds)
+		}
+		fmt.Fprintln(io.out)
 	}
 	return nil
 }
 
 type measured struct {
 	*flood.Result
-	CPU string
+	CPU     string
+	Seconds float64 // of the head's CPU
 }
 
 // measure runs a head of its own under a flood.
@@ -136,5 +149,5 @@
 	if err := head.Stop(); err != nil {
 		return nil, fmt.Errorf("the head: %w", err)
 	}
-	return &measured{r, fmt.Sprintf("%.0f%% of a CPU", 100*head.CPU().Seconds()/wall.Seconds())}, nil
+	return &measured{r, fmt.Sprintf("%.0f%% of a CPU", 100*head.CPU().Seconds()/wall.Seconds()), max(head.CPU().Seconds(), 1e-3)}, nil
 }
--- a/cmd/maddergap/main_test.go
+++ b/cmd/maddergap/main_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -17,6 +18,7 @@
 	"time"
 
 	"maddergap/internal/badday"
+	"maddergap/internal/flood"
 	"maddergap/internal/nodelist"
 	"maddergap/internal/standin"
 )
@@ -116,6 +118,96 @@
 
 // A head killed with requests under way comes back knowing nothing, serves, and
 // has sent nothing twice.
+// serving starts a head and waits until it listens.
+func serving(t *testing.T, addr, conf string) *exec.Cmd {
+	t.Helper()
+	cmd := program(t, "serve", "--config", conf)
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	for until := time.Now().Add(10 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+		if c, err := net.Dial("tcp", addr); err == nil {
+			c.Close()
+			return cmd
+		}
+		if time.Now().After(until) {
+			t.Fatal("it does not listen")
+		}
+	}
+}
+
+// A head is killed in the middle of a flood from 500 addresses and comes back knowing
+// nothing: listed clients are served from its first second on, and no effect of
+// theirs comes twice.
+func TestKilledInFlood(t *testing.T) {
+	dir := t.TempDir()
+	node, err := standin.Start(standin.Options{Listen: "127.0.0.1:0", Name: "n0", Cores: 8, Queue: 64, UnitTime: 5 * time.Millisecond})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer node.Close()
+	nodelist.Replace(filepath.Join(dir, "nodes.list"), []nodelist.Node{{Name: "n0", Addr: node.Addr()}})
+	addr := "127.0.99.3:18099"
+	conf := filepath.Join(dir, "m.conf")
+	text := strings.Replace(fmt.Sprintf(demoConf, addr, 0, 0), "clients 512", "clients 200", 1)
+	os.WriteFile(conf, []byte(text+"admit address 8 reserve 50 answers 20 answers-burst 20\nknown 127.9.0.0/16\n"), 0o644)
+	cmd := serving(t, addr, conf)
+	o := flood.Options{Target: addr, Path: "/", Pattern: "hold", Tries: 200_000, AtOnce: 300, Length: 6 * time.Second}
+	for i := range 500 {
+		o.Sources = append(o.Sources, netip.AddrFrom4([4]byte{127, 20, byte(i / 250), byte(i%250 + 1)}))
+	}
+	over := make(chan *flood.Result, 1)
+	go func() {
+		r, err := flood.Run(o)
+		if err != nil {
+			t.Error(err)
+		}
+		over <- r
+	}()
+	put := func(n int) (status int) {
+		d := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 9, 0, byte(n+1))}, Timeout: 5 * time.Second}
+		c, err := d.Dial("tcp", addr)
+		if err != nil {
+			return 0
+		}
+		defer c.Close()
+		c.SetDeadline(time.Now().Add(10 * time.Second))
+		fmt.Fprintf(c, "PUT /feed-a/known%d HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx", n)
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			return 0
+		}
+		resp.Body.Close()
+		return resp.StatusCode
+	}
+	time.Sleep(time.Second)
+	if status := put(0); status != 201 {
+		t.Errorf("before the kill: %d", status)
+	}
+	cmd.Process.Kill()
+	cmd.Wait()
+	cmd = serving(t, addr, conf)
+	defer func() { cmd.Process.Kill(); cmd.Wait() }()
+	for n := range 20 {
+		if status := put(n + 1); status != 201 {
+			t.Errorf("known client %d after it: %d", n, status)
+		}
+	}
+	r := <-over
+	if r.Flood.Refused+r.Flood.Closed < 1000 {
+		t.Errorf("hardly a flood: %+v", r.Flood)
+	}
+	ran := map[string]int{}
+	for _, e := range node.Entries() {
+		if ran[e.Path]++; ran[e.Path] > 1 {
+			t.Errorf("%s came twice", e.Path)
+		}
+	}
+	if len(ran) != 21 {
+		t.Errorf("%d effects at the node, want 21", len(ran))
+	}
+}
+
 func TestKilledAndBack(t *testing.T) {
 	dir := t.TempDir()
 	node, err := standin.Start(standin.Options{Listen: "127.0.0.1:0", Name: "n0", Cores: 2, Queue: 64, UnitTime: 50 * time.Millisecond})
@@ -127,21 +219,7 @@
 	addr := "127.0.99.1:18099"
 	conf := filepath.Join(dir, "m.conf")
 	os.WriteFile(conf, []byte(fmt.Sprintf(demoConf, addr, 0, 0)), 0o644)
-	start := func() *exec.Cmd {
-		cmd := program(t, "serve", "--config", conf)
-		if err := cmd.Start(); err != nil {
-			t.Fatal(err)
-		}
-		for until := time.Now().Add(10 * time.Second); ; time.Sleep(10 * time.Millisecond) {
-			if c, err := net.Dial("tcp", addr); err == nil {
-				c.Close()
-				return cmd
-			}
-			if time.Now().After(until) {
-				t.Fatal("it does not listen")
-			}
-		}
-	}
+	start := func() *exec.Cmd { return serving(t, addr, conf) }
 	cmd := start()
 	for i := range 6 {
 		c, err := net.Dial("tcp", addr)
--- a/internal/badday/run.go
+++ b/internal/badday/run.go
@@ -311,7 +311,7 @@
 	}
 	out, err := child.Output(append(slices.Clone(o.Exe), "flood", "--target", f.Target, "--path", f.Path, "--pattern", f.Pattern,
 		"--sources", fmt.Sprint(len(f.Sources)), "--tries", fmt.Sprint(f.Tries), "--at-once", fmt.Sprint(f.AtOnce),
-		"--length", f.Length.String(), "--known", "0")...)
+		"--length", f.Length.String(), "--known", "0", "--others", "0")...)
 	first, _, _ := strings.Cut(string(out), "\n")
 	return first, err
 }
--- a/internal/flood/flood.go
+++ b/internal/flood/flood.go
@@ -34,6 +34,7 @@
 	AtOnce   int          // workers
 	Length   time.Duration
 	Known    []netip.Addr // known clients, one each
+	Others   []netip.Addr // clients that behave as well, but are on no list
 	KnownGap time.Duration
 }
 
@@ -50,7 +51,7 @@
 	case o.Tries > 0 && len(o.Sources) == 0:
 		return errors.New("no source address")
 	}
-	for _, a := range append(slices.Clone(o.Sources), o.Known...) {
+	for _, a := range slices.Concat(o.Sources, o.Known, o.Others) {
 		if !a.IsLoopback() {
 			return fmt.Errorf("the source %v is not a loopback address", a)
 		}
@@ -69,7 +70,7 @@
 }
 
 // Result of a flood.
-type Result struct{ Flood, Known *Fate }
+type Result struct{ Flood, Known, Others *Fate }
 
 // Run presses on a head until the tries or the time are over.
 func Run(o Options) (*Result, error) {
@@ -78,7 +79,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), o.Length)
 	defer cancel()
-	res := &Result{Flood: newFate(), Known: newFate()}
+	res := &Result{Flood: newFate(), Known: newFate(), Others: newFate()}
 	var mu sync.Mutex
 	var workers, known sync.WaitGroup
 	next := 0
@@ -99,7 +100,10 @@
 	for _, addr := range o.Known {
 		known.Go(func() { o.goOn(ctx, addr, res.Known, &mu) })
 	}
-	if len(o.Known) == 0 {
+	for _, addr := range o.Others {
+		known.Go(func() { o.goOn(ctx, addr, res.Others, &mu) })
+	}
+	if len(o.Known)+len(o.Others) == 0 {
 		workers.Wait()
 		cancel()
 	}
