The flood measured from a process of its own; newcomers take half a millisecond of a turn at most

Cause: the flood's goroutines stood between the measured clients and their clock; a turn gave newcomers up to 1 ms.

--- a/cmd/maddergap/flood.go
+++ b/cmd/maddergap/flood.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net/netip"
@@ -24,6 +25,7 @@
 	Length  time.Duration `default:"8s" help:"How long."`
 	Known   int           `default:"20" help:"Known clients, from 127.9.0.1 on."`
 	Others  int           `default:"20" help:"Clients that behave alike but are on no list, from 127.10.1.1 on, one of each prefix."`
+	JSON    bool          `help:"With --target: the flood's fate as JSON."`
 	Gap     time.Duration `default:"20ms" help:"Gap between a known client's connections."`
 }
 
@@ -66,6 +68,9 @@
 		if err != nil {
 			return usage{err}
 		}
+		if c.JSON {
+			return json.NewEncoder(io.out).Encode(r.Flood)
+		}
 		r.Flood.Write(io.out, "flood")
 		r.Known.Write(io.out, "known")
 		r.Others.Write(io.out, "others")
@@ -101,7 +106,8 @@
 		}
 		fmt.Fprintf(io.out, "  known served %.1f%%, p99 of connect and answer %.2f times calm; head: %s",
 			100*float64(r.Known.Served)/float64(max(r.Known.Tries, 1)), float64(p99)/float64(calm), r.CPU)
-		if n := r.Flood.Refused + r.Flood.Closed; n > 0 {
+		if tries := run.tries; tries > 0 {
+			n := r.Flood.Refused + r.Flood.Closed
 			fmt.Fprintf(io.out, ", %.0f turned away a CPU second, known clients' answers with it", float64(n)/r.Seconds)
 		}
 		fmt.Fprintln(io.out)
@@ -141,10 +147,26 @@
 	o := c.options()
 	o.Target, o.Tries = addr, tries
 	began := time.Now()
-	r, err := flood.Run(o)
-	if err != nil {
+	// The flood comes from a process of its own, so that its goroutines do not stand
+	// between the clients that are measured and their clock.
+	pressed := make(chan error, 1)
+	r := &flood.Result{}
+	go func() {
+		if tries == 0 {
+			pressed <- nil
+			return
+		}
+		var err error
+		r.Flood, err = flood.Press(o, exe)
+		pressed <- err
+	}()
+	calm := o
+	calm.Tries = 0
+	known, err := flood.Run(calm)
+	if err := errors.Join(err, <-pressed); err != nil {
 		return nil, usage{err}
 	}
+	r.Known, r.Others = known.Known, known.Others
 	wall := time.Since(began)
 	if err := head.Stop(); err != nil {
 		return nil, fmt.Errorf("the head: %w", err)
--- a/internal/badday/run.go
+++ b/internal/badday/run.go
@@ -300,20 +300,21 @@
 // press runs a flood in a process of its own, so that it does not take the
 // clients' time, and returns what became of it.
 func (o *Options) press(f flood.Options) (string, error) {
+	var b strings.Builder
 	if len(o.Exe) == 0 {
 		r, err := flood.Run(f)
 		if err != nil {
 			return "", err
 		}
-		var b strings.Builder
 		r.Flood.Write(&b, "")
 		return strings.TrimSpace(b.String()), nil
 	}
-	out, err := child.Output(append(slices.Clone(o.Exe), "flood", "--target", f.Target, "--path", f.Path, "--pattern", f.Pattern,
-		"--sources", fmt.Sprint(len(f.Sources)), "--tries", fmt.Sprint(f.Tries), "--at-once", fmt.Sprint(f.AtOnce),
-		"--length", f.Length.String(), "--known", "0", "--others", "0")...)
-	first, _, _ := strings.Cut(string(out), "\n")
-	return first, err
+	r, err := flood.Press(f, o.Exe...)
+	if err != nil {
+		return "", err
+	}
+	r.Write(&b, "")
+	return strings.TrimSpace(b.String()), nil
 }
 
 // watch sees when this process itself was held up, so that a late rig is told from
--- a/internal/flood/flood.go
+++ b/internal/flood/flood.go
@@ -6,6 +6,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -19,6 +20,8 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"golang.org/x/sys/unix"
+
+	"maddergap/internal/child"
 )
 
 // Patterns of a flood.
@@ -62,7 +65,7 @@
 // Fate counts what became of a kind of client.
 type Fate struct {
 	Tries, Connected, Served, Refused, Closed, Unreached int
-	Connect, Answer                                      *hdrhistogram.Histogram // microseconds, of those served
+	Connect, Answer                                      *hdrhistogram.Histogram `json:"-"` // microseconds, of those served
 }
 
 func newFate() *Fate {
@@ -113,6 +116,19 @@
 	return res, nil
 }
 
+// Press runs the flood of some options, without known clients or others, by the
+// command with these first arguments, in a process of its own.
+func Press(o Options, exe ...string) (*Fate, error) {
+	out, err := child.Output(append(slices.Clone(exe), "flood", "--json", "--target", o.Target, "--path", o.Path, "--pattern", o.Pattern,
+		"--sources", fmt.Sprint(len(o.Sources)), "--tries", fmt.Sprint(o.Tries), "--at-once", fmt.Sprint(o.AtOnce),
+		"--length", o.Length.String(), "--known", "0", "--others", "0")...)
+	if err != nil {
+		return nil, err
+	}
+	f := newFate()
+	return f, json.Unmarshal(out, f)
+}
+
 func (o *Options) dial(ctx context.Context, from netip.Addr) (net.Conn, error) {
 	d := net.Dialer{LocalAddr: &net.TCPAddr{IP: from.AsSlice()}, Timeout: 5 * time.Second,
 		// Ports are chosen by the whole four-tuple, so that thousands fit one address.
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -26,8 +26,8 @@
 
 	// What newcomers may take of a turn: as long as all else in it took, but no less
 	// than the one, lest an idle head keep them waiting, and no more than the other.
-	acceptLeast = 200 * time.Microsecond
-	acceptMost  = time.Millisecond
+	acceptLeast = 100 * time.Microsecond
+	acceptMost  = 500 * time.Microsecond
 )
 
 // Part of a turn of the loop.
