--- a/internal/dav/dav.go
+++ b/internal/dav/dav.go
@@ -116,11 +116,33 @@
 
 const maxProps = 200
 
+// PrefixesBound tells whether no element binds a prefix to the empty namespace,
+// which no XML may (Namespaces in XML 1.0, 2.2) and the decoder lets through.
+func PrefixesBound(body []byte) bool {
+	d := xml.NewDecoder(bytes.NewReader(body))
+	for {
+		tok, err := d.RawToken()
+		if err != nil {
+			return true // what is not well-formed is told elsewhere
+		}
+		if e, ok := tok.(xml.StartElement); ok {
+			for _, a := range e.Attr {
+				if a.Name.Space == "xmlns" && a.Value == "" {
+					return false
+				}
+			}
+		}
+	}
+}
+
 // ParsePropfind reads a PROPFIND body (RFC 4918 14.20); an empty one asks for all.
 func ParsePropfind(body []byte) (p Propfind, err error) {
 	if len(bytes.TrimSpace(body)) == 0 {
 		return Propfind{All: true}, nil
 	}
+	if !PrefixesBound(body) {
+		return p, ErrXML
+	}
 	d := xml.NewDecoder(bytes.NewReader(body))
 	depth, inProp, kinds, root := 0, false, 0, false
 	for {
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -83,17 +83,21 @@
 
 // HeaderEnd returns the length of the header block at the start of p, its
 // empty line included, or 0 where it is not complete. scanned is how many
-// bytes of p an earlier call already looked at.
+// bytes of p an earlier call already looked at. A line that ends with a bare LF
+// ends the block: it cannot become a header any more, and is not waited for.
 func HeaderEnd(p []byte, scanned int) int {
-	from := max(0, scanned-3)
-	if i := bytes.Index(p[from:], crlf2); i >= 0 {
-		return from + i + 4
+	for i := max(0, scanned-3); ; {
+		n := bytes.IndexByte(p[i:], '\n')
+		if n < 0 {
+			return 0
+		}
+		i += n + 1
+		if i < 2 || p[i-2] != '\r' || i >= 4 && p[i-3] == '\n' && p[i-4] == '\r' {
+			return i
+		}
 	}
-	return 0
 }
 
-var crlf2 = []byte("\r\n\r\n")
-
 // Get returns the first field of the name (any case), nil if there is none.
 func (m *Message) Get(name string) []byte {
 	for i := range m.Fields {
