The module keeps what waits in lanes: the next to go is found without reading all that wait

Change: internal/lanes keeps requests of a kind (class, plan, hosts, units, excess, first or repeated attempt) by aim and due time with the best by tag and by aim of any end; a volume that its limit keeps from going is apart. What is decided stays; the one change: no request's aim is after its client's end.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -12,6 +12,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"maddergap/internal/lanes"
 )
 
 // All constants. Times are multiples of the shortest aim (h.aim) where classes matter.
@@ -44,12 +46,17 @@
 	listRetry    = time.Second // after a failed call for the list
 )
 
+type slot = lanes.Slot[*request, kind, *volume]
+
+type place = lanes.Place[*request, kind, *volume]
+
+type lane = lanes.Lane[*request, kind]
+
 type request struct {
 	Arrival
-	seq             int
+	slot            // with the end of its client's time, and its aim
 	class           *Class
 	vol             *volume
-	due, aimAt      Time
 	start           float64 // start tag
 	excess          bool    // the tag is beyond the volume's reserve
 	node            *node   // whose queue it waits in, nil if none
@@ -60,6 +67,28 @@
 	done, streaming bool
 }
 
+// kind is what requests have in common that differ in their times and tags alone.
+type kind struct {
+	class         *Class
+	plan          *Plan
+	hosts, units  float64
+	excess, again bool // beyond the reserve; an attempt past the first
+}
+
+// Orders of requests of a kind.
+const (
+	byTag = iota
+	byAim
+)
+
+func tagBefore(a, b *request) bool {
+	return a.start < b.start || (a.start == b.start && aimBefore(a, b))
+}
+
+func aimBefore(a, b *request) bool { return a.Aim < b.Aim || (a.Aim == b.Aim && a.Seq < b.Seq) }
+
+func newPlace() *place { return lanes.New(tagBefore, aimBefore) }
+
 type attempt struct {
 	r    *request
 	node *node
@@ -89,7 +118,7 @@
 
 type node struct {
 	Entry
-	queue    []*request
+	queue    *place
 	v        float64 // virtual time: the start tag last sent
 	window   float64
 	shrunk   Time
@@ -146,9 +175,10 @@
 	attempts map[attemptID]*attempt
 	vols     map[string]*volume
 	turns    map[string]*turn
-	homeless []*request // no node of the list may take them
-	taken    []Time     // requests, within the budget's window
-	further  []Time     // attempts past the first, likewise
+	homeless *place // no node of the list may take them
+	pos      int
+	taken    []Time // requests, within the budget's window
+	further  []Time // attempts past the first, likewise
 	swept    Time
 	watchAt  Time
 	armed    Time
@@ -162,7 +192,7 @@
 	}
 	h := &Head{s: s, now: now, crowd: 1, boot: now, swept: now, watchAt: -1, armed: now,
 		reqs: map[uint64]*request{}, attempts: map[attemptID]*attempt{}, vols: map[string]*volume{},
-		turns: map[string]*turn{}, flows: map[int]*faded{}, rand: rand.New(rand.NewPCG(seed, seed))}
+		turns: map[string]*turn{}, flows: map[int]*faded{}, homeless: newPlace(), rand: rand.New(rand.NewPCG(seed, seed))}
 	h.aim = s.Classes[0].Aim
 	for _, c := range s.Classes {
 		h.aim = min(h.aim, c.Aim)
@@ -227,8 +257,9 @@
 	}
 	h.seq++
 	a.Units = max(a.Units, 0)
-	r := &request{Arrival: a, seq: h.seq, class: &h.s.Classes[a.Class], vol: h.volume(a)}
-	r.due, r.aimAt = h.now+a.Left, h.now+r.class.Aim
+	r := &request{Arrival: a, class: &h.s.Classes[a.Class], vol: h.volume(a)}
+	r.Seq, r.Due = h.seq, h.now+a.Left
+	r.Aim = min(h.now+r.class.Aim, r.Due) // one whose client leaves before its aim aims at that
 	h.reqs[a.ID] = r
 	if r.vol.plan.Limit > 0 && r.vol.limit.cap < a.Units {
 		h.finish(r) // more than this host's part of the burst ever holds
@@ -279,18 +310,40 @@
 // queue places a held request in the queue of the node that may take it.
 func (h *Head) queue(r *request) {
 	n := h.target(r)
+	h.pos++
 	if n == nil {
 		r.node = nil
-		h.homeless = append(h.homeless, r)
+		h.homeless.Hold(r, h.pos)
 		return
 	}
 	if r.node != n || r.tries == 0 {
 		h.tag(r, n)
 	}
-	r.node, n.queue = n, append(n.queue, r)
+	r.node = n
+	n.queue.Hold(r, h.pos)
+	h.place(r)
 	h.touch(n)
 }
 
+// place lets a held request stand ready at its node, or sleep until it may. One
+// that waits for its key's turn does neither (rule on order).
+func (h *Head) place(r *request) {
+	until, t := r.notBefore, h.turns[r.Key]
+	if r.class.InOrder && t != nil {
+		if len(t.queue) == 0 || t.queue[0] != r {
+			return
+		}
+		if t.restOf != r {
+			until = max(until, t.rest)
+		}
+	}
+	if until > h.now {
+		r.node.queue.Sleep(r, until)
+		return
+	}
+	r.node.queue.Ready(r, r.vol, kind{r.class, r.vol.plan, r.vol.hosts, r.Units, r.excess, r.tries > 0})
+}
+
 // target returns the serving node that holds the request's shard; a new object
 // goes to the node that should have room for it soonest. Nodes whose breaker is
 // open or that are cold come last.
@@ -305,7 +358,7 @@
 		if n.State != Serving || !h.mayRepeat(r, n) {
 			continue
 		}
-		load := max(n.lat, h.aim.Seconds()/10) * (1 + float64(len(n.queue)+len(n.outs))) / n.window
+		load := max(n.lat, h.aim.Seconds()/10) * (1 + float64(n.queue.Len()+len(n.outs))) / n.window
 		if n.open {
 			load += 1e6
 		}
@@ -379,7 +432,11 @@
 func (h *Head) close(r *request) {
 	r.done = true
 	delete(h.reqs, r.ID)
-	h.touch(r.node)
+	if h.touch(r.node); r.Held() && r.node != nil {
+		r.node.queue.Done(r)
+	} else if r.Held() {
+		h.homeless.Done(r)
+	}
 	h.endTurn(r)
 }
 
@@ -388,21 +445,19 @@
 	if t == nil || !r.done || r.live > 0 {
 		return
 	}
-	if i := slices.Index(t.queue, r); i >= 0 {
+	switch i := slices.Index(t.queue, r); {
+	case i == 0:
+		t.queue = t.queue[1:]
+	case i > 0:
 		t.queue = slices.Delete(t.queue, i, i+1)
-		for _, next := range t.queue[:min(1, len(t.queue))] {
-			h.touch(next.node)
-		}
+	default:
+		return
 	}
-}
-
-// hasTurn keeps the order of a key (rule on order).
-func (h *Head) hasTurn(r *request) bool {
-	t := h.turns[r.Key]
-	if !r.class.InOrder || t == nil {
-		return true
+	for _, next := range t.queue[:min(1, len(t.queue))] {
+		if h.touch(next.node); next.Held() && next.node != nil && !next.Placed() {
+			h.place(next)
+		}
 	}
-	return len(t.queue) > 0 && t.queue[0] == r && (t.restOf == r || h.now >= t.rest)
 }
 
 func (h *Head) ended(e Ended) {
@@ -430,7 +485,7 @@
 	case e.Closed:
 		h.close(r)
 	case r.live > 0:
-	case r.streaming || e.Spent || h.now+lastCall >= r.due ||
+	case r.streaming || e.Spent || h.now+lastCall >= r.Due ||
 		(h.s.MaxAttempts > 0 && r.tries >= h.s.MaxAttempts):
 		h.finish(r)
 	case !proven && (r.class.Effect == Unsafe || h.target(r) == nil):
@@ -539,7 +594,7 @@
 		seen[e.Node] = true
 		i := slices.IndexFunc(h.nodes, func(n *node) bool { return n.Node == e.Node })
 		if i < 0 {
-			n := &node{Entry: e, window: windowStart, heard: h.now}
+			n := &node{Entry: e, window: windowStart, heard: h.now, queue: newPlace()}
 			h.nodes = append(h.nodes, n)
 			h.coldStart(n)
 			continue
@@ -558,20 +613,17 @@
 		}
 	}
 	// Requests held for a node that no longer serves, or for none, find their next node.
-	moved := h.homeless
-	h.homeless, h.byShard = nil, map[int][]*node{}
+	moved := h.homeless.Until(math.MaxInt64)
+	h.byShard = map[int][]*node{}
 	for _, n := range h.nodes {
 		h.touch(n)
 		h.byShard[n.Shard] = append(h.byShard[n.Shard], n)
 		if n.State != Serving {
-			moved = append(moved, n.queue...)
-			n.queue = nil
+			moved = append(moved, n.queue.Until(math.MaxInt64)...)
 		}
 	}
 	for _, r := range moved {
-		if !r.done {
-			h.queue(r)
-		}
+		h.queue(r)
 	}
 }
 
@@ -638,35 +690,21 @@
 
 // expected is how long an answer should take, from the node's recent ones; a
 // request that is out for longer already counts as one.
-func (h *Head) expected(n *node, r *request) time.Duration {
-	t := max(n.lat+h.unit*(r.Units-h.s.MeanUnits), 0)
+func (h *Head) expected(n *node, units float64) time.Duration {
+	t := max(n.lat+h.unit*(units-h.s.MeanUnits), 0)
 	if len(n.outs) > 0 {
 		t = max(t, (h.now-n.outs[0].sent).Seconds()/2)
 	}
 	return time.Duration(t * float64(time.Second))
 }
 
-// sendable tells whether nothing but the window keeps a held request.
-func (h *Head) sendable(r *request, n *node) bool {
-	if h.now < r.notBefore || !h.hasTurn(r) || !h.mayRepeat(r, n) {
-		return false
-	}
-	// A node where nothing is out is tried again after trialMax though no answer is
-	// expected in time. Guards against a time-out of which nothing newer is ever
-	// heard, as where all nodes were silent at once: it would keep all from the node.
-	if h.now+h.expected(n, r) > r.due && (len(n.outs) > 0 || h.now < n.sentAt+trialMax) {
-		return false
-	}
-	if r.tries > 0 && !h.withinBudget() {
+// limited tells whether a volume's limit keeps a first attempt of so many units.
+func (h *Head) limited(v *volume, units float64) bool {
+	if v.plan.Limit <= 0 {
 		return false
 	}
-	if r.tries == 0 && r.vol.plan.Limit > 0 {
-		r.vol.limit.fill(h.now)
-		if r.vol.limit.level < r.Units {
-			return false
-		}
-	}
-	return h.coldRoom(n, r.Units)
+	v.limit.fill(h.now)
+	return v.limit.level < units
 }
 
 // withinBudget keeps the budget of attempts past the first.
@@ -674,9 +712,9 @@
 	if !h.s.Budget {
 		return true
 	}
-	h.taken = slices.DeleteFunc(h.taken, func(t Time) bool { return t <= h.now-h.s.BudgetOver })
+	h.taken = since(h.taken, h.now-h.s.BudgetOver+1)
 	// An attempt just at the edge still counts, a request there does not.
-	h.further = slices.DeleteFunc(h.further, func(t Time) bool { return t < h.now-h.s.BudgetOver })
+	h.further = since(h.further, h.now-h.s.BudgetOver)
 	return float64(len(h.further)+1) <= h.s.BudgetFree+h.s.BudgetShare*float64(len(h.taken))
 }
 
@@ -684,16 +722,16 @@
 // node, which cannot be seen but in how slowly the node answers: what earns
 // least a unit soonest (late, beyond the reserve, of a class or plan of little
 // worth). Departure from "no slot idled": a slot is left open then.
-func (h *Head) yields(r *request, n *node, late bool) bool {
-	worth, calm := h.worth(r)/h.top, calmAims
+func (h *Head) yields(k *kind, n *node, late bool) bool {
+	worth, calm := k.worth()/h.top, calmAims
 	if late {
-		worth, calm = worth*r.class.LateWorth, calmLate
+		worth, calm = worth*k.class.LateWorth, calmLate
 	}
-	if r.excess {
+	if k.excess {
 		worth *= h.s.ShareWorth
 	}
 	// All heads of a volume together try a crowded node at the pace of one.
-	pressure := n.pressure * math.Exp2(-float64(h.now-n.heard)/float64(h.aim)/calm/max(1, 2*r.vol.hosts-2))
+	pressure := n.pressure * math.Exp2(-float64(h.now-n.heard)/float64(h.aim)/calm/max(1, 2*k.hosts-2))
 	if h.isCold(n) { // what a cold node bears is for what earns most
 		b := h.coldLevel(n)
 		pressure = max(pressure, 1-b.level/max(b.cap, 1e-9))
@@ -701,49 +739,97 @@
 	return pressure > max(worth, yieldLeast) && worth < 1
 }
 
-// worth is what a unit of the request earns in time and within the reserve.
-func (h *Head) worth(r *request) float64 { return r.class.Worth * r.vol.plan.Price }
+// worth is what a unit earns in time and within the reserve.
+func (k *kind) worth() float64 { return k.class.Worth * k.plan.Price }
+
+// front returns the request of a lane that goes first by an order, of those that
+// can still be in time for their aim or, if late, of those that are late; nil where
+// none may go now.
+func (h *Head) front(n *node, l *lane, order int, late bool) *request {
+	if k := &l.Kind; l.Empty() || (k.again && !h.withinBudget()) || h.yields(k, n, late) || !h.coldRoom(n, k.units) {
+		return nil
+	}
+	t, next := h.now+h.expected(n, l.Kind.units), l.InTime
+	if late {
+		next = l.Alive
+	}
+	// A node where nothing is out is tried again after trialMax though no answer is
+	// expected in time. Guards against a time-out of which nothing newer is ever
+	// heard, as where all nodes were silent at once: it would keep all from the node.
+	if late && len(n.outs) == 0 && h.now >= n.sentAt+trialMax {
+		t = math.MinInt64
+	}
+	for {
+		r, ok := next(order, t)
+		if !ok || h.mayRepeat(r, n) {
+			return r
+		}
+		n.queue.Unplace(r) // its nodes' window is over: never again
+	}
+}
 
 // pick returns the held request that goes next: the volume with the lowest
 // start tag, and of its requests the one of most worth, then with the nearest
 // aim, which trades tags with the first. Equal tags, as in the reserves, are
 // told apart in the same way. Departure: what can no longer meet its aim goes
 // only when nothing else can.
-func (h *Head) pick(n *node) (best *request) {
-	late := func(r *request) bool { return h.now+h.expected(n, r) > r.aimAt }
+func (h *Head) pick(n *node) *request {
+	for r, ok := n.queue.Woken(h.now); ok; r, ok = n.queue.Woken(h.now) {
+		h.place(r)
+	}
 	before := func(a, b *request) bool { // more worth a unit, then the nearer aim
-		if wa, wb := h.worth(a), h.worth(b); wa != wb {
+		if wa, wb := a.Kind().worth(), b.Kind().worth(); wa != wb {
 			return wa > wb
 		}
-		return a.aimAt < b.aimAt || (a.aimAt == b.aimAt && a.seq < b.seq)
+		return aimBefore(a, b)
 	}
-	var bestLate bool
-	var ready []*request
-	for _, r := range n.queue {
-		if !h.sendable(r, n) {
+	for _, late := range [...]bool{false, true} {
+		first := h.foremost(n, late, before)
+		if first == nil {
 			continue
 		}
-		l := late(r)
-		if h.yields(r, n, l) {
-			continue
+		best := first
+		for _, l := range n.queue.Own(first.vol) {
+			if l.Kind.again || !h.limited(first.vol, l.Kind.units) {
+				if r := h.front(n, l, byAim, late); r != nil && before(r, best) {
+					best = r
+				}
+			}
 		}
-		ready = append(ready, r)
-		if best == nil || (bestLate && !l) || (bestLate == l && (r.start < best.start ||
-			(r.start == best.start && before(r, best)))) {
-			best, bestLate = r, l
+		if best != first {
+			n.queue.Unplace(best)
+			n.queue.Unplace(first)
+			best.start, first.start = first.start, best.start
+			best.excess, first.excess = first.excess, best.excess
+			h.place(first)
 		}
+		return best
 	}
-	if best == nil {
-		return nil
-	}
-	first := best
-	for _, r := range ready {
-		if r.vol == first.vol && late(r) == bestLate && before(r, best) {
+	return nil
+}
+
+// foremost returns the request of the lowest start tag. Volumes that their limit
+// keeps from going are looked at each by itself, all others together by kind.
+func (h *Head) foremost(n *node, late bool, before func(a, b *request) bool) (best *request) {
+	take := func(r *request) {
+		if r != nil && (best == nil || r.start < best.start || (r.start == best.start && before(r, best))) {
 			best = r
 		}
 	}
-	best.start, first.start = first.start, best.start
-	best.excess, first.excess = first.excess, best.excess
+	for _, l := range n.queue.Shared {
+		r := h.front(n, l, byTag, late)
+		for ; r != nil && !l.Kind.again && h.limited(r.vol, l.Kind.units); r = h.front(n, l, byTag, late) {
+			n.queue.SetApart(r.vol)
+		}
+		take(r)
+	}
+	for _, s := range n.queue.Apart {
+		for _, l := range s.Lanes {
+			if l.Kind.again || !h.limited(s.Owner, l.Kind.units) {
+				take(h.front(n, l, byTag, late))
+			}
+		}
+	}
 	return best
 }
 
@@ -755,8 +841,8 @@
 	if len(n.outs) > 0 && (h.now-max(n.heard, n.outs[0].sent)).Seconds() >= patience {
 		h.openBreaker(n)
 	}
-	n.queue = h.expire(n.queue)
-	for len(n.queue) > 0 {
+	h.expire(n.queue)
+	for n.queue.Len() > 0 {
 		if n.open && h.now < n.trialAt {
 			break
 		} else if n.open { // half-open: one trial, at growing gaps
@@ -779,8 +865,8 @@
 	if len(n.outs) > 0 {
 		n.wake = h.now + h.aim/4
 	}
-	if len(n.queue) > 0 { // held for a slot, or by what time alone changes
-		n.wake = min(n.wake, h.lastCalls(n.queue), max(h.slotAt(n), h.now+h.aim/polls))
+	if n.queue.Len() > 0 { // held for a slot, or by what time alone changes
+		n.wake = min(n.wake, lastCalls(n.queue), max(h.slotAt(n), h.now+h.aim/polls))
 	}
 }
 
@@ -800,7 +886,7 @@
 
 func (h *Head) send(n *node, r *request) {
 	n.sentAt, n.jitter = h.now, 0.5+h.rand.Float64()
-	n.queue = slices.DeleteFunc(n.queue, func(o *request) bool { return o == r })
+	n.queue.Drop(r)
 	n.v = max(n.v, r.start)
 	if r.tries == 0 {
 		if r.vol.plan.Limit > 0 {
@@ -821,23 +907,19 @@
 	h.do(Send{ID: r.ID, Node: n.Node})
 }
 
-// expire answers what is out of time and returns the rest.
-func (h *Head) expire(held []*request) []*request {
-	return slices.DeleteFunc(held, func(r *request) bool {
-		if !r.done && h.now+lastCall >= r.due {
-			h.finish(r)
-		}
-		return r.done
-	})
+// expire answers what is out of time.
+func (h *Head) expire(held *place) {
+	for _, r := range held.Until(h.now + lastCall + 1) {
+		h.finish(r)
+	}
 }
 
-// lastCalls returns when the first of them must be answered.
-func (h *Head) lastCalls(held []*request) Time {
-	first := Time(math.MaxInt64)
-	for _, r := range held {
-		first = min(first, r.due-lastCall)
+// lastCalls returns when the first of those held must be answered.
+func lastCalls(held *place) Time {
+	if held.Len() == 0 {
+		return math.MaxInt64
 	}
-	return first
+	return held.First() - lastCall
 }
 
 // settle lets every node that something happened to send, and sets the timer.
@@ -868,8 +950,8 @@
 	if wake = min(wake, h.nextWake); len(h.touched) > 0 { // by what came of it, as a key's next turn
 		wake = h.now
 	}
-	h.homeless = h.expire(h.homeless)
-	wake = min(wake, h.lastCalls(h.homeless))
+	h.expire(h.homeless)
+	wake = min(wake, lastCalls(h.homeless))
 	if h.now >= h.swept+idleFor/2 {
 		h.sweep()
 	}
@@ -885,6 +967,9 @@
 // kept: forgotten, it would come back with more than it has.
 func (h *Head) sweep() {
 	h.swept = h.now
+	for _, n := range h.nodes {
+		n.queue.Sweep()
+	}
 	for name, v := range h.vols {
 		for n, e := range v.at {
 			if h.now-e.used > idleFor {
@@ -901,5 +986,5 @@
 			delete(h.turns, key)
 		}
 	}
-	h.taken = slices.DeleteFunc(h.taken, func(t Time) bool { return t <= h.now-h.s.BudgetOver })
+	h.taken = since(h.taken, h.now-h.s.BudgetOver+1)
 }
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -516,7 +516,8 @@
 		{"late at a quick node", 0.05, 0, 0, false, true, false},
 		{"late, nothing heard for long", 0.9, 3 * time.Second, 0, false, true, false},
 	} {
-		q := &request{vol: r.h.volume(req(1)), class: &r.h.s.Classes[c.class], excess: c.excess}
+		v := r.h.volume(req(1))
+		q := &kind{class: &r.h.s.Classes[c.class], plan: v.plan, hosts: v.hosts, excess: c.excess}
 		n.pressure, n.heard = c.pressure, r.now-c.silent
 		want(t, c.name, r.h.yields(q, n, c.late), c.want)
 	}
@@ -830,7 +831,8 @@
 		after time.Duration
 		want  bool // still stands back
 	}{{1, 200 * ms, true}, {1, time.Second, false}, {20, time.Second, true}, {20, 25 * time.Second, false}} {
-		q := &request{vol: r.h.volume(req(1, hosts(c.hosts))), class: &r.h.s.Classes[0], excess: true}
+		v := r.h.volume(req(1, hosts(c.hosts)))
+		q := &kind{class: &r.h.s.Classes[0], plan: v.plan, hosts: v.hosts, excess: true}
 		n.pressure, n.heard = 0.9, r.now-c.after
 		if got := r.h.yields(q, n, false); got != c.want {
 			t.Errorf("%d hosts after %v: stands back %v, want %v", c.hosts, c.after, got, c.want)
--- /dev/null
+++ b/logic/same_test.go
@@ -0,0 +1,196 @@
+package logic_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	. "maddergap/logic"
+)
+
+// world plays one drawn history to both, and answers what they send.
+type world struct {
+	r     *rand.Rand
+	s     Settings
+	now   Time
+	id    uint64
+	out   []out
+	wake  Time
+	nodes []Entry
+	live  []uint64
+	shape shape
+}
+
+type out struct {
+	id      uint64
+	attempt int
+	node    string
+}
+
+// shape says what kind of history it is.
+type shape struct {
+	volumes, nodes, steps, burst int
+	keys                         int
+	varied                       bool // units and times differ from request to request
+	faults                       float64
+	crowded                      bool // answers are slow
+}
+
+func settings(r *rand.Rand) Settings {
+	s := Settings{Heads: 1 + r.IntN(4), MostUnits: 8, MeanUnits: 2, ShareWorth: 0.3, MaxAttempts: 4, MaxRetryAfter: time.Second,
+		OrderRest: 300 * time.Millisecond,
+		Classes: []Class{{Name: "read", Aim: 100 * time.Millisecond, Worth: 2, LateWorth: 0.2},
+			{Name: "write", Aim: 200 * time.Millisecond, Effect: Unsafe, Worth: 2, LateWorth: 0.2, InOrder: true},
+			{Name: "keyed", Aim: 150 * time.Millisecond, Effect: Keyed, Group: Group(r.IntN(3)), Window: 400 * time.Millisecond, Worth: 1, LateWorth: 0.5},
+			{Name: "export", Aim: 500 * time.Millisecond, Worth: 1, LateWorth: 0.2}},
+		Plans: []Plan{{Name: "limited", Reserve: 16, Weight: 1, Price: 0.75, Limit: 64, LimitBurst: 128},
+			{Name: "free", Reserve: 32, Weight: 2, Price: 1}}}
+	if r.IntN(2) == 0 {
+		s.Cold, s.ColdFrom, s.ColdUnits, s.FallWindow, s.FallMultiple = 2*time.Second, 0.25, 8, time.Second, 2
+	}
+	if r.IntN(2) == 0 {
+		s.Budget, s.BudgetFree, s.BudgetShare, s.BudgetOver = true, 2, 0.0625, 2*time.Second
+	}
+	return s
+}
+
+func (w *world) arrival() Arrival {
+	w.id++
+	v := w.r.IntN(w.shape.volumes)
+	a := Arrival{ID: w.id, Shard: w.r.IntN(w.shape.nodes), Plan: v % 2, Class: w.r.IntN(4), Volume: fmt.Sprint("v", v),
+		Left: 800 * time.Millisecond, Units: float64(1 + w.r.IntN(3)), Hosts: 1 + v%3}
+	if w.shape.varied {
+		a.Units = w.r.Float64() * 4
+		a.Left = time.Duration(20+w.r.IntN(1500)) * time.Millisecond
+	}
+	if w.r.IntN(10) == 0 {
+		a.Shard = -1
+	}
+	if a.Class == 1 || w.r.IntN(8) == 0 {
+		a.Key = fmt.Sprint("k", w.r.IntN(w.shape.keys))
+	}
+	w.live = append(w.live, w.id)
+	return a
+}
+
+func (w *world) list() Event {
+	for i := range w.nodes {
+		switch w.r.IntN(6) {
+		case 0:
+			w.nodes[i].State = NodeState(w.r.IntN(3))
+		case 1:
+			w.nodes[i].State, w.nodes[i].Started = Serving, w.now
+		case 2, 3:
+			w.nodes[i].State = Serving
+		}
+	}
+	return List{Full: true, Entries: append([]Entry(nil), w.nodes...)}
+}
+
+// events draws what happens at one moment.
+func (w *world) events() (list []Event) {
+	if w.wake > 0 && w.now >= w.wake {
+		w.wake = 0
+		list = append(list, Wake{})
+	}
+	if w.r.Float64() < 0.03 {
+		list = append(list, w.list())
+	}
+	for range w.r.IntN(w.shape.burst + 1) {
+		list = append(list, w.arrival())
+	}
+	most := len(w.out)
+	if w.shape.crowded {
+		most = min(most, 1)
+	}
+	for range w.r.IntN(most + 1) {
+		i := w.r.IntN(len(w.out))
+		o := w.out[i]
+		w.out[i] = w.out[len(w.out)-1]
+		w.out = w.out[:len(w.out)-1]
+		e := Ended{ID: o.id, Attempt: o.attempt, Node: o.node}
+		if w.r.Float64() < w.shape.faults {
+			e.Outcome = Outcome(w.r.IntN(8))
+		}
+		e.Spent = w.r.IntN(20) == 0
+		if w.r.IntN(4) == 0 {
+			e.Reports, e.Reported = true, float64(w.r.IntN(20))
+		}
+		if w.r.IntN(5) == 0 {
+			list = append(list, Begun{ID: o.id, Attempt: o.attempt})
+		}
+		list = append(list, e)
+	}
+	if len(w.live) > 0 && w.r.IntN(12) == 0 {
+		list = append(list, Dropped{ID: w.live[w.r.IntN(len(w.live))]})
+	}
+	return list
+}
+
+// told books what the actions ask for.
+func (w *world) told(acts []Action, attempts map[uint64]int) {
+	for _, a := range acts {
+		switch a := a.(type) {
+		case Send:
+			w.out = append(w.out, out{a.ID, attempts[a.ID], a.Node})
+			attempts[a.ID]++
+		case WakeIn:
+			w.wake = w.now + a.In
+		}
+	}
+}
+
+// The same events bring the same actions, in the same order, as from the module that
+// read every request that waits.
+func TestSameAsReference(t *testing.T) {
+	shapes := map[string]shape{
+		"few":                 {volumes: 5, nodes: 3, steps: 400, burst: 3, keys: 4, faults: 0.2},
+		"surge":               {volumes: 8, nodes: 2, steps: 250, burst: 30, keys: 6, faults: 0.1, crowded: true},
+		"varied":              {volumes: 6, nodes: 3, steps: 300, burst: 8, keys: 5, faults: 0.3, varied: true},
+		"varied surge":        {volumes: 6, nodes: 1, steps: 200, burst: 25, keys: 5, faults: 0.1, varied: true, crowded: true},
+		"many volumes":        {volumes: 300, nodes: 3, steps: 200, burst: 20, keys: 50, faults: 0.1, crowded: true},
+		"one volume":          {volumes: 1, nodes: 1, steps: 200, burst: 25, keys: 2, faults: 0.1, crowded: true},
+		"nodes that are sick": {volumes: 4, nodes: 4, steps: 400, burst: 4, keys: 3, faults: 0.8},
+	}
+	for name, shape := range shapes {
+		t.Run(name, func(t *testing.T) {
+			rapid.Check(t, func(t *rapid.T) {
+				seed := rapid.Uint64().Draw(t, "seed")
+				same(t, seed, shape)
+			})
+		})
+	}
+}
+
+func same(t interface {
+	Fatalf(string, ...any)
+}, seed uint64, shape shape) {
+	w := &world{r: rand.New(rand.NewPCG(seed, 1)), now: time.Hour, shape: shape}
+	w.s = settings(w.r)
+	for i := range shape.nodes {
+		w.nodes = append(w.nodes, Entry{Node: fmt.Sprint("n", i), Zone: i % 2, Shard: i})
+	}
+	one, err := New(w.s, seed, w.now)
+	if err != nil {
+		t.Fatalf("%v", err)
+	}
+	two, _ := newReference(w.s, seed, w.now)
+	attempts := map[uint64]int{}
+	events := []Event{w.list()}
+	for step := range shape.steps {
+		got, want := one.Handle(w.now, events), two.Handle(w.now, events)
+		if len(got)+len(want) > 0 && !reflect.DeepEqual(got, want) {
+			t.Fatalf("seed %d, step %d at %v, after %+v:\n%+v\nwant\n%+v", seed, step, w.now-time.Hour, events, got, want)
+		}
+		w.told(got, attempts)
+		w.now += time.Duration(w.r.IntN(20000)) * time.Microsecond
+		if w.wake > 0 && w.r.IntN(3) > 0 {
+			w.now = max(w.now, min(w.wake, w.now+30*time.Millisecond))
+		}
+		events = w.events()
+	}
+}
--- a/logic/sums.go
+++ b/logic/sums.go
@@ -4,6 +4,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -18,6 +19,12 @@
 	b.at = now
 }
 
+// since returns the part of rising times that is not before t.
+func since(times []Time, t Time) []Time {
+	i, _ := slices.BinarySearch(times, t)
+	return times[i:]
+}
+
 // faded is a sum whose parts count half after some time.
 type faded struct {
 	sum float64
