--- /dev/null
+++ b/logic/bench_test.go
@@ -0,0 +1,122 @@
+package logic_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "maddergap/logic"
+)
+
+// crowd is a module before which requests wait: each turn one comes and one answer is
+// told, which sends the next.
+type crowd struct {
+	handle func(Time, []Event) []Action
+	now    Time
+	id     uint64
+	out    []Ended
+	volume func(i uint64) (string, int)
+	nodes  int
+	key    func(i uint64) string
+}
+
+func (c *crowd) arrival() Arrival {
+	c.id++
+	v, plan := c.volume(c.id)
+	a := Arrival{ID: c.id, Shard: int(c.id) % c.nodes, Plan: plan, Class: int(c.id) % 2, Volume: v, Left: time.Hour, Units: float64(1 + c.id%3), Hosts: 1}
+	if c.key != nil {
+		a.Class, a.Key = 1, c.key(c.id)
+	}
+	return a
+}
+
+func (c *crowd) told(acts []Action) {
+	for _, a := range acts {
+		if s, ok := a.(Send); ok {
+			c.out = append(c.out, Ended{ID: s.ID, Node: s.Node, Closed: true})
+		}
+	}
+}
+
+func (c *crowd) turn() {
+	c.now += time.Millisecond
+	events := []Event{c.arrival()}
+	if len(c.out) > 0 {
+		events = append(events, c.out[0])
+		c.out = append(c.out[:0], c.out[1:]...)
+	}
+	c.told(c.handle(c.now, events))
+}
+
+func newCrowd(b *testing.B, old bool, waiting, nodes int, volume func(uint64) (string, int), key func(uint64) string) *crowd {
+	s := Settings{Heads: 1, MostUnits: 8, MeanUnits: 2, ShareWorth: 0.3,
+		Classes: []Class{{Name: "read", Aim: time.Hour, Worth: 2, LateWorth: 0.2}, {Name: "write", Aim: time.Hour, Worth: 1, LateWorth: 0.2, InOrder: key != nil}},
+		Plans:   []Plan{{Name: "free", Reserve: 50, Weight: 1, Price: 1}, {Name: "limited", Reserve: 10, Weight: 1, Price: 0.8, Limit: 1000, LimitBurst: 1000}}}
+	c := &crowd{now: time.Hour, nodes: nodes, volume: volume, key: key}
+	if old {
+		h, _ := newReference(s, 1, c.now)
+		c.handle = h.Handle
+	} else {
+		h, err := New(s, 1, c.now)
+		if err != nil {
+			b.Fatal(err)
+		}
+		c.handle = h.Handle
+	}
+	var list []Entry
+	for i := range nodes {
+		list = append(list, Entry{Node: fmt.Sprint("n", i), Shard: i})
+	}
+	c.now += 5 * time.Second // buckets of limits fill
+	events := []Event{List{Full: true, Entries: list}}
+	for range waiting {
+		events = append(events, c.arrival())
+	}
+	c.told(c.handle(c.now, events))
+	return c
+}
+
+var crowds = []struct {
+	name   string
+	volume func(i uint64) (string, int)
+	key    func(i uint64) string
+}{
+	{"1 volume", func(uint64) (string, int) { return "v", 0 }, nil},
+	{"1 limited", func(uint64) (string, int) { return "v", 1 }, nil},
+	{"100 volumes", func(i uint64) (string, int) { return fmt.Sprint("v", i%100), int(i % 2) }, nil},
+	{"10000 volumes", func(i uint64) (string, int) { return fmt.Sprint("v", i%10000), int(i % 2) }, nil},
+	{"all ordered", func(i uint64) (string, int) { return fmt.Sprint("v", i%100), 0 }, func(i uint64) string { return fmt.Sprint("k", i%50) }},
+}
+
+// A decision costs the same however many wait.
+func BenchmarkWaiting(b *testing.B) {
+	for _, old := range []bool{false, true} {
+		for _, k := range crowds {
+			for _, waiting := range []int{10, 1000, 100_000} {
+				if old && waiting > 1000 {
+					continue
+				}
+				b.Run(fmt.Sprintf("old=%v/%s/waiting=%d", old, k.name, waiting), func(b *testing.B) {
+					c := newCrowd(b, old, waiting, 1, k.volume, k.key)
+					b.ReportAllocs()
+					for b.Loop() {
+						c.turn()
+					}
+				})
+			}
+		}
+	}
+}
+
+// Nor by how many nodes there are, at so many waiting for each.
+func BenchmarkNodes(b *testing.B) {
+	for _, nodes := range []int{8, 100, 1000} {
+		b.Run(fmt.Sprint(nodes), func(b *testing.B) {
+			c := newCrowd(b, false, 20*nodes, nodes, crowds[2].volume, nil)
+			b.ReportAllocs()
+			for b.Loop() {
+				c.turn()
+			}
+		})
+	}
+}
