--- a/logic/logic.go
+++ b/logic/logic.go
@@ -192,7 +192,8 @@
 	}
 	h := &Head{s: s, now: now, crowd: 1, boot: now, swept: now, watchAt: -1, armed: now,
 		reqs: map[uint64]*request{}, attempts: map[attemptID]*attempt{}, vols: map[string]*volume{},
-		turns: map[string]*turn{}, flows: map[int]*faded{}, homeless: newPlace(), rand: rand.New(rand.NewPCG(seed, seed))}
+		turns: map[string]*turn{}, flows: map[int]*faded{}, homeless: newPlace(),
+		rand: rand.New(rand.NewPCG(seed, seed))}
 	h.aim = s.Classes[0].Aim
 	for _, c := range s.Classes {
 		h.aim = min(h.aim, c.Aim)
@@ -746,10 +747,11 @@
 // can still be in time for their aim or, if late, of those that are late; nil where
 // none may go now.
 func (h *Head) front(n *node, l *lane, order int, late bool) *request {
-	if k := &l.Kind; l.Empty() || (k.again && !h.withinBudget()) || h.yields(k, n, late) || !h.coldRoom(n, k.units) {
+	k := &l.Kind
+	if l.Empty() || (k.again && !h.withinBudget()) || h.yields(k, n, late) || !h.coldRoom(n, k.units) {
 		return nil
 	}
-	t, next := h.now+h.expected(n, l.Kind.units), l.InTime
+	t, next := h.now+h.expected(n, k.units), l.InTime
 	if late {
 		next = l.Alive
 	}
