processes N: heads of one machine share its listen queues, and are started again alone

Cause: one head uses one core, and a machine has more.

Change: serve with processes N opens the listeners and starts N heads that take newcomers from the same queues (EPOLLEXCLUSIVE, the longest waiting first); internal/workers decides, purely, when one is started, started again or killed as hung; each serves by its part of connections, caps, rates and buffers; checked at load against heads and the volumes' heads.

--- a/cmd/maddergap/demo.go
+++ b/cmd/maddergap/demo.go
@@ -112,7 +112,7 @@
 	if err != nil {
 		return usage{err}
 	}
-	return serve(nil, conf, io, func(d *daemon.Daemon, _ *slog.Logger) {
+	return serve(nil, nil, conf, io, func(d *daemon.Daemon, _ *slog.Logger) {
 		fmt.Fprintf(io.out, "ready http://%s/\n", d.Addrs()[0])
 	})
 }
--- a/cmd/maddergap/main.go
+++ b/cmd/maddergap/main.go
@@ -70,6 +70,8 @@
 type serveCmd struct {
 	Config      string `required:"" short:"c" type:"path" help:"Configuration file."`
 	PassThrough bool   `hidden:"" help:"Send everything at once, for comparisons only."`
+	Worker      int    `hidden:"" default:"-1" help:"One of several processes; its listen queues and its pipe are inherited."`
+	Queues      string `hidden:"" help:"The listen queues."`
 }
 
 func (s *serveCmd) Run(io *streams) error {
@@ -81,26 +83,36 @@
 	if s.PassThrough {
 		core = badday.PassThrough
 	}
-	return serve(core, c, io, func(d *daemon.Daemon, log *slog.Logger) {
+	if c.Processes > 1 && s.Worker < 0 {
+		return s.supervise(c, io)
+	}
+	w, err := s.worker()
+	if err != nil {
+		return err
+	}
+	return serve(w, core, c, io, func(d *daemon.Daemon, log *slog.Logger) {
 		log.Info("serving", "listen", d.Addrs(), "nodes", c.Nodes, "pid", os.Getpid())
 	})
 }
 
 // serve runs a head until SIGINT or SIGTERM; SIGHUP reloads.
-func serve(core daemon.CoreOf, c *conf.Config, io *streams, ready func(*daemon.Daemon, *slog.Logger)) error {
-	w := io.err
+func serve(w *daemon.Worker, core daemon.CoreOf, c *conf.Config, io *streams, ready func(*daemon.Daemon, *slog.Logger)) error {
+	out := io.err
 	if c.Log != "" {
 		f, err := os.OpenFile(c.Log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 		if err != nil {
 			return err
 		}
 		defer f.Close()
-		w = f
+		out = f
 	}
-	sink := daemon.NewSink(w)
+	sink := daemon.NewSink(out)
 	defer sink.Close()
 	log := slog.New(slog.NewJSONHandler(sink, nil))
-	d, err := daemon.NewWith(core, c, log)
+	if w != nil {
+		log = log.With("worker", w.Index)
+	}
+	d, err := daemon.NewWith(w, core, c, log)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/cmd/maddergap/workers.go
@@ -0,0 +1,82 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/exec"
+	"os/signal"
+	"strings"
+	"syscall"
+
+	"maddergap/internal/conf"
+	"maddergap/internal/daemon"
+	"maddergap/internal/loop"
+	"maddergap/internal/workers"
+)
+
+// supervise runs the processes of a configuration: it opens the listeners, which they
+// share, starts them and starts again the one that ends or hangs. It serves nothing
+// itself. SIGHUP goes to all of them.
+func (s *serveCmd) supervise(c *conf.Config, io *streams) error {
+	l, err := daemon.Listeners(c)
+	if err != nil {
+		return err
+	}
+	var files []*os.File
+	var queues []string
+	for i, q := range l.Queues() {
+		fd, err := syscall.Dup(q.FD)
+		if err != nil {
+			return err
+		}
+		syscall.CloseOnExec(fd)
+		// A file made of a descriptor that does not block is set to block when it is
+		// handed on, and so would be the listener of every process.
+		syscall.SetNonblock(fd, false)
+		files = append(files, os.NewFile(uintptr(fd), "listener"))
+		syscall.SetNonblock(fd, true)
+		queues = append(queues, fmt.Sprintf("%d:%d:%t", 3+i, q.Key, q.Sorted))
+	}
+	exe, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	context.AfterFunc(ctx, func() { // the kernel takes no more connections
+		l.Close()
+		for _, f := range files {
+			f.Close()
+		}
+	})
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	log := slog.New(slog.NewJSONHandler(io.err, nil))
+	log.Info("processes share the listeners", "processes", c.Processes, "listen", c.Listen, "pid", os.Getpid())
+	return workers.Run(ctx, workers.Options{Workers: c.Processes, StopTime: c.StopTime, Log: log, Files: files,
+		Command: func(i int) *exec.Cmd {
+			cmd := exec.Command(exe, "serve", "--config", s.Config, "--worker", fmt.Sprint(i), "--queues", strings.Join(queues, ","))
+			cmd.Stdout, cmd.Stderr = io.out, io.err
+			return cmd
+		}}, signals)
+}
+
+// worker is what a process inherits, nil for one by itself.
+func (s *serveCmd) worker() (*daemon.Worker, error) {
+	if s.Worker < 0 {
+		return nil, nil
+	}
+	w := &daemon.Worker{Index: s.Worker}
+	for part := range strings.SplitSeq(s.Queues, ",") {
+		var q loop.Queue
+		if _, err := fmt.Sscanf(strings.ReplaceAll(part, ":", " "), "%d %d %t", &q.FD, &q.Key, &q.Sorted); err != nil {
+			return nil, usage{fmt.Errorf("--queues %q: %w", s.Queues, err)}
+		}
+		w.Queues = append(w.Queues, q)
+	}
+	w.Beat = os.NewFile(uintptr(workers.BeatFD(len(w.Queues))), "beat")
+	return w, nil
+}
--- a/internal/badday/run.go
+++ b/internal/badday/run.go
@@ -286,7 +286,7 @@
 		if err != nil {
 			return nil, err
 		}
-		d, err := daemon.NewWith(o.Core, c, slog.New(slog.DiscardHandler))
+		d, err := daemon.NewWith(nil, o.Core, c, slog.New(slog.DiscardHandler))
 		if err != nil {
 			return nil, err
 		}
--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -46,6 +46,7 @@
 	ListingMax   int // bytes of a merged listing
 	Sizes        int // entries of the table of sizes seen
 	Clients      int // most client connections
+	Processes    int // that serve the listeners, each a head of its own
 	Requests     int // that a client connection may have, 0: any
 	// Bytes a second that a body must come, and an answer be taken, at the least once
 	// PaceAfter is over; 0: any.
@@ -77,7 +78,7 @@
 	return &Config{File: file, Unit: 64 << 10, BodyHold: 256 << 10, BodyRate: 1 << 20, Buffer: 256 << 10,
 		AnswerMargin: 20 * time.Millisecond, HeaderTime: 10 * time.Second, IdleTime: 60 * time.Second,
 		StallTime: 10 * time.Second, StopTime: 10 * time.Second, NodeIdle: 20 * time.Second, NodeConns: 64,
-		DialTime: time.Second, ListingMax: 8 << 20, BodyPace: 100, AnswerPace: 1000, PaceAfter: 30 * time.Second, Sizes: 1 << 14, Clients: 8192, Header: http1.DefaultLimits,
+		DialTime: time.Second, ListingMax: 8 << 20, BodyPace: 100, AnswerPace: 1000, PaceAfter: 30 * time.Second, Sizes: 1 << 14, Clients: 8192, Processes: 1, Header: http1.DefaultLimits,
 		Admit: admit.Config{V6Bits: 64, Wide4: 24, Wide6: 48, Entries: 1 << 14, Learned: 1024, Forget: 10 * time.Minute,
 			AnswerRate: 50, AnswerBurst: 100, KnownMultiple: 4, IdleUnderPress: time.Second},
 		Logic: logic.Settings{Heads: 1, MostUnits: 1, MeanUnits: 1, ShareWorth: 0.3}}
@@ -158,6 +159,38 @@
 	return p.c, nil
 }
 
+// Part returns what one of the processes serves by: an even part of the machine's
+// connections, caps, rates and buffers, rounded up, and a port of its own for metrics.
+// An address gets between the part of one process and its whole cap, as its
+// connections fall.
+func (c *Config) Part(i int) *Config {
+	n := c.Processes
+	part := *c
+	share := func(x *int) {
+		if *x > 0 {
+			*x = (*x + n - 1) / n
+		}
+	}
+	m := &part.Admit
+	for _, x := range []*int{&part.Clients, &m.Listener, &m.Address, &m.Wide, &m.Reserve, &m.AddressBurst, &m.WideBurst, &m.AnswerBurst, &m.PressureIdle} {
+		share(x)
+	}
+	m.Total = part.Clients
+	m.Reserve = min(m.Reserve, m.Total-1)
+	m.AddressRate, m.WideRate, m.AnswerRate = m.AddressRate/float64(n), m.WideRate/float64(n), m.AnswerRate/float64(n)
+	m.Buffers = max(m.Buffers/int64(n), int64(m.Total)*int64(m.BufferLeast))
+	if ap, err := netip.ParseAddrPort(c.Metrics); err == nil && ap.Port() > 0 {
+		part.Metrics = netip.AddrPortFrom(ap.Addr(), ap.Port()+uint16(i)).String()
+	}
+	if c.Traces != "" && n > 1 {
+		part.Traces = fmt.Sprintf("%s.%d", c.Traces, i)
+	}
+	if c.Seed != 0 {
+		part.Seed = c.Seed + uint64(i)
+	}
+	return &part
+}
+
 // whole checks what concerns more than one line.
 func (p *parser) whole() {
 	c := p.c
@@ -197,7 +230,17 @@
 			p.fault(p.seen["class "+c.Logic.Classes[i].Name], "the deadline %v leaves no time beside the answer-margin %v", d, c.AnswerMargin)
 		}
 	}
+	if c.Processes > c.Logic.Heads {
+		p.fault(p.seen["processes"], "there are %d processes, each a head, but %d heads in all", c.Processes, c.Logic.Heads)
+	} else if c.Processes > 1 {
+		if err := c.Part(0).Admit.Check(); err != nil {
+			p.fault(p.seen["processes"], "the part of one of %d processes: %v", c.Processes, err)
+		}
+	}
 	for _, v := range c.Volumes {
+		if v.Hosts < c.Processes {
+			p.fault(p.seen["volume "+v.Name], "volume %s comes through %d heads, but the processes here are %d: its limit would count too often", v.Name, v.Hosts, c.Processes)
+		}
 		if v.Hosts > c.Logic.Heads {
 			p.fault(p.seen["volume "+v.Name], "volume %s comes through %d heads, but there are %d", v.Name, v.Hosts, c.Logic.Heads)
 		}
@@ -275,6 +318,7 @@
 	"dial-time":   func(p *parser, _ int, a *Args) { p.c.DialTime = a.Duration("time", time.Millisecond) },
 	"listing-max": func(p *parser, _ int, a *Args) { p.c.ListingMax = int(min(a.Bytes("size", 1024), 1<<30)) },
 	"sizes":       func(p *parser, _ int, a *Args) { p.c.Sizes = a.Int("entries", 1, 1<<24) },
+	"processes":   func(p *parser, _ int, a *Args) { p.c.Processes = a.Int("number", 1, 256) },
 	"requests":    func(p *parser, _ int, a *Args) { p.c.Requests = a.Int("number", 1, 1<<30) },
 	"buffers":     func(p *parser, _ int, a *Args) { p.c.Admit.Buffers = a.Bytes("size", 1) },
 	"pace": func(p *parser, _ int, a *Args) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -21,6 +21,7 @@
 	"maddergap/internal/head"
 	"maddergap/internal/loop"
 	"maddergap/internal/nodelist"
+	"maddergap/internal/workers"
 	"maddergap/logic"
 )
 
@@ -41,6 +42,8 @@
 	turns       *turns
 	metrics     *http.Server
 	metricsAddr string
+	worker      *Worker
+	alive       atomic.Bool   // the loop turned since this was last asked
 	ending      time.Duration // when what is under way is cut off, 0: not stopping
 	stopped     time.Time
 }
@@ -56,11 +59,28 @@
 // CoreOf makes what decides in the module's place.
 type CoreOf func(s logic.Settings, seed uint64, now logic.Time) (head.Core, error)
 
+// Worker says that a daemon is one of several processes that share listeners.
+type Worker struct {
+	Index  int
+	Queues []loop.Queue
+	Beat   *os.File // written to while the loop turns; when its other end is gone, so is the head
+}
+
+// part is what this process serves by.
+func (w *Worker) part(c *conf.Config) *conf.Config {
+	if w == nil {
+		return c
+	}
+	return c.Part(w.Index)
+}
+
 // New opens listeners and reads the node list; nothing is served before Run.
-func New(c *conf.Config, log *slog.Logger) (*Daemon, error) { return NewWith(nil, c, log) }
+func New(c *conf.Config, log *slog.Logger) (*Daemon, error) { return NewWith(nil, nil, c, log) }
 
-// NewWith is New with a core in the module's place, for comparisons and tests.
-func NewWith(core CoreOf, c *conf.Config, log *slog.Logger) (*Daemon, error) {
+// NewWith is New as a worker, nil for a head by itself, and with a core in the
+// module's place, for comparisons and tests.
+func NewWith(w *Worker, core CoreOf, c *conf.Config, log *slog.Logger) (*Daemon, error) {
+	c = w.part(c)
 	data, err := os.ReadFile(c.Nodes)
 	if err != nil {
 		return nil, err
@@ -81,7 +101,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Daemon{c: c, log: log, loop: l, list: data, turns: newTurns(log)}
+	d := &Daemon{c: c, log: log, loop: l, list: data, turns: newTurns(log), worker: w}
 	if err := d.open(core, nodes); err != nil {
 		l.Close()
 		if d.metrics != nil {
@@ -123,6 +143,18 @@
 			return err
 		}
 	}
+	if d.worker != nil {
+		for _, q := range d.worker.Queues {
+			addr, err := d.loop.Adopt(q)
+			if err != nil {
+				return err
+			}
+			if !q.Sorted {
+				d.addrs = append(d.addrs, addr)
+			}
+		}
+		return nil
+	}
 	for _, addr := range c.Listen {
 		bound, err := d.loop.Listen(addr, sorter(c))
 		if err != nil {
@@ -197,6 +229,10 @@
 	if err != nil {
 		return err
 	}
+	if c.Processes != d.c.Processes {
+		return errors.New("processes change with a restart only")
+	}
+	c = d.worker.part(c)
 	if fmt.Sprint(c.Listen) != fmt.Sprint(d.c.Listen) || c.Nodes != d.c.Nodes || c.Clients != d.c.Clients ||
 		c.Log != d.c.Log || c.Metrics != d.c.Metrics || c.Traces != d.c.Traces {
 		return errors.New("listen, nodes, clients, log, metrics and traces change with a restart only")
@@ -234,8 +270,16 @@
 			}
 		}
 	}()
+	if d.worker != nil {
+		go func() {
+			if workers.Beat(d.worker.Beat, func() bool { d.loop.Wake(); return d.alive.Swap(false) }, quit) != nil {
+				d.Stop() // who started it is gone
+			}
+		}()
+	}
 	err := d.loop.Run(func() bool {
 		d.publish()
+		d.alive.Store(true)
 		return d.ending > 0 && (d.head.Idle() || d.loop.Now() >= d.ending)
 	})
 	if err != nil {
@@ -284,5 +328,20 @@
 // MetricsAddr is the address of the metrics, "" for none.
 func (d *Daemon) MetricsAddr() string { return d.metricsAddr }
 
+// Listeners opens the listeners of a configuration for processes to share.
+func Listeners(c *conf.Config) (*loop.Loop, error) {
+	l, err := loop.New(0, 0)
+	if err != nil {
+		return nil, err
+	}
+	for _, addr := range c.Listen {
+		if _, err := l.Listen(addr, sorter(c)); err != nil {
+			l.Close()
+			return nil, err
+		}
+	}
+	return l, nil
+}
+
 // sorter is the program that lets known clients wait in a queue of their own.
 func sorter(c *conf.Config) []bpf.RawInstruction { return c.Admit.Sorter(admit.NetworkHeader) }
--- a/internal/loop/listen.go
+++ b/internal/loop/listen.go
@@ -15,6 +15,7 @@
 	fd     int
 	key    int  // the same of both queues of an address
 	sorted bool // the second queue
+	shared bool // with other processes
 }
 
 // Listen opens a listener and returns its address. sorter is a program that the
@@ -87,7 +88,7 @@
 func (l *Loop) listen(n listener) error {
 	err := unix.Listen(n.fd, backlog)
 	if err == nil {
-		err = l.add(n.fd, unix.EPOLLIN)
+		err = l.watch(n)
 	}
 	if err != nil {
 		unix.Close(n.fd)
@@ -98,6 +99,43 @@
 	return nil
 }
 
+// watch asks for a listener's events. Of processes that share it the one that waits
+// longest is woken alone.
+func (l *Loop) watch(n listener) error {
+	if n.shared {
+		return l.add(n.fd, unix.EPOLLIN|unix.EPOLLEXCLUSIVE)
+	}
+	return l.add(n.fd, unix.EPOLLIN)
+}
+
+// Queue is a listen queue that processes share: its descriptor, the address's other
+// queue if it has one, and whether it is that of the clients the sorter names.
+type Queue struct {
+	FD     int
+	Key    int // the same of both queues of an address
+	Sorted bool
+}
+
+// Queues returns the listen queues, for other processes to adopt.
+func (l *Loop) Queues() (out []Queue) {
+	for _, n := range l.listeners {
+		out = append(out, Queue{n.fd, n.key, n.sorted})
+	}
+	return out
+}
+
+// Adopt takes newcomers from a listen queue that other processes take from too, and
+// returns its address.
+func (l *Loop) Adopt(q Queue) (string, error) {
+	sa, err := unix.Getsockname(q.FD)
+	if err != nil {
+		return "", fmt.Errorf("adopt descriptor %d: %w", q.FD, err)
+	}
+	unix.CloseOnExec(q.FD)
+	unix.SetNonblock(q.FD, true)
+	return addrOf(sa).String(), l.listen(listener{fd: q.FD, key: q.Key, sorted: q.Sorted, shared: true})
+}
+
 // Sort puts another sorter in force, for the addresses that have two queues.
 func (l *Loop) Sort(sorter []bpf.RawInstruction) error {
 	if len(sorter) == 0 { // no one has the queue to himself
@@ -136,19 +174,36 @@
 // over a listener that is ready while no descriptor is free for what it has.
 func (l *Loop) accepting(on bool) {
 	l.resumeAt = 0
-	events := uint32(unix.EPOLLIN)
 	if !on {
-		l.resumeAt, events = l.Now()+acceptRest, 0
+		l.resumeAt = l.Now() + acceptRest
+	}
+	for _, n := range l.listeners {
+		unix.EpollCtl(l.epfd, unix.EPOLL_CTL_DEL, n.fd, nil)
+		if on {
+			l.watch(n)
+		}
 	}
+}
+
+// yield puts this process last among those that wait for a shared listener, so that
+// all of them get connections, not the same one always.
+func (l *Loop) yield() {
 	for _, n := range l.listeners {
-		unix.EpollCtl(l.epfd, unix.EPOLL_CTL_MOD, n.fd, &unix.EpollEvent{Events: events, Fd: int32(n.fd)})
+		if n.shared && l.resumeAt == 0 {
+			unix.EpollCtl(l.epfd, unix.EPOLL_CTL_DEL, n.fd, nil)
+			l.watch(n)
+		}
 	}
 }
 
 // accept takes newcomers until a time: first from the queues of those that the
 // sorter names, then from the others, one of each in turn.
 func (l *Loop) accept(until time.Duration) {
+	defer l.yield()
 	left := acceptTurn
+	if len(l.listeners) > 0 && l.listeners[0].shared {
+		left = acceptShared
+	}
 	for _, sorted := range []bool{true, false} {
 		for more := true; more && left > 0; {
 			more = false
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -21,8 +21,10 @@
 	readSize   = 64 << 10
 	maxEvents  = 256
 	acceptTurn = 64 // connections taken of the listeners in one turn
-	acceptRest = 50 * time.Millisecond
-	backlog    = 4096
+	// The same where processes share the listeners: few, so that a burst is spread.
+	acceptShared = 4
+	acceptRest   = 50 * time.Millisecond
+	backlog      = 4096
 
 	// What newcomers may take of a turn: as long as all else in it took, but no less
 	// than the one, lest an idle head keep them waiting, and no more than the other.
@@ -313,6 +315,7 @@
 	case kindWake:
 		var b [8]byte
 		unix.Read(fd, b[:])
+		l.yield() // looks at shared listeners anew: the wake for one may have gone to a process that hangs
 		if l.Woken != nil {
 			l.Woken()
 		}
