The flood from one address: unlisted clients elsewhere, and one behind it, are served

Cause: with the cap of an address taken out the socket test still passed, as the reserve alone carried its clients. Change: two more clients in that case.

--- a/internal/e2e/flood_test.go
+++ b/internal/e2e/flood_test.go
@@ -105,6 +105,17 @@
 					t.Errorf("a client from before the flood: %d", status)
 				}
 			}
+			if name == "from one address" {
+				// Its cap leaves room for clients on no list, and its own hoard makes room
+				// for a good client behind the same address.
+				for _, other := range []string{"127.0.7.8", addr(0)} {
+					c, r := s.from(other)
+					io.WriteString(c, get("/feed-a/x"))
+					if line, _ := r.ReadString('\n'); !strings.Contains(line, " 200 ") {
+						t.Errorf("an unlisted client from %s: %q", other, line)
+					}
+				}
+			}
 			if name == "from 2,000 addresses" && !strings.Contains(s.log.String(), "connection not admitted") {
 				t.Error("the log does not tell of the flood")
 			}
