--- a/internal/lanes/lanes.go
+++ b/internal/lanes/lanes.go
@@ -51,19 +51,83 @@
 }
 
 // Lane holds ready requests of a kind, of one owner or of all that share it.
+// One that has a single request, as most have in calm, keeps it without sets.
 type Lane[R any, K comparable] struct {
 	Kind       K
+	count      int
+	one        R
+	only       times // of that one
+	many       bool  // the sets hold all
 	aims, dues *rank.Set[R]
 }
 
+type times struct{ aim, due, seq int64 }
+
 // Empty tells whether it has none.
-func (l *Lane[R, K]) Empty() bool { return l.aims.Len() == 0 }
+func (l *Lane[R, K]) Empty() bool { return l.count == 0 }
 
 // InTime returns the first by an order of those whose aim is not before t.
-func (l *Lane[R, K]) InTime(order int, t Time) (R, bool) { return l.aims.Best(order, int64(t)) }
+func (l *Lane[R, K]) InTime(order int, t Time) (R, bool) {
+	if l.many {
+		return l.aims.Best(order, int64(t))
+	}
+	return l.single(l.only.aim >= int64(t))
+}
 
 // Alive returns the first by an order of those whose due time is not before t.
-func (l *Lane[R, K]) Alive(order int, t Time) (R, bool) { return l.dues.Best(order, int64(t)) }
+func (l *Lane[R, K]) Alive(order int, t Time) (R, bool) {
+	if l.many {
+		return l.dues.Best(order, int64(t))
+	}
+	return l.single(l.only.due >= int64(t))
+}
+
+func (l *Lane[R, K]) single(is bool) (r R, ok bool) {
+	if l.count == 0 || !is {
+		return r, false
+	}
+	return l.one, true
+}
+
+func (l *Lane[R, K]) add(r R, t times, orders []func(a, b R) bool) {
+	if l.count++; l.count == 1 {
+		l.one, l.only = r, t
+		return
+	}
+	if !l.many {
+		if l.aims == nil {
+			l.aims, l.dues = rank.New(orders...), rank.New(orders...)
+		}
+		l.many = true
+		l.put(l.one, l.only)
+	}
+	l.put(r, t)
+}
+
+func (l *Lane[R, K]) put(r R, t times) {
+	l.aims.Add(t.aim, t.seq, r)
+	l.dues.Add(t.due, t.seq, r)
+}
+
+func (l *Lane[R, K]) remove(t times) {
+	l.count--
+	if l.many {
+		l.aims.Remove(t.aim, t.seq)
+		l.dues.Remove(t.due, t.seq)
+	}
+	if l.count == 0 {
+		var none R
+		l.one, l.many = none, false
+	}
+}
+
+func (l *Lane[R, K]) each(f func(R)) {
+	if l.many {
+		l.aims.All(func(r R) bool { f(r); return true })
+	} else if l.count > 0 {
+		f(l.one)
+	}
+}
 
 // Side is what one owner has ready at a place. Apart, it is in no shared lane.
 type Side[R any, K, V comparable] struct {
@@ -85,6 +149,7 @@
 	kinds   map[K]*Lane[R, K]
 	sides   map[V]*Side[R, K, V]
 	pruneAt int
+	old     []*Lane[R, K] // for use again
 }
 
 // few is how many lanes are kept though nothing waits in them.
@@ -171,60 +236,56 @@
 	side.count++
 	i := slices.IndexFunc(side.Lanes, func(l *Lane[R, K]) bool { return l.Kind == kind })
 	if i < 0 {
-		if len(side.Lanes) >= few {
-			side.Lanes = slices.DeleteFunc(side.Lanes, (*Lane[R, K]).Empty)
+		if len(side.Lanes) >= few/4 {
+			side.Lanes = p.prune(side.Lanes, nil)
 		}
 		i = len(side.Lanes)
 		side.Lanes = append(side.Lanes, p.lane(kind))
 	}
 	s.owner, s.own = owner, side.Lanes[i]
-	s.own.add(r, s)
+	s.own.add(r, s.times(), p.orders)
 	if side.apart {
 		return
 	}
 	l := p.kinds[kind]
 	if l == nil {
-		p.prune()
+		if len(p.Shared) >= p.pruneAt { // twice as many as last time
+			p.Shared = p.prune(p.Shared, p.kinds)
+			p.pruneAt = max(few, 2*len(p.Shared))
+		}
 		l = p.lane(kind)
 		p.kinds[kind], p.Shared = l, append(p.Shared, l)
 	}
 	s.shared = l
-	l.add(r, s)
+	l.add(r, s.times(), p.orders)
 }
 
+// lane returns an empty lane, one that was used before if there is any.
 func (p *Place[R, K, V]) lane(kind K) *Lane[R, K] {
-	return &Lane[R, K]{kind, rank.New(p.orders...), rank.New(p.orders...)}
+	if n := len(p.old); n > 0 {
+		l := p.old[n-1]
+		p.old = p.old[:n-1]
+		l.Kind = kind
+		return l
+	}
+	return &Lane[R, K]{Kind: kind}
 }
 
-// prune forgets empty shared lanes, when there are twice as many as last time.
-func (p *Place[R, K, V]) prune() {
-	if len(p.Shared) < p.pruneAt {
-		return
-	}
-	p.Shared = slices.DeleteFunc(p.Shared, func(l *Lane[R, K]) bool {
-		if l.Empty() {
-			delete(p.kinds, l.Kind)
+// prune takes the empty lanes out of a list, and out of a map that has them too.
+func (p *Place[R, K, V]) prune(list []*Lane[R, K], by map[K]*Lane[R, K]) []*Lane[R, K] {
+	return slices.DeleteFunc(list, func(l *Lane[R, K]) bool {
+		if !l.Empty() {
+			return false
 		}
-		return l.Empty()
+		delete(by, l.Kind)
+		if len(p.old) < 4*few {
+			p.old = append(p.old, l)
+		}
+		return true
 	})
-	p.pruneAt = max(few, 2*len(p.Shared))
-}
-
-func (l *Lane[R, K]) add(r R, s interface{ times() (aim, due, seq int64) }) {
-	aim, due, seq := s.times()
-	l.aims.Add(aim, seq, r)
-	l.dues.Add(due, seq, r)
-}
-
-func (l *Lane[R, K]) remove(s interface{ times() (aim, due, seq int64) }) {
-	aim, due, seq := s.times()
-	l.aims.Remove(aim, seq)
-	l.dues.Remove(due, seq)
 }
 
-func (s *Slot[R, K, V]) times() (aim, due, seq int64) {
-	return int64(s.Aim), int64(s.Due), int64(s.Seq)
-}
+func (s *Slot[R, K, V]) times() times { return times{int64(s.Aim), int64(s.Due), int64(s.Seq)} }
 
 // Unplace takes a request out of its lanes or its sleep; it is still held.
 func (p *Place[R, K, V]) Unplace(r R) {
@@ -236,9 +297,9 @@
 	if s.own == nil {
 		return
 	}
-	s.own.remove(s)
+	s.own.remove(s.times())
 	if s.shared != nil {
-		s.shared.remove(s)
+		s.shared.remove(s.times())
 	}
 	s.own, s.shared = nil, nil
 	side := p.sides[s.owner]
@@ -257,11 +318,10 @@
 	side := p.sides[owner]
 	side.apart, p.Apart = true, append(p.Apart, side)
 	for _, l := range side.Lanes {
-		l.aims.All(func(r R) bool {
+		l.each(func(r R) {
 			s := r.At()
-			s.shared.remove(s)
+			s.shared.remove(s.times())
 			s.shared = nil
-			return true
 		})
 	}
 }
--- a/logic/bench_test.go
+++ b/logic/bench_test.go
@@ -18,12 +18,16 @@
 	volume func(i uint64) (string, int)
 	nodes  int
 	key    func(i uint64) string
+	varied bool
 }
 
 func (c *crowd) arrival() Arrival {
 	c.id++
 	v, plan := c.volume(c.id)
 	a := Arrival{ID: c.id, Shard: int(c.id) % c.nodes, Plan: plan, Class: int(c.id) % 2, Volume: v, Left: time.Hour, Units: float64(1 + c.id%3), Hosts: 1}
+	if c.varied {
+		a.Units = 1 + float64(c.id*7919%1000)/500
+	}
 	if c.key != nil {
 		a.Class, a.Key = 1, c.key(c.id)
 	}
@@ -120,3 +124,17 @@
 		})
 	}
 }
+
+// Few wait at each of many nodes, and no two are alike: what a calm head does.
+func BenchmarkFewAndVaried(b *testing.B) {
+	for _, old := range []bool{false, true} {
+		b.Run(fmt.Sprintf("old=%v", old), func(b *testing.B) {
+			c := newCrowd(b, old, 200, 40, crowds[2].volume, nil)
+			c.varied = true
+			b.ReportAllocs()
+			for b.Loop() {
+				c.turn()
+			}
+		})
+	}
+}
