flood beside: what a flood of another head takes from the machine, as a measure of its own

Cause: known clients' p99 in a flood was 1.7 to 2.5 times calm on four cores, and how much of it is the head's could not be told.

Change: a fourth run in which the same flood presses on a second head beside it.

--- a/cmd/maddergap/flood.go
+++ b/cmd/maddergap/flood.go
@@ -82,13 +82,15 @@
 	}
 	defer node.Close()
 	fmt.Fprintf(io.out, "%s from %d addresses, %d tries, %d at once, %v; %d known clients\n", c.Pattern, c.Sources, c.Tries, c.AtOnce, c.Length, c.Known)
-	var calm int64
+	var calm, beside int64
 	for i, run := range []struct {
 		name  string
 		admit string
 		tries int
-	}{{"calm", admission, 0}, {"flood", admission, c.Tries}, {"flood, admission off", "", c.Tries}} {
-		r, err := c.measure(fmt.Sprintf("127.0.97.%d:18000", i+1), run.admit, run.tries, node.Addr())
+		aside bool
+	}{{"calm", admission, 0, false}, {"flood of another head beside it", admission, c.Tries, true}, {"flood", admission, c.Tries, false},
+		{"flood, admission off", "", c.Tries, false}} {
+		r, err := c.measure(fmt.Sprintf("127.0.97.%d:18000", i+1), run.admit, run.tries, run.aside, node.Addr())
 		if err != nil {
 			return err
 		}
@@ -103,10 +105,13 @@
 		p99 := r.Known.Answer.ValueAtQuantile(99) + r.Known.Connect.ValueAtQuantile(99)
 		if run.tries == 0 {
 			calm = max(p99, 1)
+		} else if run.aside {
+			beside = max(p99, 1)
 		}
 		fmt.Fprintf(io.out, "  known served %.1f%%, p99 of connect and answer %.2f times calm; head: %s",
 			100*float64(r.Known.Served)/float64(max(r.Known.Tries, 1)), float64(p99)/float64(calm), r.CPU)
-		if tries := run.tries; tries > 0 {
+		if run.tries > 0 && !run.aside {
+			fmt.Fprintf(io.out, ", %.2f times as beside a flood of another", float64(p99)/float64(beside))
 			n := r.Flood.Refused + r.Flood.Closed
 			fmt.Fprintf(io.out, ", %.0f turned away a CPU second, known clients' answers with it", float64(n)/r.Seconds)
 		}
@@ -121,8 +126,9 @@
 	Seconds float64 // of the head's CPU
 }
 
-// measure runs a head of its own under a flood.
-func (c *floodCmd) measure(addr, admit string, tries int, node string) (*measured, error) {
+// measure runs a head of its own under a flood. aside: the flood is of a second head,
+// which tells what it takes from the machine and not from the head.
+func (c *floodCmd) measure(addr, admit string, tries int, aside bool, node string) (*measured, error) {
 	dir, err := os.MkdirTemp("", "maddergap-flood-")
 	if err != nil {
 		return nil, err
@@ -146,6 +152,19 @@
 	defer head.Kill()
 	o := c.options()
 	o.Target, o.Tries = addr, tries
+	press := o
+	if aside {
+		press.Target = "127.0.97.9:18000"
+		other := filepath.Join(dir, "other.conf")
+		if err := os.WriteFile(other, []byte(fmt.Sprintf(floodConf, press.Target, admit)), 0o644); err != nil {
+			return nil, err
+		}
+		second, err := child.Start(press.Target, nil, exe, "serve", "--config", other)
+		if err != nil {
+			return nil, err
+		}
+		defer second.Kill()
+	}
 	began := time.Now()
 	// The flood comes from a process of its own, so that its goroutines do not stand
 	// between the clients that are measured and their clock.
@@ -157,7 +176,7 @@
 			return
 		}
 		var err error
-		r.Flood, err = flood.Press(o, exe)
+		r.Flood, err = flood.Press(press, exe)
 		pressed <- err
 	}()
 	calm := o
