--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -226,28 +226,44 @@
 
 func get(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n" }
 
-// Small measures small GETs, turn by turn.
-func (o *Options) Small() error {
+// pair starts a head and a proxy before the same node, which has /feed/x.
+func (o *Options) pair() (head, proxy *process, end func(), err error) {
+	var ends []func()
+	end = func() {
+		for _, f := range ends {
+			f()
+		}
+	}
+	defer func() {
+		if err != nil {
+			end()
+		}
+	}()
 	nodes, err := o.nodes(1)
 	for _, n := range nodes {
-		defer n.Close()
+		ends = append(ends, func() { n.Close() })
 	}
 	if err != nil {
-		return err
+		return nil, nil, nil, err
 	}
-	head, err := o.head(1)
-	if err != nil {
-		return err
+	if head, err = o.head(1); err != nil {
+		return nil, nil, nil, err
 	}
-	defer head.Kill()
-	proxy, err := start(proxyAddr, o.Exe, "bench", "--proxy", proxyAddr, "--target", nodes[0].Addr())
-	if err != nil {
-		return err
+	ends = append(ends, head.Kill)
+	if proxy, err = start(proxyAddr, o.Exe, "bench", "--proxy", proxyAddr, "--target", nodes[0].Addr()); err != nil {
+		return nil, nil, nil, err
 	}
-	defer proxy.Kill()
-	if err := o.put(nodes[0].Addr(), "/feed/x"); err != nil {
+	ends = append(ends, proxy.Kill)
+	return head, proxy, end, o.put(nodes[0].Addr(), "/feed/x")
+}
+
+// Small measures small GETs, turn by turn.
+func (o *Options) Small() error {
+	head, proxy, end, err := o.pair()
+	if err != nil {
 		return err
 	}
+	defer end()
 	all := map[*process]*hdrhistogram.Histogram{head: hdrhistogram.New(1, 60_000_000, 3), proxy: hdrhistogram.New(1, 60_000_000, 3)}
 	var ratios []float64
 	fmt.Fprintf(o.Out, "small GETs of %d bytes, %d kept-alive clients, turns of %v\n", o.Size, o.Clients, o.Turn)
--- a/internal/bench/rush.go
+++ b/internal/bench/rush.go
@@ -12,26 +12,11 @@
 // Rush measures the cost of a request from few clients to many, head and proxy in
 // turns: what waits must not make what goes dearer.
 func (o *Options) Rush(clients ...int) error {
-	nodes, err := o.nodes(1)
-	for _, n := range nodes {
-		defer n.Close()
-	}
-	if err != nil {
-		return err
-	}
-	head, err := o.head(1)
+	head, proxy, end, err := o.pair()
 	if err != nil {
 		return err
 	}
-	defer head.Kill()
-	proxy, err := start(proxyAddr, o.Exe, "bench", "--proxy", proxyAddr, "--target", nodes[0].Addr())
-	if err != nil {
-		return err
-	}
-	defer proxy.Kill()
-	if err := o.put(nodes[0].Addr(), "/feed/x"); err != nil {
-		return err
-	}
+	defer end()
 	fmt.Fprintf(o.Out, "rush: small GETs of %d bytes, turns of %v\n", o.Size, o.Turn)
 	first := 0.0
 	for _, n := range clients {
--- a/logic/reference_test.go
+++ b/logic/reference_test.go
@@ -13,7 +13,6 @@
 	. "maddergap/logic"
 )
 
-// All constants. Times are multiples of the shortest aim (h.aim) where classes matter.
 const (
 	minShare     = 0.5              // φmin, as a part of φ
 	windowMax    = 8.0              // D of the design: most requests out at a node
@@ -68,7 +67,6 @@
 
 type attemptID struct{ id, n uint64 }
 
-// entry is a volume's state at one node.
 type entry struct {
 	finish float64 // last finish tag
 	seen   float64 // the volume's total when it last came to this node
@@ -108,21 +106,18 @@
 	dirty    bool
 }
 
-// sight is what answers told, weighed by age.
 type sight struct{ weight, lat, part faded }
 
 func (s *sight) add(now Time, weight, lat, part float64) (w, l, p float64) {
 	return s.weight.add(now, weight, memory), s.lat.add(now, lat, memory), s.part.add(now, part, memory)
 }
 
-// turn is the order of one key's requests.
 type turn struct {
 	queue  []*request
 	rest   Time
 	restOf *request
 }
 
-// reference decides for one host. It is not safe for concurrent use.
 type reference struct {
 	s        Settings
 	now      Time
@@ -153,8 +148,6 @@
 	armed    Time
 }
 
-// newReference returns a head that knows nothing yet. The seed is for what is
-// spread by chance among heads.
 func newReference(s Settings, seed uint64, now Time) (*reference, error) {
 	h := &reference{s: s, now: now, crowd: 1, boot: now, swept: now, watchAt: -1, armed: now,
 		reqs: map[uint64]*request{}, attempts: map[attemptID]*attempt{}, vols: map[string]*volume{},
@@ -175,7 +168,6 @@
 	return h, nil
 }
 
-// Handle takes the events of one moment and returns what to do about them, in order.
 func (h *reference) Handle(now Time, events []Event) []Action {
 	h.now, h.acts = max(now, h.now), nil
 	for _, e := range events {
@@ -200,7 +192,6 @@
 	return h.acts
 }
 
-// touch has a node looked at when the events of the moment are taken.
 func (h *reference) touch(n *node) {
 	if n != nil && !n.dirty {
 		n.dirty = true
@@ -242,9 +233,6 @@
 	h.queue(r)
 }
 
-// volume returns the state of the request's volume. The bucket of its limit is
-// this host's even part, and fills from nothing since the head's start: what
-// was spent before a restart cannot be known (rule on limits).
 func (h *reference) volume(a Arrival) *volume {
 	v := h.vols[a.Volume]
 	if v == nil {
@@ -273,7 +261,6 @@
 	return v
 }
 
-// queue places a held request in the queue of the node that may take it.
 func (h *reference) queue(r *request) {
 	n := h.target(r)
 	if n == nil {
@@ -288,9 +275,6 @@
 	h.touch(n)
 }
 
-// target returns the serving node that holds the request's shard; a new object
-// goes to the node that should have room for it soonest. Nodes whose breaker is
-// open or that are cold come last.
 func (h *reference) target(r *request) (best *node) {
 	var bestLoad float64
 	nodes, first := h.byShard[r.Shard], 0
@@ -316,8 +300,6 @@
 	return best
 }
 
-// mayRepeat tells whether another attempt may go to n, given where an earlier
-// one may have run (rule on effects).
 func (h *reference) mayRepeat(r *request, n *node) bool {
 	if r.ran == nil || r.class.Effect == Safe {
 		return true
@@ -329,10 +311,6 @@
 		(r.class.Group == GroupCell && n.Shard == r.ran.Shard)
 }
 
-// tag is HYBRID-DSFQ: S = max(v, F + delay/φ), F = S + cost/φ, the delay being
-// the volume's units sent elsewhere since it last came to this node, clipped so
-// that φmin of the node stays its own. Departure: units inside the volume's
-// reserve leave at v with no delay and are not booked on F, as in mClock.
 func (h *reference) tag(r *request, n *node) {
 	e := r.vol.at[n]
 	if e == nil {
@@ -358,8 +336,6 @@
 	e.finish = r.start + r.Units/r.vol.phi
 }
 
-// finish gives the final answer: a refusal where it is true that trying again
-// does no harm, else a failure.
 func (h *reference) finish(r *request) {
 	switch {
 	case r.done:
@@ -371,8 +347,6 @@
 	h.close(r)
 }
 
-// close forgets a request that has its final answer; its key stays taken while
-// an attempt is without an outcome.
 func (h *reference) close(r *request) {
 	r.done = true
 	delete(h.reqs, r.ID)
@@ -393,7 +367,6 @@
 	}
 }
 
-// hasTurn keeps the order of a key (rule on order).
 func (h *reference) hasTurn(r *request) bool {
 	t := h.turns[r.Key]
 	if !r.class.InOrder || t == nil {
@@ -438,8 +411,6 @@
 	}
 }
 
-// service returns what the request should take where nothing waits: its units
-// times what the quickest quarter of answers took a unit.
 func (h *reference) service(took float64, r *request) float64 {
 	if x := took / max(r.Units, 1); h.unit == 0 {
 		h.unit = x
@@ -451,8 +422,6 @@
 	return h.unit * r.Units
 }
 
-// saw books an answer, or what stands for one: a time-out or a 'full' took all
-// of the request's aim.
 func (h *reference) saw(n *node, took, part float64, answered bool) {
 	part = min(max(part, 0), 1)
 	if n.seen.add(h.now, 1, took, part); answered {
@@ -460,10 +429,6 @@
 	}
 }
 
-// look sets what is held of a node: its own answers by age, and as far as these
-// are few or old, those of all nodes. Guards against sparse sight. It bounds the
-// window by the heads that may stand before the node: a hundred windows of
-// eight are a full queue, at which a node serves next to nothing.
 func (h *reference) look(n *node) {
 	n.window = min(n.window, windowMax, max(1, windowSum/h.crowd))
 	weight, lat, part := n.seen.add(h.now, 0, 0, 0)
@@ -473,16 +438,6 @@
 	n.lat, n.pressure = (lat+k*allLat)/weight, (part+k*allPart)/weight
 }
 
-// health moves the node's window and breaker by what an attempt told.
-//
-// The window is delay-based AIMD: guards against a long first-in-first-out
-// queue at the node, where tags no longer order anything. One decrease an
-// answer time, so a pause or a flush of deferred writes costs one step. Slow
-// answers stop at one; under it, down to one for all heads together, lead
-// silence, time-outs and 'full', after which a node needs near quiet to recover.
-//
-// The breaker opens here on failed connections and resets in a row (a node that
-// resets a part of its work still serves the rest), on silence in pump.
 func (h *reference) health(n *node, a *attempt, e Ended) {
 	took := (h.now - a.sent).Seconds()
 	switch e.Outcome {
@@ -513,9 +468,6 @@
 	}
 }
 
-// openBreaker stops ordinary sends to a node that is silent or unreachable.
-// Guards against: hung, dead, cut off or restarting nodes, whatever the list
-// says. What is out there is written off, so that trials are not held up.
 func (h *reference) openBreaker(n *node) {
 	if !n.open {
 		n.open, n.trialGap, n.trialAt = true, h.aim, h.now+h.aim
@@ -554,7 +506,6 @@
 			n.State = Gone
 		}
 	}
-	// Requests held for a node that no longer serves, or for none, find their next node.
 	moved := h.homeless
 	h.homeless, h.byShard = nil, map[int][]*node{}
 	for _, n := range h.nodes {
@@ -576,7 +527,6 @@
 	return n.Started > 0 && h.s.Cold > 0 && h.now < n.Started+h.s.Cold
 }
 
-// served counts units served on a shard and returns the mean rate up to a time.
 func (h *reference) served(shard int, until Time, units float64) float64 {
 	f := h.flows[shard]
 	if f == nil {
@@ -590,13 +540,6 @@
 	return 0
 }
 
-// coldStart sets a node's bucket for the time that it is cold (rule on cold
-// nodes): this head's even part of what is always borne or, where that is more,
-// a part in proportion to what it was served on the shard before, which over all
-// heads adds up to what the node really bore. At many heads either is less than
-// one request in a window: it accrues, and each starts at a level by chance, so
-// that their turns are spread. After the head's own start a window passes first,
-// as its life before may have spent it.
 func (h *reference) coldStart(n *node) {
 	if !h.isCold(n) {
 		return
@@ -609,7 +552,6 @@
 	n.cold.level = n.cold.cap - h.rand.Float64()*h.s.MeanUnits
 }
 
-// coldLevel fills a cold node's bucket, which grows as its capacity must.
 func (h *reference) coldLevel(n *node) bucket {
 	grown := 1.0
 	if from := h.s.ColdFrom; from > 0 && from < 1 {
@@ -624,7 +566,6 @@
 	return b
 }
 
-// coldRoom tells whether a cold node may be sent so many units.
 func (h *reference) coldRoom(n *node, units float64) bool {
 	if !h.isCold(n) {
 		return true
@@ -633,8 +574,6 @@
 	return h.now >= b.at && b.level >= min(units, b.cap)
 }
 
-// expected is how long an answer should take, from the node's recent ones; a
-// request that is out for longer already counts as one.
 func (h *reference) expected(n *node, r *request) time.Duration {
 	t := max(n.lat+h.unit*(r.Units-h.s.MeanUnits), 0)
 	if len(n.outs) > 0 {
@@ -643,14 +582,10 @@
 	return time.Duration(t * float64(time.Second))
 }
 
-// sendable tells whether nothing but the window keeps a held request.
 func (h *reference) sendable(r *request, n *node) bool {
 	if h.now < r.notBefore || !h.hasTurn(r) || !h.mayRepeat(r, n) {
 		return false
 	}
-	// A node where nothing is out is tried again after trialMax though no answer is
-	// expected in time. Guards against a time-out of which nothing newer is ever
-	// heard, as where all nodes were silent at once: it would keep all from the node.
 	if h.now+h.expected(n, r) > r.due && (len(n.outs) > 0 || h.now < n.sentAt+trialMax) {
 		return false
 	}
@@ -666,21 +601,15 @@
 	return h.coldRoom(n, r.Units)
 }
 
-// withinBudget keeps the budget of attempts past the first.
 func (h *reference) withinBudget() bool {
 	if !h.s.Budget {
 		return true
 	}
 	h.taken = slices.DeleteFunc(h.taken, func(t Time) bool { return t <= h.now-h.s.BudgetOver })
-	// An attempt just at the edge still counts, a request there does not.
 	h.further = slices.DeleteFunc(h.further, func(t Time) bool { return t < h.now-h.s.BudgetOver })
 	return float64(len(h.further)+1) <= h.s.BudgetFree+h.s.BudgetShare*float64(len(h.taken))
 }
 
-// yields tells whether a request stands back for those of other heads at the
-// node, which cannot be seen but in how slowly the node answers: what earns
-// least a unit soonest (late, beyond the reserve, of a class or plan of little
-// worth). Departure from "no slot idled": a slot is left open then.
 func (h *reference) yields(r *request, n *node, late bool) bool {
 	worth, calm := h.worth(r)/h.top, calmAims
 	if late {
@@ -689,7 +618,6 @@
 	if r.excess {
 		worth *= h.s.ShareWorth
 	}
-	// All heads of a volume together try a crowded node at the pace of one.
 	pressure := n.pressure * math.Exp2(-float64(h.now-n.heard)/float64(h.aim)/calm/max(1, 2*r.vol.hosts-2))
 	if h.isCold(n) { // what a cold node bears is for what earns most
 		b := h.coldLevel(n)
@@ -698,14 +626,8 @@
 	return pressure > max(worth, yieldLeast) && worth < 1
 }
 
-// worth is what a unit of the request earns in time and within the reserve.
 func (h *reference) worth(r *request) float64 { return r.class.Worth * r.vol.plan.Price }
 
-// pick returns the held request that goes next: the volume with the lowest
-// start tag, and of its requests the one of most worth, then with the nearest
-// aim, which trades tags with the first. Equal tags, as in the reserves, are
-// told apart in the same way. Departure: what can no longer meet its aim goes
-// only when nothing else can.
 func (h *reference) pick(n *node) (best *request) {
 	late := func(r *request) bool { return h.now+h.expected(n, r) > r.aimAt }
 	before := func(a, b *request) bool { // more worth a unit, then the nearer aim
@@ -744,7 +666,6 @@
 	return best
 }
 
-// pump refuses what is out of time and sends while the window has room.
 func (h *reference) pump(n *node) {
 	n.dirty = false
 	h.look(n)
@@ -781,10 +702,6 @@
 	}
 }
 
-// slotAt returns when another request may go out: at once while fewer than D
-// are out, never while D are. A window under one is a gap between sends, the
-// node's usual answer time over the window (as Swift paces), by chance half as
-// long or half as long again.
 func (h *reference) slotAt(n *node) Time {
 	switch {
 	case float64(len(n.outs))+1 <= n.window:
@@ -818,7 +735,6 @@
 	h.do(Send{ID: r.ID, Node: n.Node})
 }
 
-// expire answers what is out of time and returns the rest.
 func (h *reference) expire(held []*request) []*request {
 	return slices.DeleteFunc(held, func(r *request) bool {
 		if !r.done && h.now+lastCall >= r.due {
@@ -828,7 +744,6 @@
 	})
 }
 
-// lastCalls returns when the first of them must be answered.
 func (h *reference) lastCalls(held []*request) Time {
 	first := Time(math.MaxInt64)
 	for _, r := range held {
@@ -837,7 +752,6 @@
 	return first
 }
 
-// settle lets every node that something happened to send, and sets the timer.
 func (h *reference) settle() {
 	wake := Time(math.MaxInt64)
 	if h.watchAt >= 0 && h.now >= h.watchAt {
@@ -871,15 +785,12 @@
 		h.sweep()
 	}
 	if wake < math.MaxInt64 && (h.armed <= h.now || wake < h.armed) {
-		// Whole milliseconds: a timer that came a fraction early would be taken for another.
 		in := max(wake-h.now+time.Millisecond-1, time.Millisecond).Truncate(time.Millisecond)
 		h.armed = h.now + in
 		h.do(WakeIn{In: in})
 	}
 }
 
-// sweep forgets idle volumes. A volume whose limit's bucket is not full yet is
-// kept: forgotten, it would come back with more than it has.
 func (h *reference) sweep() {
 	h.swept = h.now
 	for name, v := range h.vols {
@@ -901,7 +812,6 @@
 	h.taken = slices.DeleteFunc(h.taken, func(t Time) bool { return t <= h.now-h.s.BudgetOver })
 }
 
-// bucket is a token bucket.
 type bucket struct {
 	level, rate, cap float64
 	at               Time
@@ -912,7 +822,6 @@
 	b.at = now
 }
 
-// faded is a sum whose parts count half after some time.
 type faded struct {
 	sum float64
 	at  Time
