The listeners of several processes are closed in the loop that hands them on

Cause: the race detector saw a stop close the inherited files beside a start; and a test of the loop wanted within one turn what a busy machine does in two. Change: Stopped is called in Run; the test waits for its event.

--- a/cmd/maddergap/workers.go
+++ b/cmd/maddergap/workers.go
@@ -45,18 +45,24 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	context.AfterFunc(ctx, func() { // the kernel takes no more connections
+	closed := false
+	shut := func() { // the kernel takes no more connections
+		if closed {
+			return
+		}
+		closed = true
 		l.Close()
 		for _, f := range files {
 			f.Close()
 		}
-	})
+	}
+	defer shut()
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGHUP)
 	defer signal.Stop(signals)
 	log := slog.New(slog.NewJSONHandler(io.err, nil))
 	log.Info("processes share the listeners", "processes", c.Processes, "listen", c.Listen, "pid", os.Getpid())
-	return workers.Run(ctx, workers.Options{Workers: c.Processes, StopTime: c.StopTime, Log: log, Files: files,
+	return workers.Run(ctx, workers.Options{Workers: c.Processes, StopTime: c.StopTime, Log: log, Files: files, Stopped: shut,
 		Command: func(i int) *exec.Cmd {
 			cmd := exec.Command(exe, "serve", "--config", s.Config, "--worker", fmt.Sprint(i), "--queues", strings.Join(queues, ","))
 			cmd.Stdout, cmd.Stderr = io.out, io.err
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -149,16 +149,19 @@
 // Who is turned away reads the whole refusal though it had sent its request, and
 // then the end.
 func TestRefusalIsHeard(t *testing.T) {
-	l, _, addrs := newLoop(t, 1, "")
+	l, h, addrs := newLoop(t, 1, "")
 	for i := range 64 {
 		dial(t, fmt.Sprintf("127.20.0.%d", i+1), addrs[0])
 	}
-	for range 5 {
+	until := time.Now().Add(20 * time.Second)
+	for h.Counts().Clients < 64 && time.Now().Before(until) {
 		l.turns(1)
 	}
 	c := dial(t, "127.21.0.1", addrs[0])
 	io.WriteString(c, "GET /v/x HTTP/1.1\r\nHost: h\r\n\r\n")
-	l.turns(1)
+	for len(l.lingering.queue) == 0 && time.Now().Before(until) {
+		l.turns(1)
+	}
 	c.SetReadDeadline(time.Now().Add(5 * time.Second))
 	b, err := io.ReadAll(c)
 	if err != nil || len(b) < 100 || string(b[:12]) != "HTTP/1.1 503" {
--- a/internal/workers/run.go
+++ b/internal/workers/run.go
@@ -25,6 +25,7 @@
 	// descriptor 3 on, before the pipe that it beats on.
 	Command func(i int) *exec.Cmd
 	Files   []*os.File
+	Stopped func() // called when the end begins; Files are not used after it
 	Log     *slog.Logger
 }
 
@@ -92,6 +93,7 @@
 		case <-stop:
 			stop = nil
 			s.Stop(now())
+			o.Stopped()
 		case <-timer.C:
 		}
 		timer.Stop()
