Reread: one place counts what gave way; a count of starts nobody read is gone

Change: GaveWay is counted in gaveWay, the supervisor's unread counter is removed. Measured: behaviour as it was; tests of head, workers and loop green.

--- a/internal/head/client.go
+++ b/internal/head/client.go
@@ -70,7 +70,6 @@
 	v := h.adm.Arrive(h.now, uint64(id), listener, remote.Addr())
 	if v.Way {
 		if idle := h.conn(ConnID(v.Close)); idle != nil {
-			h.counts.GaveWay++
 			idle.admitted = false
 			h.gaveWay(idle)
 		}
@@ -87,7 +86,6 @@
 	h.counts.Clients++
 	h.by(c, h.now+h.c.HeaderTime)
 	for id, ok := h.adm.Pressed(h.now); ok; id, ok = h.adm.Pressed(h.now) {
-		h.counts.GaveWay++
 		h.gaveWay(h.conn(ConnID(id)))
 	}
 	return Welcome{ID: c.id, Admitted: true}
@@ -95,6 +93,7 @@
 
 // gaveWay closes a connection for room: idle, or with a request that was not taken.
 func (h *Head) gaveWay(c *conn) {
+	h.counts.GaveWay++
 	if c.ex != nil {
 		h.do(Close, c)
 		h.clientGone(c, true)
--- a/internal/workers/workers.go
+++ b/internal/workers/workers.go
@@ -55,7 +55,6 @@
 	beat    Time // last sign of life
 	startAt Time
 	pause   time.Duration
-	starts  int
 }
 
 // Supervisor decides about the workers. It is not safe for concurrent use.
@@ -149,7 +148,6 @@
 		case !w.up && stopping:
 		case !w.up && s.now >= w.startAt:
 			w.up, w.began, w.risen = true, s.now, false
-			w.starts++
 			acts = append(acts, Action{Start, i})
 			next = min(next, s.now+s.c.Rise)
 		case !w.up:
