--- a/cmd/benchlink/main.go
+++ b/cmd/benchlink/main.go
@@ -80,7 +80,7 @@
 		switch e.Kind {
 		case "boot":
 			pending = nil // meant for the life before
-			h, err := logic.New(settings(e.Facts), e.Entropy, now)
+			h, err := logic.New(e.Facts.Settings(), e.Entropy, now)
 			if err != nil {
 				return err.Error()
 			}
@@ -139,40 +139,6 @@
 	"etimedout": logic.TimedOut, "econnrefused": logic.ConnectFailed, "econnreset": logic.Reset,
 	"ecanceled": logic.Cancelled, "skipped": logic.Moot}
 
-var effects = map[string]logic.Effect{"retryable": logic.Safe, "dedup": logic.Keyed, "fragile": logic.Unsafe}
-
-var groups = map[string]logic.Group{"all": logic.GroupAll, "zone": logic.GroupZone, "cell": logic.GroupCell}
-
-func settings(f wire.Facts) logic.Settings {
-	g, l := f.Guarantees, f.Limits
-	s := logic.Settings{
-		Heads: f.FleetSize, AskDiscovery: f.Discovery == "ask",
-		MostUnits: f.FamilyInfo.UnitsTop, MeanUnits: f.FamilyInfo.UsualUnits, ColdUnits: f.FamilyInfo.ColdUnits,
-		ShareWorth: f.FamilyInfo.FairWorth,
-		FallWindow: us(g.OverloadFor), Cold: us(g.Cold), ColdFrom: g.ColdFrom, FallMultiple: g.FallMultiple, OrderRest: us(g.OrderSettle),
-		BudgetOver: us(g.CountedOver), Budget: g.CountedOver > 0,
-		MaxAttempts: l.MaxAttempts,
-	}
-	if g.FreeResends != nil {
-		s.BudgetFree = *g.FreeResends
-	}
-	if g.FurtherRatio != nil {
-		s.BudgetShare = *g.FurtherRatio
-	}
-	if l.RetryAfter {
-		s.MaxRetryAfter = us(l.MaxRetryAfter)
-	}
-	for _, c := range f.Classes {
-		s.Classes = append(s.Classes, logic.Class{Name: c.Name, Aim: us(c.Target), Effect: effects[c.Effect],
-			Group: groups[c.Group], Window: us(c.Window), InOrder: c.InTurn, Worth: c.Gain, LateWorth: c.Late})
-	}
-	for _, p := range f.Grades {
-		s.Plans = append(s.Plans, logic.Plan{Name: p.Name, Rate: p.Nominal, Reserve: p.Guaranteed,
-			Weight: p.Shares, Price: p.ValueFactor, Limit: p.CeilingRate, LimitBurst: p.LimitBurst})
-	}
-	return s
-}
-
 func writeAction(w io.Writer, id string, a logic.Action) {
 	switch a := a.(type) {
 	case logic.Send:
--- a/cmd/maddergap/main.go
+++ b/cmd/maddergap/main.go
@@ -68,13 +68,21 @@
 type streams struct{ out, err io.Writer }
 
 type serveCmd struct {
-	Config      string `required:"" short:"c" type:"path" help:"Configuration file."`
+	Config      string `short:"c" type:"path" help:"Configuration file."`
+	Platform    bool   `help:"Serve on a platform, by the configuration that its variables name."`
+	Requests    bool   `help:"With --platform, log every request and attempt."`
 	PassThrough bool   `hidden:"" help:"Send everything at once, for comparisons only."`
 	Worker      int    `hidden:"" default:"-1" help:"One of several processes; its listen queues and its pipe are inherited."`
 	Queues      string `hidden:"" help:"The listen queues."`
 }
 
 func (s *serveCmd) Run(io *streams) error {
+	switch {
+	case s.Platform == (s.Config != ""):
+		return usage{errors.New("serve: want one of --config FILE and --platform")}
+	case s.Platform:
+		return s.platform(io)
+	}
 	c, err := conf.Load(s.Config)
 	if err != nil {
 		return err
@@ -112,13 +120,18 @@
 	if w != nil {
 		log = log.With("worker", w.Index)
 	}
-	d, err := daemon.NewWith(w, core, c, log)
-	if err != nil {
-		return err
-	}
+	return attend(log, func() (*daemon.Daemon, error) { return daemon.NewWith(w, core, c, log) }, ready)
+}
+
+// attend opens a daemon and runs it until SIGINT or SIGTERM; SIGHUP reloads.
+func attend(log *slog.Logger, open func() (*daemon.Daemon, error), ready func(*daemon.Daemon, *slog.Logger)) error {
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
 	defer signal.Stop(signals)
+	d, err := open()
+	if err != nil {
+		return err
+	}
 	done := make(chan struct{})
 	defer close(done)
 	go func() {
--- /dev/null
+++ b/cmd/maddergap/platform.go
@@ -0,0 +1,26 @@
+package main
+
+import (
+	"log/slog"
+	"os"
+
+	"maddergap/internal/daemon"
+	"maddergap/internal/platform"
+)
+
+// platform runs a head in service on a platform.
+func (s *serveCmd) platform(io *streams) error {
+	load := func() (*platform.Config, error) { return platform.Load(os.Getenv) }
+	c, err := load()
+	if err != nil {
+		return err
+	}
+	c.Conf.Quiet = !s.Requests
+	sink := daemon.NewSink(io.err)
+	defer sink.Close()
+	log := slog.New(slog.NewJSONHandler(sink, nil)).With("head", c.Name)
+	return attend(log, func() (*daemon.Daemon, error) { return daemon.NewPlatform(c, nil, load, log) },
+		func(d *daemon.Daemon, log *slog.Logger) {
+			log.Info("serving", "listen", d.Addrs(), "discovery", c.Discovery, "bounds", c.Bounds, "pid", os.Getpid())
+		})
+}
--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -40,8 +40,10 @@
 	IdleTime     time.Duration // of a kept connection without a request
 	StallTime    time.Duration // of a body or answer that does not move
 	StopTime     time.Duration // for what is under way at a stop
+	StopAfter    time.Duration // for which newcomers are still taken once a stop was asked for
 	NodeIdle     time.Duration // of a connection to a node
 	NodeConns    int           // most connections to one node
+	NodesConns   int           // most connections to all nodes, 0: any
 	DialTime     time.Duration
 	ListingMax   int // bytes of a merged listing
 	Sizes        int // entries of the table of sizes seen
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -43,6 +43,8 @@
 	metrics     *http.Server
 	metricsAddr string
 	worker      *Worker
+	service     *service      // of a platform, nil: nodes are listed in a file
+	leaving     time.Duration // when newcomers are no longer taken, 0: not stopping
 	alive       atomic.Bool   // the loop turned since this was last asked
 	ending      time.Duration // when what is under way is cut off, 0: not stopping
 	stopped     time.Time
@@ -214,9 +216,18 @@
 			d.log.Info("reloaded", "file", d.c.File)
 		}
 	}
-	if d.stop.Load() && d.ending == 0 {
-		d.ending = d.loop.Now() + d.c.StopTime
+	if d.stop.Load() && d.leaving == 0 {
+		d.leaving = d.loop.Now() + d.c.StopAfter
 		d.stopped = time.Now()
+		if d.c.StopAfter > 0 { // clients go on coming until they know
+			d.log.Info("leaving", "under_way", d.head.Counts().Clients)
+			d.head.Leave(d.loop.Now())
+			time.AfterFunc(d.c.StopAfter+time.Millisecond, d.loop.Wake)
+		}
+	}
+	if d.leaving > 0 && d.ending == 0 && d.loop.Now() >= d.leaving {
+		d.ending = d.loop.Now() + d.c.StopTime
+		d.loop.AcceptAll() // what stands in the listen queue counts as taken
 		d.loop.CloseListeners()
 		d.head.Stop(d.loop.Now())
 		d.log.Info("stopping", "under_way", d.head.Counts().Clients)
@@ -225,6 +236,9 @@
 }
 
 func (d *Daemon) again() error {
+	if d.service != nil {
+		return d.service.again(d)
+	}
 	c, err := conf.Load(d.c.File)
 	if err != nil {
 		return err
@@ -260,6 +274,9 @@
 	quit := make(chan struct{})
 	defer close(quit)
 	go func() {
+		if d.service != nil {
+			return
+		}
 		for {
 			select {
 			case <-quit:
@@ -278,7 +295,11 @@
 		}()
 	}
 	err := d.loop.Run(func() bool {
-		d.publish()
+		if d.service != nil {
+			d.service.watch(d)
+		} else {
+			d.publish()
+		}
 		d.alive.Store(true)
 		return d.ending > 0 && (d.head.Idle() || d.loop.Now() >= d.ending)
 	})
--- /dev/null
+++ b/internal/discovery/discovery.go
@@ -0,0 +1,313 @@
+// Package discovery follows a node list that is told over HTTP/1.1: the whole list
+// first, then watches, each of which waits for what is newer than the version before.
+// It is sans-I/O: bytes and clock readings go in, bytes and lists come out.
+//
+// What cannot be used (silence, a broken connection, a malformed or oversized list, a
+// version that goes back) leaves the last good list in force; the whole list is then
+// asked for again after a pause that grows to a bound.
+package discovery
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"maddergap/internal/head"
+	"maddergap/internal/http1"
+	"maddergap/internal/nodelist"
+	"maddergap/logic"
+)
+
+// Time is a clock reading.
+type Time = time.Duration
+
+const (
+	maxList   = 4 << 20
+	hold      = 2 * time.Second // that a watch may wait
+	grace     = time.Second     // beyond it, for the answer; a whole list has it alone
+	pauseMin  = 50 * time.Millisecond
+	pauseMost = time.Second
+)
+
+// Names are the words that a site has for the list.
+type Names struct {
+	Zones []string // in the order of the settings
+}
+
+type state uint8
+
+const (
+	resting state = iota // until Client.next
+	dialing
+	ready  // to ask
+	asking // waits for an answer
+)
+
+// Client follows one list. It is not safe for concurrent use.
+type Client struct {
+	addr    string
+	rand    *rand.Rand
+	zones   map[string]int
+	known   map[string]bool // nodes told of and not gone
+	state   state
+	next    Time // when what is waited for counts as lost, or resting ends
+	pause   Time
+	open    bool // there is a connection
+	ending  bool // it is to be closed
+	version int64
+	whole   bool // a whole list was had on this address
+	in      []byte
+	scanned int
+	resp    http1.Response
+	body    http1.Body
+	inBody  bool
+	text    []byte
+	news    []nodelist.Node
+	full    bool
+	have    bool // news
+	Lists   int  // that were taken
+	Fault   error
+}
+
+// New returns a client that asks at once. The seed spreads pauses by chance.
+func New(addr string, n Names, seed uint64) *Client {
+	c := &Client{addr: addr, rand: rand.New(rand.NewPCG(seed, 0x64697363)), zones: map[string]int{}, known: map[string]bool{}, pause: pauseMin}
+	for i, z := range n.Zones {
+		c.zones[z] = i
+	}
+	return c
+}
+
+// Move has the list asked for at another address, from the whole list on.
+func (c *Client) Move(now Time, addr string) {
+	if addr == c.addr {
+		return
+	}
+	c.addr = addr
+	c.lose(now, nil)
+	c.next, c.pause = now, pauseMin
+}
+
+// lose gives up a connection and rests.
+func (c *Client) lose(now Time, why error) {
+	c.ending = c.open
+	c.state, c.whole = resting, false
+	c.in, c.text, c.inBody, c.scanned = c.in[:0], nil, false, 0
+	c.next = now + c.pause/2 + Time(c.rand.Int64N(int64(c.pause)))
+	c.pause = min(2*c.pause, pauseMost)
+	if why != nil {
+		c.Fault = why
+	}
+}
+
+// Step tells what to do next, and when to ask again at the latest.
+func (c *Client) Step(now Time) (head.FeedOp, Time) {
+	if c.ending {
+		c.ending, c.open = false, false
+		return head.FeedOp{Close: true}, 0
+	}
+	switch c.state {
+	case resting:
+		if now < c.next {
+			break
+		}
+		c.state, c.next, c.open = dialing, now+grace, true
+		return head.FeedOp{Dial: c.addr}, 0
+	case ready:
+		c.state = asking
+		b := append([]byte(nil), "GET /api/targets"...)
+		c.next = now + grace
+		if c.whole {
+			b = strconv.AppendInt(append(b, "?from="...), c.version, 10)
+			b = strconv.AppendInt(append(b, "&hold_ms="...), hold.Milliseconds(), 10)
+			c.next += hold
+		}
+		b = append(append(append(b, " HTTP/1.1\r\nHost: "...), c.addr...), "\r\n\r\n"...)
+		return head.FeedOp{Write: b}, 0
+	default:
+		if now >= c.next {
+			c.lose(now, fmt.Errorf("discovery at %s is silent", c.addr))
+			return c.Step(now)
+		}
+	}
+	return head.FeedOp{}, c.next
+}
+
+// Connected tells that the connection stands.
+func (c *Client) Connected(now Time) {
+	if c.state == dialing {
+		c.state = ready
+	}
+}
+
+// Closed tells that the connection is lost, or was not made.
+func (c *Client) Closed(now Time) {
+	c.open = false
+	c.lose(now, fmt.Errorf("discovery at %s closed the connection", c.addr))
+}
+
+// Data tells bytes of the connection.
+func (c *Client) Data(now Time, p []byte) {
+	if c.ending || c.state != asking {
+		if len(p) > 0 && !c.ending && c.open {
+			c.lose(now, fmt.Errorf("discovery at %s answered what was not asked", c.addr))
+		}
+		return
+	}
+	c.in = append(c.in, p...)
+	if !c.inBody {
+		n := http1.HeaderEnd(c.in, c.scanned)
+		if n == 0 && len(c.in) <= http1.DefaultLimits.Header {
+			c.scanned = len(c.in)
+			return
+		}
+		if n == 0 {
+			n = len(c.in)
+		}
+		c.scanned = 0
+		if err := http1.ParseResponse(c.in[:n], &c.resp, "GET", http1.DefaultLimits); err != nil {
+			c.lose(now, err)
+			return
+		}
+		if c.resp.Status != 200 || c.resp.Length > maxList {
+			c.lose(now, fmt.Errorf("discovery at %s answered %d with %d bytes", c.addr, c.resp.Status, c.resp.Length))
+			return
+		}
+		c.inBody, c.text = true, nil
+		c.body.Reset(&c.resp.Message)
+		c.in = append(c.in[:0], c.in[n:]...)
+	}
+	rest := c.in
+	for len(rest) > 0 && !c.body.Done() {
+		data, r, err := c.body.Next(rest)
+		if err == nil && len(c.text)+len(data) > maxList {
+			err = fmt.Errorf("discovery at %s sends a list of more than %d bytes", c.addr, maxList)
+		}
+		if err != nil {
+			c.lose(now, err)
+			return
+		}
+		c.text, rest = append(c.text, data...), r
+	}
+	c.in = append(c.in[:0], rest...)
+	if !c.body.Done() {
+		return
+	}
+	c.inBody = false
+	text := c.text
+	c.text = nil
+	if err := c.take(text); err != nil {
+		c.lose(now, err)
+		return
+	}
+	c.pause, c.state = pauseMin, ready
+	if c.resp.Close || len(c.in) > 0 {
+		c.ending, c.state, c.next = true, resting, now
+	}
+}
+
+// List is what discovery tells, in its form; a configuration holds one too.
+type List struct {
+	Index     *int64  `json:"index"`
+	Snapshot  bool    `json:"snapshot"`
+	Endpoints []Entry `json:"endpoints"`
+}
+
+// Entry is a line of it.
+type Entry struct {
+	Name    string  `json:"name"`
+	Address string  `json:"address"`
+	Zone    string  `json:"zone"`
+	Group   int     `json:"group"`
+	Status  string  `json:"status"`
+	Since   float64 `json:"since_ms"`
+}
+
+var states = map[string]logic.NodeState{"up": logic.Serving, "draining": logic.Draining, "removed": logic.Gone}
+
+// Nodes checks a list and gives its lines in the head's form. A line that cannot be
+// used makes the whole list one that is not.
+func (c *Client) Nodes(l *List) ([]nodelist.Node, error) {
+	if l.Index == nil {
+		return nil, fmt.Errorf("a list without its index")
+	}
+	if len(l.Endpoints) > nodelist.MaxNodes {
+		return nil, fmt.Errorf("a list of %d nodes, more than %d", len(l.Endpoints), nodelist.MaxNodes)
+	}
+	var nodes []nodelist.Node
+	for i := range l.Endpoints {
+		e := &l.Endpoints[i]
+		state, ok := states[e.Status]
+		if !ok { // guards against words of a later day: nothing new is sent where it is not known to be up
+			state = logic.Draining
+		}
+		if e.Name == "" || len(e.Name) > 256 {
+			return nil, fmt.Errorf("endpoint %d has no name, or one too long", i)
+		}
+		if _, err := netip.ParseAddrPort(e.Address); err != nil && state != logic.Gone {
+			return nil, fmt.Errorf("endpoint %s: the address %.60q is none", e.Name, e.Address)
+		}
+		if !(e.Since >= 0 && e.Since < 1e15) {
+			return nil, fmt.Errorf("endpoint %s: since_ms is %v", e.Name, e.Since)
+		}
+		zone, ok := c.zones[e.Zone]
+		if !ok {
+			zone = len(c.zones)
+			if zone < nodelist.MaxNodes {
+				c.zones[e.Zone] = zone
+			}
+		}
+		n := nodelist.Node{Name: e.Name, Addr: e.Address, Zone: zone, Shard: e.Group, State: state}
+		if e.Since > 0 {
+			n.Started = time.UnixMicro(int64(e.Since * 1000))
+		}
+		nodes = append(nodes, n)
+	}
+	return nodes, nil
+}
+
+func (c *Client) take(text []byte) error {
+	var l List
+	if err := json.Unmarshal(text, &l); err != nil {
+		return fmt.Errorf("discovery at %s: %w", c.addr, err)
+	}
+	nodes, err := c.Nodes(&l)
+	switch {
+	case err != nil:
+		return fmt.Errorf("discovery at %s: %w", c.addr, err)
+	case !l.Snapshot && !c.whole:
+		return fmt.Errorf("discovery at %s tells changes where the whole list was asked for", c.addr)
+	case c.whole && *l.Index < c.version:
+		return fmt.Errorf("discovery at %s went back from version %d to %d", c.addr, c.version, *l.Index)
+	}
+	c.version, c.whole = *l.Index, true
+	c.Lists++
+	c.Fault = nil
+	if len(nodes) == 0 && !l.Snapshot {
+		return nil
+	}
+	if l.Snapshot {
+		c.news, c.full = nil, true
+	}
+	c.news, c.have = append(c.news, nodes...), true
+	return nil
+}
+
+// List returns the news since the last call.
+func (c *Client) List() (nodes []nodelist.Node, full, ok bool) {
+	if !c.have {
+		return nil, false, false
+	}
+	nodes, full = c.news, c.full
+	c.news, c.full, c.have = nil, false, false
+	return nodes, full, true
+}
+
+// Told tells whether a whole list was had.
+func (c *Client) Told() bool { return c.Lists > 0 }
+
+// Version is that of the last list.
+func (c *Client) Version() int64 { return c.version }
--- /dev/null
+++ b/internal/facts/facts.go
@@ -0,0 +1,133 @@
+// Package facts reads the settings object that a site gives a head, the same on the
+// simulator's wire and in a platform's configuration, and makes the module's
+// settings of it. It holds no default and no decision.
+package facts
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"maddergap/logic"
+)
+
+// Facts are the settings, times in microseconds.
+type Facts struct {
+	FleetSize int    `json:"fleetSize"`
+	Discovery string `json:"discovery"`
+	Classes   []struct {
+		Name   string  `json:"name"`
+		Target int64   `json:"target"`
+		Effect string  `json:"effect"`
+		Group  string  `json:"group"`
+		Window int64   `json:"window"`
+		InTurn bool    `json:"inTurn"`
+		Gain   float64 `json:"gain"`
+		Late   float64 `json:"lateWorth"`
+
+		Deadline int64 `json:"deadline"`
+	} `json:"classes"`
+	Grades []struct {
+		Name        string  `json:"name"`
+		Nominal     float64 `json:"nominal"`
+		Guaranteed  float64 `json:"guaranteed"`
+		Shares      float64 `json:"shares"`
+		ValueFactor float64 `json:"valueFactor"`
+		CeilingRate float64 `json:"ceilingRate"`
+		LimitBurst  float64 `json:"limitBurst"`
+	} `json:"grades"`
+	FamilyInfo struct {
+		ColdUnits  float64 `json:"coldUnits"`
+		UnitsTop   float64 `json:"unitsTop"`
+		UsualUnits float64 `json:"usualUnits"`
+		FairWorth  float64 `json:"fairWorth"`
+		Shards     int     `json:"nShards"`
+		Writes     []bool  `json:"writes"`
+	} `json:"familyInfo"`
+	Guarantees struct {
+		Cold         int64    `json:"cold"`
+		ColdFrom     float64  `json:"coldFrom"`
+		FallMultiple float64  `json:"fallMultiple"`
+		OverloadFor  int64    `json:"overloadFor"`
+		OrderSettle  int64    `json:"orderSettle"`
+		CountedOver  int64    `json:"countedOver"`
+		FreeResends  *float64 `json:"freeResends"`
+		FurtherRatio *float64 `json:"furtherRatio"`
+	} `json:"guarantees"`
+	Limits struct {
+		MaxAttempts    int   `json:"maxAttempts"`
+		MaxRetryAfter  int64 `json:"maxRetryAfter"`
+		RetryAfter     bool  `json:"retryAfter"`
+		ConnIdle       int64 `json:"connIdle"`
+		ConnectTimeout int64 `json:"connectTimeout"`
+	} `json:"limits"`
+	Zones []string `json:"zones"`
+}
+
+// Micros is a duration of so many microseconds.
+func Micros(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
+
+var effects = map[string]logic.Effect{"retryable": logic.Safe, "dedup": logic.Keyed, "fragile": logic.Unsafe}
+
+var groups = map[string]logic.Group{"all": logic.GroupAll, "zone": logic.GroupZone, "cell": logic.GroupCell}
+
+// Check names what a head cannot go by. Guards against an effect unknown here that
+// would be taken for the one that may be repeated.
+func (f *Facts) Check() error {
+	var errs []error
+	bad := func(format string, args ...any) { errs = append(errs, fmt.Errorf("settings: "+format, args...)) }
+	for i, c := range f.Classes {
+		if _, ok := effects[c.Effect]; !ok {
+			bad("classes[%d] %s: effect %q is unknown", i, c.Name, c.Effect)
+		}
+		if _, ok := groups[c.Group]; !ok && c.Effect == "dedup" {
+			bad("classes[%d] %s: group %q is unknown", i, c.Name, c.Group)
+		}
+		if c.Name == "" || c.Target <= 0 || c.Gain < 0 {
+			bad("classes[%d] %q: want a name, a target above 0 and a gain of at least 0", i, c.Name)
+		}
+	}
+	for i, g := range f.Grades {
+		if g.Name == "" {
+			bad("grades[%d] has no name", i)
+		}
+	}
+	if n := len(f.FamilyInfo.Writes); n > 0 && n != len(f.Classes) {
+		bad("familyInfo.writes tells of %d classes, there are %d", n, len(f.Classes))
+	}
+	if f.FamilyInfo.UnitsTop <= 0 || f.FamilyInfo.UsualUnits <= 0 {
+		bad("familyInfo.unitsTop is %v and usualUnits %v, want more than 0", f.FamilyInfo.UnitsTop, f.FamilyInfo.UsualUnits)
+	}
+	return errors.Join(errs...)
+}
+
+// Settings are the module's.
+func (f *Facts) Settings() logic.Settings {
+	g, l := f.Guarantees, f.Limits
+	s := logic.Settings{
+		Heads: f.FleetSize, AskDiscovery: f.Discovery == "ask",
+		MostUnits: f.FamilyInfo.UnitsTop, MeanUnits: f.FamilyInfo.UsualUnits, ColdUnits: f.FamilyInfo.ColdUnits,
+		ShareWorth: f.FamilyInfo.FairWorth,
+		FallWindow: Micros(g.OverloadFor), Cold: Micros(g.Cold), ColdFrom: g.ColdFrom, FallMultiple: g.FallMultiple,
+		OrderRest: Micros(g.OrderSettle), BudgetOver: Micros(g.CountedOver), Budget: g.CountedOver > 0,
+		MaxAttempts: l.MaxAttempts,
+	}
+	if g.FreeResends != nil {
+		s.BudgetFree = *g.FreeResends
+	}
+	if g.FurtherRatio != nil {
+		s.BudgetShare = *g.FurtherRatio
+	}
+	if l.RetryAfter {
+		s.MaxRetryAfter = Micros(l.MaxRetryAfter)
+	}
+	for _, c := range f.Classes {
+		s.Classes = append(s.Classes, logic.Class{Name: c.Name, Aim: Micros(c.Target), Effect: effects[c.Effect],
+			Group: groups[c.Group], Window: Micros(c.Window), InOrder: c.InTurn, Worth: c.Gain, LateWorth: c.Late})
+	}
+	for _, p := range f.Grades {
+		s.Plans = append(s.Plans, logic.Plan{Name: p.Name, Rate: p.Nominal, Reserve: p.Guaranteed,
+			Weight: p.Shares, Price: p.ValueFactor, Limit: p.CeilingRate, LimitBurst: p.LimitBurst})
+	}
+	return s
+}
--- a/internal/head/answer.go
+++ b/internal/head/answer.go
@@ -16,60 +16,20 @@
 const RanHeader = "Maddergap-Ran"
 
 // answerHead looks at the header of a node's answer and begins the client's.
-func (h *Head) answerHead(at *attempt) {
-	ex, c := at.ex, at.conn
-	r := &c.resp
+func (h *Head) answerHead(at *attempt) bool {
+	r := &at.conn.resp
 	at.status = r.Status
-	at.report, at.reports = loadReport(r.Get("endpoint-load-metrics"))
-	switch r.Status {
-	case 503:
-		at.verdict = logic.Failed
-		if http1.Is(r.Get(RanHeader), "no") {
-			at.verdict = logic.Full
-		}
-	case 500, 502, 504:
-		at.verdict = logic.Failed
-	}
-	if at.verdict != logic.OK || ex.final || ex.answer != nil {
-		return // for the module alone; the body is swallowed
-	}
-	ex.answer = at
-	ex.status = r.Status
-	if ex.upload == at { // it answers before it has the body: no more is sent
-		ex.upload = nil
-		at.sent = false
-	}
-	if ex.listing != nil || ex.client == nil {
-		return
-	}
-	cl := ex.client
-	if cl.out == nil {
-		cl.out = h.buffer()
-	}
-	b := http1.AppendStatus(cl.out, r.Status)
-	b = passFields(b, &r.Message, "x-request-id")
-	b = append(h.appendRequestID(append(b, "X-Request-Id: "...), ex.id), "\r\n"...)
-	switch {
-	case ex.method == "HEAD" || r.Status == 304:
-		if l := r.Get("content-length"); l != nil {
-			b = http1.AppendField(b, "Content-Length", l)
-		}
-	case r.Status == 204:
-	case r.Length >= 0:
-		b = http1.AppendInt(b, "Content-Length", r.Length)
-	case ex.req.Minor == 1:
-		ex.chunked = true
-		b = append(b, "Transfer-Encoding: chunked\r\n"...)
-	default:
-		cl.closing = true // the body ends with the connection
+	v := h.way.verdict(r)
+	at.verdict, at.report, at.reports = v.Outcome, v.Report, v.Reports
+	if v.Outcome != logic.OK {
+		return true // for the module alone; the body is swallowed
 	}
-	cl.out = h.endHeader(b, cl, ex)
-	h.flush(cl)
+	return h.way.answerHead(h, at)
 }
 
 // endHeader ends a client's answer header, saying whether it is the last.
 func (h *Head) endHeader(b []byte, cl *conn, ex *exchange) []byte {
-	cl.closing = cl.closing || h.stopping || !ex.whole
+	cl.closing = cl.closing || h.stopping || h.leaving || !ex.whole
 	if cl.closing {
 		b = append(b, "Connection: close\r\n"...)
 	} else if ex.req.Minor == 0 {
@@ -83,25 +43,12 @@
 	ex := at.ex
 	switch {
 	case len(data) == 0:
-	case ex.answer != at || ex.listing == nil && ex.client == nil:
+	case !at.holds && (ex.answer != at || ex.listing == nil && ex.client == nil):
 		if at.swallow += int64(len(data)); at.swallow > swallowMost {
 			h.broken(at.conn, at.verdict)
 		}
-	case ex.listing != nil:
-		if !h.partData(ex, data) {
-			h.broken(at.conn, logic.Cancelled)
-		}
-	default:
-		cl := ex.client
-		if cl.out == nil {
-			cl.out = h.buffer()
-		}
-		if ex.chunked {
-			cl.out = http1.AppendChunk(cl.out, data)
-		} else {
-			cl.out = append(cl.out, data...)
-		}
-		h.flush(cl)
+	case !h.way.answerData(h, at, data):
+		h.broken(at.conn, h.way.faulty())
 	}
 }
 
@@ -139,7 +86,7 @@
 	case ex.answer != nil: // its header is out: all that is left is to cut it short
 		h.clientDrop(ex.client)
 	default:
-		h.respond(ex, ex.status, []byte(ex.reason+"\n"), func(b []byte) []byte { return appendRetryAfter(b, after) })
+		h.respond(ex, ex.status, []byte(ex.reason+"\n"), func(b []byte) []byte { return h.way.retryAfter(b, after) })
 	}
 }
 
--- a/internal/head/client.go
+++ b/internal/head/client.go
@@ -49,6 +49,10 @@
 	vol      *conf.Volume // as the configuration was when it came
 	reason   string
 	old      bool // kept for use again
+	ask      Ask  // of a protocol whose messages are held whole
+	hold     int  // for which the whole body is held, up to so many bytes; 0: it may stream
+	volume   string
+	class    int
 }
 
 // Welcome says what becomes of a new connection.
@@ -208,8 +212,7 @@
 	ex.body.Reset(&r.Message)
 	ex.whole = ex.body.Done()
 	ex.invited = !r.Expect
-	h.traceOf(ex)
-	if h.stopping {
+	if h.stopping || h.leaving {
 		c.closing = true
 	}
 	if r.Close {
@@ -225,23 +228,7 @@
 		h.own(ex, 503, notAdmitted(why))
 		return
 	}
-	if ex.method == "OPTIONS" && string(r.Target) == "*" {
-		h.judged(c, ex, dav.Verdict{Do: dav.Options})
-		return
-	}
-	path, _, err := route.Path(string(r.Target))
-	if err == nil {
-		ex.place, err = h.t.Place(path)
-	}
-	if err != nil {
-		status := 400
-		if errors.Is(err, route.ErrNoVolume) {
-			status = 404
-		}
-		h.own(ex, status, err.Error())
-		return
-	}
-	h.judged(c, ex, dav.Judge(h.t, ex.method, ex.place, string(r.Get("depth")), string(r.Get("destination")), string(r.Host)))
+	h.way.begin(h, c, ex)
 }
 
 // method returns a known method without allocating.
@@ -360,28 +347,33 @@
 		ex.spent = true
 		h.uploadData(ex.upload, data)
 	}
-	if ex.id == 0 && !ex.final && (ex.whole || len(ex.held) >= h.c.BodyHold) {
-		if ex.whole && ex.req.Length < 0 { // now its length is known
-			ex.job = h.job(ex, ex.got)
-		}
+	switch {
+	case ex.id != 0 || ex.final:
+	case ex.hold > 0 && len(ex.held) > ex.hold:
+		c.closing = true
+		h.own(ex, 413, "the body is longer than any may be")
+	case ex.whole || ex.hold == 0 && len(ex.held) >= h.c.BodyHold:
 		h.take(ex)
 	}
 }
 
 // take gives a request to the module: from here on it is owed one final answer.
 func (h *Head) take(ex *exchange) {
+	a, fault := h.way.arrival(h, ex)
+	if fault != nil {
+		h.own(ex, fault.Status, fault.Reason)
+		return
+	}
 	h.lastID++
 	ex.id, ex.taken = h.lastID, h.now
-	left := h.left(ex.job.Time)
-	ex.due = h.now + left
+	a.ID, a.Left = ex.id, h.left(a.Left)
+	ex.due, ex.volume, ex.class = h.now+a.Left, a.Volume, a.Class
 	h.reqs[ex.id] = ex
 	h.counts.Taken++
 	if ex.client != nil {
 		h.adm.Taken(h.now, uint64(ex.client.id))
 	}
-	v := ex.vol
-	h.events = append(h.events, logic.Arrival{ID: ex.id, Shard: ex.place.Shard, Plan: v.Plan, Class: ex.job.Class,
-		Key: ex.job.Key, Volume: v.Name, Left: left, Units: ex.job.Units, Hosts: v.Hosts})
+	h.events = append(h.events, a)
 }
 
 // badBody ends a request whose body is malformed: nothing of it may run.
@@ -420,7 +412,7 @@
 	switch {
 	case c.discard || c.ex == nil && len(c.pending()) == 0 && !c.ready:
 		h.drop(c, Close)
-	case c.ex != nil && !c.ex.whole: // in the middle of a body
+	case c.ex != nil && (!c.ex.whole || h.way.ends()): // in the middle of a body, or gone with the last byte
 		h.do(Close, c)
 		h.clientGone(c, true)
 	} // else a half-close: what was asked is still owed
--- a/internal/head/conn.go
+++ b/internal/head/conn.go
@@ -46,6 +46,8 @@
 	resp      http1.Response
 	content   http1.Body
 	inBody    bool
+	interim   int  // 1xx answers that came
+	feed      bool // the connection to whoever tells the node list
 }
 
 // pace is how a body or an answer moves.
@@ -77,6 +79,8 @@
 	c.weight = n
 }
 
+func (c *conn) client() bool { return c.node == nil && !c.feed }
+
 func (c *conn) pending() []byte { return c.out[c.wrote:] }
 
 // nextID is the id that newConn will give.
@@ -142,10 +146,12 @@
 	c.in, c.out, c.wrote = nil, nil, 0
 	h.held -= int64(c.weight)
 	c.weight = 0
-	if c.node != nil {
+	switch {
+	case c.feed:
+	case c.node != nil:
 		c.node.conns--
 		h.counts.NodeConns--
-	} else {
+	default:
 		h.counts.Clients--
 		if c.admitted {
 			h.adm.Closed(h.now, uint64(c.id))
@@ -155,14 +161,14 @@
 
 // flush asks for what is to be written to be written.
 func (h *Head) flush(c *conn) {
-	if c.node == nil && !c.gone {
+	if c.client() && !c.gone {
 		h.weigh(c)
 	}
 	if !c.flushing && !c.gone && len(c.pending()) > 0 {
-		if c.node == nil && c.answer.from == 0 {
+		if c.client() && c.answer.from == 0 {
 			c.answer = pace{from: h.now}
 		}
-		if c.node == nil && c.deadline == never {
+		if c.client() && c.deadline == never {
 			h.by(c, h.answerBy(c)) // to take it
 		}
 		c.flushing = true
@@ -236,8 +242,10 @@
 		c.out = append(c.out[:0], c.out[c.wrote:]...)
 		c.wrote = 0
 	}
-	if c.node != nil {
-		h.nodeWrote(c)
+	if !c.client() {
+		if c.node != nil {
+			h.nodeWrote(c)
+		}
 		return
 	}
 	c.answer.moved += int64(n)
@@ -252,6 +260,10 @@
 	if c == nil || len(p) == 0 {
 		return
 	}
+	if c.feed {
+		h.feed.Data(h.now, p)
+		return
+	}
 	if len(c.in) > 0 {
 		c.in = append(c.in, p...)
 		p = c.in
@@ -272,6 +284,8 @@
 	c := h.conn(id)
 	switch {
 	case c == nil:
+	case c.feed:
+		h.feedClosed(c, true)
 	case c.node != nil:
 		h.nodeClosed(c, true)
 	default:
@@ -286,6 +300,8 @@
 	c := h.conn(id)
 	switch {
 	case c == nil:
+	case c.feed:
+		h.feedClosed(c, false)
 	case c.node != nil:
 		h.nodeClosed(c, false)
 	default:
--- a/internal/head/head.go
+++ b/internal/head/head.go
@@ -118,20 +118,23 @@
 
 // Head is one head. It is not safe for concurrent use.
 type Head struct {
-	c      *conf.Config
-	t      *route.Table
-	adm    *admit.Admission
-	core   Core
-	obs    Observer
-	tag    uint32
-	rand   *rand.Rand
-	origin time.Time
-	now    Time
-	date   []byte // the Date field of the second dateOf
-	dateOf int64
-	events []logic.Event
-	acts   []Action
-	spare  []Action
+	c        *conf.Config
+	t        *route.Table
+	adm      *admit.Admission
+	core     Core
+	way      way
+	feed     Feed // nil: the node list is told
+	feedConn *conn
+	obs      Observer
+	tag      uint32
+	rand     *rand.Rand
+	origin   time.Time
+	now      Time
+	date     []byte // the Date field of the second dateOf
+	dateOf   int64
+	events   []logic.Event
+	acts     []Action
+	spare    []Action
 
 	slots []*conn
 	gens  []uint32
@@ -155,12 +158,14 @@
 	held      int64 // bytes of all client connections
 	turnTexts [admit.Reasons]turnText
 	stopping  bool
+	leaving   bool // clients are told that their connection ends
 	counts    Counts
 }
 
 // node is where a storage node is reached.
 type node struct {
 	name, addr string
+	started    Time
 	idle       []*conn // kept connections, the last used last
 	conns      int     // all connections, dialling ones too
 	listed     bool
@@ -185,7 +190,7 @@
 		panic(err)
 	}
 	r := rand.New(rand.NewPCG(seed, 0x6d616464))
-	return &Head{c: c, t: route.NewTable(c, nil), adm: adm, core: core, obs: obs, origin: origin, rand: r, tag: r.Uint32(), now: now,
+	return &Head{c: c, t: route.NewTable(c, nil), adm: adm, core: core, way: webdav{}, obs: obs, origin: origin, rand: r, tag: r.Uint32(), now: now,
 		nodes: map[string]*node{}, reqs: map[uint64]*exchange{}, wakeAt: never}
 }
 
@@ -213,9 +218,16 @@
 // Nodes tells a new node list.
 func (h *Head) Nodes(now Time, list []nodelist.Node) {
 	h.tick(now)
-	l := logic.List{Full: true}
-	for _, n := range h.nodes {
-		n.listed = false
+	h.members(list, true)
+}
+
+// members tells a node list, or what changed of it.
+func (h *Head) members(list []nodelist.Node, full bool) {
+	l := logic.List{Full: full}
+	if full {
+		for _, n := range h.nodes {
+			n.listed = false
+		}
 	}
 	for _, e := range list {
 		started := Time(0)
@@ -228,8 +240,8 @@
 			n = &node{name: e.Name}
 			h.nodes[e.Name] = n
 		}
-		if n.listed = true; n.addr != e.Addr {
-			n.addr = e.Addr
+		if n.listed = e.State != logic.Gone; n.addr != e.Addr || n.started != started {
+			n.addr, n.started = e.Addr, started // what is kept leads elsewhere, or to a life before
 			h.closeIdle(n)
 		}
 	}
@@ -251,13 +263,20 @@
 	n.idle = nil
 }
 
+// Leave tells clients with their next answer that their connection ends; requests go on
+// being taken. Guards against a stop that loses what is on its way to the head.
+func (h *Head) Leave(now Time) {
+	h.tick(now)
+	h.leaving = true
+}
+
 // Stop begins the end: requests taken get their answers, connections without
 // one are closed, and no new request is read.
 func (h *Head) Stop(now Time) {
 	h.tick(now)
 	h.stopping = true
 	for _, c := range h.slots {
-		if c != nil && c.node == nil && c.ex == nil && len(c.pending()) == 0 {
+		if c != nil && c.client() && c.ex == nil && len(c.pending()) == 0 {
 			h.drop(c, Close)
 		}
 	}
@@ -327,6 +346,7 @@
 		h.wakeAt = never
 		h.events = append(h.events, logic.Wake{})
 	}
+	feedNext := h.feedOn()
 	for len(h.events) > 0 || len(h.ready) > 0 {
 		for len(h.ready) > 0 {
 			c := h.ready[len(h.ready)-1]
@@ -347,7 +367,7 @@
 	acts := h.acts
 	h.acts, h.spare = h.spare[:0], acts
 	h.closing, h.closed = h.closed[:0], h.closing
-	next := h.wakeAt
+	next := min(h.wakeAt, feedNext)
 	if len(h.timers) > 0 {
 		next = min(next, h.timers[0].armed)
 	}
--- a/internal/head/node.go
+++ b/internal/head/node.go
@@ -23,8 +23,13 @@
 	reports bool
 	status  int
 	span    [8]byte
+	holds   bool   // its answer is held whole before any of it is passed on
+	body    []byte // so much of it
 }
 
+// interimMost is how many 1xx answers may come before one.
+const interimMost = 16
+
 // swallowMost is how much of an answer that nobody is given is read to keep its
 // connection.
 const swallowMost = 64 << 10
@@ -43,7 +48,7 @@
 	switch {
 	case ex.final: // it got its answer in this very turn
 		h.end(at, logic.Moot)
-	case n == nil, len(n.idle) == 0 && n.conns >= h.c.NodeConns:
+	case n == nil, len(n.idle) == 0 && (n.conns >= h.c.NodeConns || !h.roomForNode()):
 		h.end(at, logic.ConnectFailed) // nothing was sent
 	case len(n.idle) > 0:
 		c := n.idle[len(n.idle)-1]
@@ -61,6 +66,26 @@
 	}
 }
 
+// roomForNode tells whether one more connection to a node may be opened, after the
+// one that was kept longest was closed for it where need be.
+func (h *Head) roomForNode() bool {
+	if h.c.NodesConns == 0 || h.counts.NodeConns < h.c.NodesConns {
+		return true
+	}
+	var oldest *conn
+	for _, n := range h.nodes {
+		if len(n.idle) > 0 && (oldest == nil || n.idle[0].deadline < oldest.deadline) {
+			oldest = n.idle[0]
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	h.unpark(oldest)
+	h.drop(oldest, Close)
+	return true
+}
+
 // Connected tells that a connection asked for with Dial stands.
 func (h *Head) Connected(now Time, id ConnID) {
 	h.tick(now)
@@ -69,6 +94,10 @@
 		return
 	}
 	c.connected = true
+	if c.feed {
+		h.feed.Connected(h.now)
+		return
+	}
 	if c.at == nil {
 		h.park(c)
 		return
@@ -84,18 +113,7 @@
 	if c.out == nil {
 		c.out = h.buffer()
 	}
-	b := append(c.out, ex.method...)
-	b = append(b, ' ')
-	b = append(b, originForm(r.Target)...)
-	b = append(b, " HTTP/1.1\r\n"...)
-	b = passFields(b, &r.Message, "expect", "traceparent", "x-request-id", "maddergap-attempt")
-	if len(r.Host) == 0 { // HTTP/1.0 may leave it out, HTTP/1.1 may not
-		b = http1.AppendField(b, "Host", []byte(c.node.addr))
-	}
-	b = append(b, "Via: 1.1 maddergap\r\nX-Request-Id: "...)
-	b = append(h.appendRequestID(b, ex.id), "\r\n"...)
-	b = http1.AppendInt(b, "Maddergap-Attempt", int64(at.n))
-	b = append(appendTrace(append(b, "traceparent: "...), ex.trace, at.span, ex.sampled), "\r\n"...)
+	b := h.way.appendRequest(h, c.out, at)
 	switch {
 	case ex.whole && (ex.got > 0 || r.Length > 0 || r.Chunked || ex.listing != nil):
 		b = http1.AppendInt(b, "Content-Length", int64(len(ex.held)))
@@ -119,7 +137,7 @@
 			h.readOn(cl)
 		}
 	}
-	c.used = true
+	c.used, c.interim = true, 0
 	h.flush(c)
 }
 
@@ -198,12 +216,20 @@
 				h.broken(c, logic.Failed)
 				return nil
 			}
-			if c.resp.Status >= 200 {
-				c.inBody = true
-				c.content.Reset(&c.resp.Message)
-				h.answerHead(at)
-			}
 			p = p[n:]
+			if c.resp.Status < 200 {
+				if c.interim++; c.interim > interimMost {
+					h.broken(c, logic.Failed)
+					return nil
+				}
+				continue
+			}
+			c.inBody = true
+			c.content.Reset(&c.resp.Message)
+			if !h.answerHead(at) {
+				h.broken(c, h.way.faulty())
+				return nil
+			}
 		} else {
 			if cl := at.ex.client; at.ex.answer == at && cl != nil && len(cl.pending()) > h.room() {
 				h.pause(c)
@@ -212,7 +238,7 @@
 			}
 			data, rest, err := c.content.Next(p)
 			if err != nil {
-				h.broken(c, logic.Reset)
+				h.broken(c, h.way.faulty())
 				return nil
 			}
 			p = rest
@@ -222,7 +248,9 @@
 			h.answerDone(c)
 		}
 	}
-	if at := c.at; at != nil && !c.gone && at.ex.answer == at {
+	if at := c.at; at != nil && !c.gone && at.holds {
+		h.by(c, min(at.ex.due, h.now+h.way.stall(h)))
+	} else if at != nil && !c.gone && at.ex.answer == at {
 		if !at.begun {
 			at.begun = true
 			h.events = append(h.events, logic.Begun{ID: at.ex.id, Attempt: at.n})
@@ -243,25 +271,10 @@
 	if ex.upload == at {
 		ex.upload = nil
 	}
-	switch {
-	case ex.answer != at:
+	if at.holds || ex.answer == at {
+		h.way.answerDone(h, at)
+	} else {
 		h.end(at, at.verdict)
-	case ex.listing != nil:
-		ex.final = true
-		h.counts.Served++
-		h.tell(ex, Served)
-		h.partDone(ex)
-		h.end(at, logic.OK)
-	default:
-		ex.final = true
-		h.counts.Served++
-		h.learn(ex, c)
-		if ex.chunked {
-			ex.client.out = http1.AppendLastChunk(ex.client.out)
-		}
-		h.end(at, logic.OK)
-		h.tell(ex, Served)
-		h.answered(ex)
 	}
 	if keep {
 		h.park(c)
@@ -270,16 +283,6 @@
 	}
 }
 
-// learn remembers how large a resource is.
-func (h *Head) learn(ex *exchange, c *conn) {
-	switch {
-	case ex.method == "GET" && c.resp.Status == 200 && c.resp.Length >= 0:
-		h.t.Learn(ex.place.Path, c.resp.Length)
-	case ex.method == "PUT" && c.resp.Status < 300:
-		h.t.Learn(ex.place.Path, ex.got)
-	}
-}
-
 // park keeps a connection for the next request.
 func (h *Head) park(c *conn) {
 	if !c.node.listed || c.gone {
@@ -337,6 +340,7 @@
 		return
 	}
 	c.at = nil
+	unsent := c.pending()
 	if eof {
 		h.drop(c, Close)
 	} else {
@@ -347,8 +351,8 @@
 		h.end(at, at.verdict)
 	case !c.connected:
 		h.end(at, logic.ConnectFailed)
-	case !at.written: // a kept connection that closed just then: proven not to have run
-		h.end(at, logic.Moot)
+	case !at.written || !at.sent || len(unsent) > 0:
+		h.end(at, h.way.cut(at))
 	default:
 		h.end(at, logic.Reset)
 	}
@@ -364,8 +368,8 @@
 		c.at = nil
 		h.drop(c, Abort)
 		h.end(at, logic.ConnectFailed)
-	case at.ex.answer == at: // the answer stopped in its middle
-		h.broken(c, logic.Reset)
+	case at.ex.answer == at, at.holds && h.now < at.ex.due: // the answer stopped in its middle
+		h.broken(c, h.way.faulty())
 	default: // the client's time is up; a later answer is nobody's
 		at.ex.timedOut = true
 		h.broken(c, logic.TimedOut)
@@ -379,6 +383,8 @@
 	}
 	at.ended = true
 	ex := at.ex
+	h.release(at.body)
+	at.body = nil
 	ex.live--
 	if ex.upload == at {
 		ex.upload = nil
@@ -387,8 +393,8 @@
 		Closed: ex.final, Spent: ex.spent, Reported: at.report, Reports: at.reports})
 	if h.obs != nil {
 		h.span = Span{Request: h.requestID(ex.id), Trace: ex.trace, ID: at.span, Parent: ex.span, Sampled: ex.sampled,
-			Start: at.began, End: h.now, Method: ex.method, Path: ex.place.Path, Volume: ex.vol.Name,
-			Class: h.c.Logic.Classes[ex.job.Class].Name, Status: at.status, Attempt: at.n, Node: at.node, Ended: o}
+			Start: at.began, End: h.now, Method: ex.method, Path: ex.place.Path, Volume: ex.volume,
+			Class: h.c.Logic.Classes[ex.class].Name, Status: at.status, Attempt: at.n, Node: at.node, Ended: o}
 		h.obs.Attempt(&h.span)
 	}
 	h.recycle(ex)
--- a/internal/head/trace.go
+++ b/internal/head/trace.go
@@ -42,6 +42,7 @@
 
 // tell counts and reports a request's end.
 func (h *Head) tell(ex *exchange, o Outcome) {
+	h.way.ended(ex, o)
 	if h.obs == nil {
 		return
 	}
@@ -53,7 +54,7 @@
 	}
 	if ex.id != 0 {
 		s.Start = ex.taken
-		s.Volume, s.Class = ex.vol.Name, h.c.Logic.Classes[ex.job.Class].Name
+		s.Volume, s.Class = ex.volume, h.c.Logic.Classes[ex.class].Name
 	}
 	h.span = s
 	h.obs.Request(&h.span)
--- /dev/null
+++ b/internal/head/way.go
@@ -0,0 +1,249 @@
+package head
+
+import (
+	"time"
+
+	"maddergap/internal/http1"
+	"maddergap/internal/nodelist"
+	"maddergap/logic"
+)
+
+// way is what a protocol has of its own between clients, head and nodes: reading a
+// request, writing an attempt, reading and passing on its answer. Connections,
+// bounds, timers and the module's part are the same for all.
+type way interface {
+	// begin says what becomes of a request whose header was read and that was admitted.
+	begin(h *Head, c *conn, ex *exchange)
+	// arrival is what the module is told of a request; a fault is answered instead.
+	arrival(h *Head, ex *exchange) (logic.Arrival, *http1.Error)
+	// appendRequest writes an attempt's start line and fields, without its length.
+	appendRequest(h *Head, b []byte, at *attempt) []byte
+	// verdict reads the header of a node's answer.
+	verdict(r *http1.Response) Verdict
+	// answerHead and answerData take the answer that is to go to the client, and
+	// answerDone brings it to its end. A false ends the attempt as broken.
+	answerHead(h *Head, at *attempt) bool
+	answerData(h *Head, at *attempt, data []byte) bool
+	answerDone(h *Head, at *attempt)
+	// cut is the outcome of an attempt whose connection broke before it had gone out whole.
+	cut(at *attempt) logic.Outcome
+	// faulty is the outcome of one whose answer's body cannot be read.
+	faulty() logic.Outcome
+	retryAfter(b []byte, after time.Duration) []byte
+	// stall is for how long an answer that is held may stand still.
+	stall(h *Head) time.Duration
+	// ends tells whether a client that sends no more has left.
+	ends() bool
+	// ended tells of a final answer, or of a client that left.
+	ended(ex *exchange, o Outcome)
+}
+
+// Verdict is what an answer's header says of its attempt.
+type Verdict struct {
+	Outcome logic.Outcome
+	Report  float64 // requests that the node said it held or had waiting
+	Reports bool    // it said so
+}
+
+// Ask is what a protocol reads out of a request's header.
+type Ask struct {
+	// Status and Reason are the head's own answer, 0: the request is the module's.
+	Status int
+	Reason string
+	Close  bool   // no more is read of this client
+	ID     string // the client's name for the request
+	// Arrival is what the module is told, but for its ID. Left counts from the
+	// request's last byte.
+	Arrival logic.Arrival
+}
+
+// Protocol is one whose messages are small: requests and answers are held whole, and
+// checked, before anything of them is passed on. It does no I/O and reads no clock.
+type Protocol interface {
+	Ask(r *http1.Request) Ask
+	// Open takes a whole request's id; one that is taken already is answered with the fault.
+	Open(a *Ask) *http1.Error
+	// Closed tells how it ended.
+	Closed(id string, o Outcome)
+	// AppendRequest writes an attempt's start line and fields, without its length;
+	// left is for how long the head will wait.
+	AppendRequest(b []byte, r *http1.Request, left time.Duration) []byte
+	Verdict(r *http1.Response) Verdict
+	// Answer checks an answer that is to go to the client, whole.
+	Answer(r *http1.Response, body []byte) bool
+	AppendRetryAfter(b []byte, after time.Duration) []byte
+	// Most is how large a body may be, and Stall for how long an answer that has
+	// begun may stand still.
+	Most() int
+	Stall() time.Duration
+}
+
+// Speak has clients and nodes spoken to in another protocol than WebDAV. It is
+// called before anything is told.
+func (h *Head) Speak(p Protocol) { h.way = plain{p} }
+
+// plain carries a Protocol.
+type plain struct{ p Protocol }
+
+func (w plain) begin(h *Head, c *conn, ex *exchange) {
+	a := w.p.Ask(&ex.req)
+	if a.Status != 0 {
+		c.closing = c.closing || a.Close
+		h.own(ex, a.Status, a.Reason)
+		return
+	}
+	ex.ask, ex.hold = a, w.p.Most()
+	if ex.req.Length > int64(ex.hold) {
+		c.closing = true
+		h.own(ex, 413, "the body is longer than any may be")
+		return
+	}
+	h.invite(c, ex)
+	if ex.whole {
+		h.take(ex)
+	}
+}
+
+func (w plain) arrival(h *Head, ex *exchange) (logic.Arrival, *http1.Error) {
+	if err := w.p.Open(&ex.ask); err != nil {
+		return logic.Arrival{}, err
+	}
+	return ex.ask.Arrival, nil
+}
+
+func (w plain) appendRequest(h *Head, b []byte, at *attempt) []byte {
+	return w.p.AppendRequest(b, &at.ex.req, max(at.ex.due-h.now, time.Millisecond))
+}
+
+func (w plain) verdict(r *http1.Response) Verdict { return w.p.Verdict(r) }
+
+// answerHead begins to hold an answer. One without a length of its own is spoilt:
+// that it is whole could not be told.
+func (w plain) answerHead(h *Head, at *attempt) bool {
+	r := &at.conn.resp
+	if r.Length > int64(w.p.Most()) || r.Length < 0 && !r.Chunked {
+		return false
+	}
+	at.holds = true
+	at.body = h.buffer()
+	return true
+}
+
+func (w plain) answerData(h *Head, at *attempt, data []byte) bool {
+	at.body = append(at.body, data...)
+	return len(at.body) <= w.p.Most()
+}
+
+func (w plain) answerDone(h *Head, at *attempt) {
+	ex := at.ex
+	if ex.final || !w.p.Answer(&at.conn.resp, at.body) {
+		o := logic.OK // it was served already, or its client has left: the node did its part
+		if !ex.final {
+			o = w.faulty()
+		}
+		h.end(at, o)
+		return
+	}
+	ex.final, ex.answer, ex.status = true, at, at.conn.resp.Status
+	h.counts.Served++
+	if cl := ex.client; cl != nil {
+		if cl.out == nil {
+			cl.out = h.buffer()
+		}
+		b := http1.AppendInt(http1.AppendStatus(cl.out, ex.status), "Content-Length", int64(len(at.body)))
+		cl.out = append(h.endHeader(b, cl, ex), at.body...)
+	}
+	h.end(at, logic.OK)
+	h.tell(ex, Served)
+	h.answered(ex)
+}
+
+// cut: what did not come whole was not run.
+func (w plain) cut(at *attempt) logic.Outcome {
+	if !at.written {
+		return logic.Moot
+	}
+	return logic.ConnectFailed
+}
+
+func (w plain) faulty() logic.Outcome { return logic.Failed }
+
+func (w plain) retryAfter(b []byte, after time.Duration) []byte {
+	return w.p.AppendRetryAfter(b, after)
+}
+
+func (w plain) stall(*Head) time.Duration { return w.p.Stall() }
+
+func (w plain) ends() bool { return true }
+
+func (w plain) ended(ex *exchange, o Outcome) {
+	if ex.id != 0 {
+		w.p.Closed(ex.ask.ID, o)
+	}
+}
+
+// Feed is a client of whoever tells the node list, driven by the head: bytes and
+// clock readings in, bytes and lists out.
+type Feed interface {
+	// Step tells what is to be done next on its one connection, and when to ask again.
+	Step(now Time) (FeedOp, Time)
+	Connected(now Time)
+	Data(now Time, p []byte)
+	Closed(now Time)
+	// List returns the news since it was last asked for; full: the whole list.
+	List() (nodes []nodelist.Node, full, ok bool)
+}
+
+// FeedOp is what a feed wants done: a connection, bytes written, or the connection closed.
+type FeedOp struct {
+	Dial  string
+	Write []byte
+	Close bool
+}
+
+// Follow has the node list come from a feed.
+func (h *Head) Follow(f Feed) { h.feed = f }
+
+// feedOn lets the feed go on, and returns when it is to be asked again.
+func (h *Head) feedOn() Time {
+	if h.feed == nil {
+		return never
+	}
+	for {
+		if nodes, full, ok := h.feed.List(); ok {
+			h.members(nodes, full)
+		}
+		op, next := h.feed.Step(h.now)
+		c := h.feedConn
+		switch {
+		case op.Close && c != nil:
+			h.feedConn = nil
+			h.drop(c, Close)
+		case op.Dial != "":
+			c = h.newConn()
+			c.feed = true
+			h.feedConn = c
+			h.acts = append(h.acts, Action{Op: Dial, Conn: c.id, Addr: op.Dial})
+		case len(op.Write) > 0 && c != nil:
+			if c.out == nil {
+				c.out = h.buffer()
+			}
+			c.out = append(c.out, op.Write...)
+			h.flush(c)
+		default:
+			return next
+		}
+	}
+}
+
+func (h *Head) feedClosed(c *conn, open bool) {
+	if open {
+		h.drop(c, Close)
+	} else {
+		h.forget(c, false)
+	}
+	if h.feedConn == c {
+		h.feedConn = nil
+		h.feed.Closed(h.now)
+	}
+}
--- a/internal/loop/listen.go
+++ b/internal/loop/listen.go
@@ -228,6 +228,14 @@
 	}
 }
 
+// AcceptAll takes all that stand in the listen queues, before these are closed.
+func (l *Loop) AcceptAll() {
+	for _, n := range l.listeners {
+		for l.resumeAt == 0 && l.acceptOne(n) {
+		}
+	}
+}
+
 // acceptOne takes one newcomer and tells whether there was one.
 func (l *Loop) acceptOne(n listener) bool {
 	if l.clients >= l.most {
--- /dev/null
+++ b/internal/platform/config.go
@@ -0,0 +1,196 @@
+package platform
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"strconv"
+	"time"
+
+	"maddergap/internal/admit"
+	"maddergap/internal/conf"
+	"maddergap/internal/discovery"
+	"maddergap/internal/facts"
+	"maddergap/internal/http1"
+)
+
+// Variables that the platform sets.
+const (
+	EnvConfig    = "ROUTER_CONFIG"
+	EnvName      = "ROUTER_NAME"
+	EnvListen    = "ROUTER_LISTEN"
+	EnvDiscovery = "ROUTER_DISCOVERY"
+)
+
+// file is the platform's configuration.
+type file struct {
+	Name      string `json:"name"`
+	Listen    string `json:"listen"`
+	Discovery string `json:"discovery"`
+	Seed      string `json:"seed"`
+	Limits    struct {
+		Cores    float64 `json:"cores"`
+		MemoryMB float64 `json:"memory_mb"`
+		Sockets  int     `json:"sockets"`
+	} `json:"limits"`
+	Known    *discovery.List `json:"known"`
+	Settings *facts.Facts    `json:"settings"`
+}
+
+// Config is what the platform tells a head, checked.
+type Config struct {
+	Name      string
+	Discovery string
+	Known     *discovery.List
+	Facts     *facts.Facts
+	Conf      *conf.Config
+	Bounds    Bounds
+}
+
+// Bounds are what follows from the limits of the platform.
+type Bounds struct {
+	Memory    int64 // bytes that the runtime keeps to
+	Clients   int   // connections
+	Told      int   // of those turned away with an answer
+	Nodes     int   // connections to nodes
+	Reserved  int   // descriptors for all else
+	Sockets   int
+	HeldBytes int64 // for clients
+}
+
+// Descriptors is the sum with every bound reached.
+func (b Bounds) Descriptors() int { return b.Clients + clientsOver + b.Told + b.Nodes + b.Reserved }
+
+const (
+	mostFile = 16 << 20
+	// Connections accepted past the bound, to be told or to take another's place.
+	clientsOver = 8
+	// The loop's own, the listener, the standard streams, the runtime's poller, the
+	// node list's connection and the next one.
+	reserved = 24
+)
+
+// bounds divides the platform's limits.
+func bounds(sockets int, memory float64) (Bounds, error) {
+	b := Bounds{Sockets: sockets, Reserved: reserved, Told: 8, Memory: int64(memory * 0.6 * (1 << 20))}
+	free := sockets - reserved - clientsOver - b.Told
+	if free < 32 || memory < 16 {
+		return b, fmt.Errorf("limits: %d sockets and %v MB are less than a head needs", sockets, memory)
+	}
+	b.Clients = free * 3 / 5
+	b.Nodes = free - b.Clients
+	b.HeldBytes = max(b.Memory/4, int64(b.Clients)*heldLeast)
+	return b, nil
+}
+
+const heldLeast = 4 << 10
+
+// Load reads the platform's configuration as the environment names it.
+func Load(env func(string) string) (*Config, error) {
+	path := env(EnvConfig)
+	if path == "" {
+		return nil, fmt.Errorf("%s is not set", EnvConfig)
+	}
+	info, err := os.Stat(path)
+	if err != nil {
+		return nil, err
+	}
+	if info.Size() > mostFile {
+		return nil, fmt.Errorf("%s has %d bytes, more than %d", path, info.Size(), mostFile)
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return Parse(path, data, env)
+}
+
+// Parse checks a configuration. What the environment says of the head's own addresses
+// holds where the file is silent.
+func Parse(path string, data []byte, env func(string) string) (*Config, error) {
+	var f file
+	if err := json.Unmarshal(data, &f); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	or := func(to *string, name string) {
+		if *to == "" {
+			*to = env(name)
+		}
+	}
+	or(&f.Name, EnvName)
+	or(&f.Listen, EnvListen)
+	or(&f.Discovery, EnvDiscovery)
+	var errs []error
+	bad := func(format string, args ...any) {
+		errs = append(errs, fmt.Errorf("%s: "+format, append([]any{path}, args...)...))
+	}
+	if _, err := netip.ParseAddrPort(f.Listen); err != nil {
+		bad("listen %q (or %s) is not an address and port", f.Listen, EnvListen)
+	}
+	if _, err := netip.ParseAddrPort(f.Discovery); err != nil {
+		bad("discovery %q (or %s) is not an address and port", f.Discovery, EnvDiscovery)
+	}
+	seed, err := strconv.ParseUint(f.Seed, 16, 64)
+	if err != nil {
+		bad("seed %q is not a number of 16 hex digits", f.Seed)
+	}
+	if f.Settings == nil {
+		bad("settings are missing")
+		return nil, errors.Join(errs...)
+	}
+	if err := f.Settings.Check(); err != nil {
+		bad("%w", err)
+	}
+	b, err := bounds(f.Limits.Sockets, f.Limits.MemoryMB)
+	if err != nil {
+		bad("%w", err)
+	}
+	if err := errors.Join(errs...); err != nil {
+		return nil, err
+	}
+	c := &Config{Name: f.Name, Discovery: f.Discovery, Known: f.Known, Facts: f.Settings, Bounds: b,
+		Conf: headConf(path, &f, b)}
+	c.Conf.Seed = seed
+	if err := c.Conf.Admit.Check(); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return c, nil
+}
+
+// headConf makes the configuration that a head runs by: what WebDAV and files need is off.
+// No cap or pace is by address: clients of every kind may share one.
+func headConf(path string, f *file, b Bounds) *conf.Config {
+	l := f.Settings.Limits
+	c := &conf.Config{File: path, Listen: []string{f.Listen}, Quiet: true, Logic: f.Settings.Settings(),
+		Unit: 1, BodyHold: mostBody, BodyRate: 1, Buffer: mostBody * 2,
+		HeaderTime: 1500 * time.Millisecond, IdleTime: 10 * time.Second, StallTime: 1200 * time.Millisecond,
+		StopTime: 3500 * time.Millisecond, StopAfter: 500 * time.Millisecond,
+		NodeIdle: facts.Micros(l.ConnIdle) / 2, NodeConns: b.Nodes, NodesConns: b.Nodes, DialTime: facts.Micros(l.ConnectTimeout),
+		Sizes: 1, Clients: b.Clients, Processes: 1, Header: http1.Limits{Header: 8 << 10, Target: 2 << 10, Fields: 64},
+		Admit: admit.Config{Total: b.Clients, V6Bits: 64, Wide4: 24, Wide6: 48, Entries: 256,
+			AnswerRate: 50, AnswerBurst: b.Told, KnownMultiple: 1, Buffers: b.HeldBytes, BufferLeast: heldLeast,
+			PressureIdle: max(b.Clients/4, 1), IdleUnderPress: 250 * time.Millisecond}}
+	if c.NodeIdle <= 0 {
+		c.NodeIdle = 10 * time.Second
+	}
+	if c.DialTime <= 0 {
+		c.DialTime = time.Second
+	}
+	return c
+}
+
+// Protocol makes what reads and writes the platform's messages.
+func (c *Config) Protocol() *Protocol {
+	p := &Protocol{classes: map[string]int{}, plans: map[string]int{}, writes: c.Facts.FamilyInfo.Writes,
+		most: c.Facts.FamilyInfo.UnitsTop, shards: c.Facts.FamilyInfo.Shards, heads: c.Facts.FleetSize,
+		stall: c.Conf.DialTime, ids: newIDs(endedKept)}
+	for i, k := range c.Facts.Classes {
+		p.classes[k.Name] = i
+	}
+	for i, g := range c.Facts.Grades {
+		p.plans[g.Name] = i
+	}
+	return p
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -11,53 +11,9 @@
 	"io"
 	"strconv"
 	"strings"
-)
 
-// Facts are the settings of the first message, times in microseconds.
-type Facts struct {
-	FleetSize int    `json:"fleetSize"`
-	Discovery string `json:"discovery"`
-	Classes   []struct {
-		Name   string  `json:"name"`
-		Target int64   `json:"target"`
-		Effect string  `json:"effect"`
-		Group  string  `json:"group"`
-		Window int64   `json:"window"`
-		InTurn bool    `json:"inTurn"`
-		Gain   float64 `json:"gain"`
-		Late   float64 `json:"lateWorth"`
-	} `json:"classes"`
-	Grades []struct {
-		Name        string  `json:"name"`
-		Nominal     float64 `json:"nominal"`
-		Guaranteed  float64 `json:"guaranteed"`
-		Shares      float64 `json:"shares"`
-		ValueFactor float64 `json:"valueFactor"`
-		CeilingRate float64 `json:"ceilingRate"`
-		LimitBurst  float64 `json:"limitBurst"`
-	} `json:"grades"`
-	FamilyInfo struct {
-		ColdUnits  float64 `json:"coldUnits"`
-		UnitsTop   float64 `json:"unitsTop"`
-		UsualUnits float64 `json:"usualUnits"`
-		FairWorth  float64 `json:"fairWorth"`
-	} `json:"familyInfo"`
-	Guarantees struct {
-		Cold         int64    `json:"cold"`
-		ColdFrom     float64  `json:"coldFrom"`
-		FallMultiple float64  `json:"fallMultiple"`
-		OverloadFor  int64    `json:"overloadFor"`
-		OrderSettle  int64    `json:"orderSettle"`
-		CountedOver  int64    `json:"countedOver"`
-		FreeResends  *float64 `json:"freeResends"`
-		FurtherRatio *float64 `json:"furtherRatio"`
-	} `json:"guarantees"`
-	Limits struct {
-		MaxAttempts   int   `json:"maxAttempts"`
-		MaxRetryAfter int64 `json:"maxRetryAfter"`
-		RetryAfter    bool  `json:"retryAfter"`
-	} `json:"limits"`
-}
+	"maddergap/internal/facts"
+)
 
 // Item is a line of the node list.
 type Item struct {
@@ -73,7 +29,7 @@
 type Event struct {
 	Kind, Head string
 	Entropy    uint64
-	Facts      Facts
+	Facts      facts.Facts
 	How        string
 	Items      []Item
 	Job        uint64
