Overtaken requests are refused at half of their time; repeats aim from the first try

At fault: arrive and expire in logic.go, which held each for all of its time.

Change: a request that no node has had is held for half of its time, or until its aim, unless fewer than two others were sent to its node meanwhile. Nodes that are gone are forgotten.

--- a/internal/facts/facts.go
+++ b/internal/facts/facts.go
@@ -122,7 +122,7 @@
 		s.MaxRetryAfter = Micros(l.MaxRetryAfter)
 	}
 	for _, c := range f.Classes {
-		s.Classes = append(s.Classes, logic.Class{Name: c.Name, Aim: Micros(c.Target), Effect: effects[c.Effect],
+		s.Classes = append(s.Classes, logic.Class{Name: c.Name, Aim: Micros(c.Target), Deadline: Micros(c.Deadline), Effect: effects[c.Effect],
 			Group: groups[c.Group], Window: Micros(c.Window), InOrder: c.InTurn, Worth: c.Gain, LateWorth: c.Late})
 	}
 	for _, p := range f.Grades {
--- a/internal/lanes/lanes.go
+++ b/internal/lanes/lanes.go
@@ -20,10 +20,11 @@
 type Time = time.Duration
 
 // Slot is the part of a request that says where it waits; requests embed it. Aim is
-// not after Due, and Seq tells requests apart; they do not change.
+// not after Due, and Seq tells requests apart; they do not change. By is until when it
+// is held at the most, and does not change while it is.
 type Slot[R any, K, V comparable] struct {
-	Due, Aim Time
-	Seq      int
+	Due, Aim, By Time
+	Seq          int
 
 	held        bool
 	pos         int
@@ -169,7 +170,7 @@
 func (p *Place[R, K, V]) Hold(r R, pos int) {
 	s := r.At()
 	s.held, s.pos = true, pos
-	p.held.Add(int64(s.Due), int64(s.Seq), r)
+	p.held.Add(int64(s.By), int64(s.Seq), r)
 }
 
 // Drop lets go of a request.
@@ -177,7 +178,7 @@
 	p.Unplace(r)
 	s := r.At()
 	s.held = false
-	p.held.Remove(int64(s.Due), int64(s.Seq))
+	p.held.Remove(int64(s.By), int64(s.Seq))
 }
 
 // Done is Drop, but Len counts it until the next look.
@@ -186,14 +187,23 @@
 	p.done = append(p.done, r)
 }
 
-// Until lets go of those that are due before t and returns them in the order of
-// their places; those that are done are let go of too.
-func (p *Place[R, K, V]) Until(t Time) (out []R) {
+// Until lets go of those that are held until before t and returns them in the order of
+// their places; those that are done are let go of too. later, if it is not nil, may
+// name a time from t on until when one is held instead.
+func (p *Place[R, K, V]) Until(t Time, later func(R) Time) (out []R) {
 	for _, r := range p.done {
 		p.Drop(r)
 	}
 	p.done = p.done[:0]
-	for r, ok := p.held.First(); ok && r.At().Due < t; r, ok = p.held.First() {
+	for r, ok := p.held.First(); ok && r.At().By < t; r, ok = p.held.First() {
+		if s := r.At(); later != nil {
+			if by := later(r); by >= t {
+				p.held.Remove(int64(s.By), int64(s.Seq))
+				s.By = by
+				p.held.Add(int64(s.By), int64(s.Seq), r)
+				continue
+			}
+		}
 		p.Drop(r)
 		out = append(out, r)
 	}
@@ -201,10 +211,10 @@
 	return out
 }
 
-// First is the first due time, the end of time where nothing is held.
+// First is the first time until when one is held, the end of time where nothing is held.
 func (p *Place[R, K, V]) First() Time {
 	if r, ok := p.held.First(); ok {
-		return r.At().Due
+		return r.At().By
 	}
 	return math.MaxInt64
 }
--- a/internal/platform/protocol.go
+++ b/internal/platform/protocol.go
@@ -130,7 +130,7 @@
 	case len(p.writes) > 0 && p.writes[c] != write:
 		return bad("the method does not fit the class")
 	}
-	a.ID, a.Arrival.Key = string(id), string(key)
+	a.ID, a.Arrival.Key, a.Arrival.Again = string(id), string(key), string(r.Get(fieldRetry)) == "1"
 	return a
 }
 
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -38,6 +38,7 @@
 	Grace      int64
 	Weight     float64
 	Writers    int
+	Again      bool // a client's repeat
 	Service    int
 	N          int
 	Shelf      string
@@ -163,7 +164,7 @@
 		}
 	case "job_in":
 		e.Job, e.Cell, e.Plan, e.Key = f.uint(), int(f.float()), int(f.int()), f.text()
-		f.int() // option bits
+		e.Again = f.int()&2 != 0
 		e.User, e.Grace, e.Weight = f.text(), f.int(), f.float()
 		e.Writers, e.Service = int(f.float()), int(f.int())
 	case "health_result":
--- a/logic/api.go
+++ b/logic/api.go
@@ -35,13 +35,14 @@
 
 // Class describes one class of requests.
 type Class struct {
-	Name    string
-	Aim     time.Duration // an answer within it earns the full worth
-	Effect  Effect
-	Group   Group
-	Window  time.Duration // how long repeats of a keyed request are dropped
-	InOrder bool          // requests with one key run one at a time, in turn
-	Worth   float64
+	Name     string
+	Aim      time.Duration // an answer within it earns the full worth
+	Deadline time.Duration // of a client over all its tries, 0: not told
+	Effect   Effect
+	Group    Group
+	Window   time.Duration // how long repeats of a keyed request are dropped
+	InOrder  bool          // requests with one key run one at a time, in turn
+	Worth    float64
 	// LateWorth is the part of it that an answer after the aim earns.
 	LateWorth float64
 }
@@ -159,7 +160,8 @@
 	Volume string
 	Left   time.Duration // before the client gives up
 	Units  float64
-	Hosts  int // through which the volume's requests may come
+	Hosts  int  // through which the volume's requests may come
+	Again  bool // a client's repeat, where clients mark theirs
 }
 
 // List is news of the node list.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -38,6 +38,8 @@
 	reserveHosts = 2.0              // a host holds so many even parts of a volume's reserve, all of it at most
 	idleFor      = 10 * time.Second // idle volumes are forgotten after this
 	lastCall     = 10 * time.Millisecond
+	patience     = 0.5         // part of its time that a request is held for its first attempt
+	overtaken    = 2           // unless fewer requests than this were sent to its node meanwhile
 	polls        = 12          // looks at held requests within a shortest aim
 	silentAims   = 2.0         // silence of so many shortest aims opens the breaker
 	silentLats   = 4.0         // but not before so many usual answer times
@@ -46,11 +48,11 @@
 	listRetry    = time.Second // after a failed call for the list
 )
 
-type slot = lanes.Slot[*request, kind, *volume]
-
-type place = lanes.Place[*request, kind, *volume]
-
-type lane = lanes.Lane[*request, kind]
+type (
+	slot  = lanes.Slot[*request, kind, *volume]
+	place = lanes.Place[*request, kind, *volume]
+	lane  = lanes.Lane[*request, kind]
+)
 
 type request struct {
 	Arrival
@@ -64,6 +66,7 @@
 	ran             *node   // where an attempt may have run
 	ranAt           Time    // when the first such attempt was sent
 	notBefore       Time
+	passed          int // sends of its node when it came there
 	done, streaming bool
 }
 
@@ -136,13 +139,7 @@
 	sentAt   Time
 	jitter   float64 // of the gap after it
 	dirty    bool
-}
-
-// sight is what answers told, weighed by age.
-type sight struct{ weight, lat, part faded }
-
-func (s *sight) add(now Time, weight, lat, part float64) (w, l, p float64) {
-	return s.weight.add(now, weight, memory), s.lat.add(now, lat, memory), s.part.add(now, part, memory)
+	sends    int // so far
 }
 
 // turn is the order of one key's requests.
@@ -191,18 +188,14 @@
 	if err := s.check(); err != nil {
 		return nil, err
 	}
-	h := &Head{s: s, now: now, crowd: 1, boot: now, swept: now, watchAt: -1, armed: now,
+	h := &Head{s: s, now: now, aim: s.Classes[0].Aim, crowd: 1, boot: now, swept: now, watchAt: -1, armed: now,
 		reqs: map[uint64]*request{}, attempts: map[attemptID]*attempt{}, vols: map[string]*volume{},
 		turns: map[string]*turn{}, flows: map[int]*faded{}, homeless: newPlace(),
 		rand: rand.New(rand.NewPCG(seed, seed))}
-	h.aim = s.Classes[0].Aim
-	for _, c := range s.Classes {
-		h.aim = min(h.aim, c.Aim)
-	}
 	for _, p := range s.Plans {
 		h.weights += p.Weight
 		for _, c := range s.Classes {
-			h.top = max(h.top, c.Worth*p.Price, 1e-9)
+			h.top, h.aim = max(h.top, c.Worth*p.Price, 1e-9), min(h.aim, c.Aim)
 		}
 	}
 	if s.AskDiscovery {
@@ -239,8 +232,7 @@
 // touch has a node looked at when the events of the moment are taken.
 func (h *Head) touch(n *node) {
 	if n != nil && !n.dirty {
-		n.dirty = true
-		h.touched = append(h.touched, n)
+		n.dirty, h.touched = true, append(h.touched, n)
 	}
 }
 
@@ -257,11 +249,14 @@
 	if h.s.Budget {
 		h.taken = append(h.taken, h.now)
 	}
-	h.seq++
-	a.Units = max(a.Units, 0)
+	h.seq, a.Units = h.seq+1, max(a.Units, 0)
 	r := &request{Arrival: a, class: &h.s.Classes[a.Class], vol: h.volume(a)}
 	r.Seq, r.Due = h.seq, h.now+a.Left
-	r.Aim = min(h.now+r.class.Aim, r.Due) // one whose client leaves before its aim aims at that
+	r.Aim = min(h.now+r.class.Aim, r.Due)             // one whose client leaves before its aim aims at that
+	if c := r.class; a.Again && c.Deadline > a.Left { // its aim counts from its client's first try
+		r.Aim = min(r.Aim, h.now+c.Aim-(c.Deadline-a.Left))
+	}
+	r.By = max(h.now+Time(patience*float64(a.Left)), r.Aim)
 	h.reqs[a.ID] = r
 	if r.vol.plan.Limit > 0 && r.vol.limit.cap < a.Units {
 		h.finish(r) // more than this host's part of the burst ever holds
@@ -321,7 +316,7 @@
 	if r.node != n || r.tries == 0 {
 		h.tag(r, n)
 	}
-	r.node = n
+	r.node, r.passed = n, n.sends
 	n.queue.Hold(r, h.pos)
 	h.place(r)
 	h.touch(n)
@@ -475,6 +470,9 @@
 	h.touch(n)
 	h.health(n, a, e)
 	proven := e.Outcome == Full || e.Outcome == ConnectFailed || e.Outcome == Moot
+	if e.Outcome != ConnectFailed && e.Outcome != Moot {
+		r.By = r.Due // a node had it
+	}
 	if !proven && e.Outcome != OK && r.ran == nil {
 		r.ran, r.ranAt = n, a.sent
 	}
@@ -609,24 +607,24 @@
 			h.coldStart(n)
 		}
 	}
+	// Requests held for a node that no longer serves, or for none, find their next node.
+	moved := h.homeless.Until(math.MaxInt64, nil)
+	h.byShard = map[int][]*node{}
 	for _, n := range h.nodes {
 		if l.Full && !seen[n.Node] {
 			n.State = Gone
 		}
-	}
-	// Requests held for a node that no longer serves, or for none, find their next node.
-	moved := h.homeless.Until(math.MaxInt64)
-	h.byShard = map[int][]*node{}
-	for _, n := range h.nodes {
 		h.touch(n)
 		h.byShard[n.Shard] = append(h.byShard[n.Shard], n)
 		if n.State != Serving {
-			moved = append(moved, n.queue.Until(math.MaxInt64)...)
+			moved = append(moved, n.queue.Until(math.MaxInt64, nil)...)
 		}
 	}
 	for _, r := range moved {
 		h.queue(r)
 	}
+	// What is gone for good is forgotten, lest a head that lives long holds all that ever were.
+	h.nodes = slices.DeleteFunc(h.nodes, func(n *node) bool { return n.State == Gone && len(n.outs) == 0 })
 }
 
 func (h *Head) isCold(n *node) bool {
@@ -840,8 +838,8 @@
 func (h *Head) pump(n *node) {
 	n.dirty = false
 	h.look(n)
-	patience := max(silentAims*h.aim.Seconds(), silentLats*n.lat)
-	if len(n.outs) > 0 && (h.now-max(n.heard, n.outs[0].sent)).Seconds() >= patience {
+	silence := max(silentAims*h.aim.Seconds(), silentLats*n.lat)
+	if len(n.outs) > 0 && (h.now-max(n.heard, n.outs[0].sent)).Seconds() >= silence {
 		h.openBreaker(n)
 	}
 	h.expire(n.queue)
@@ -888,7 +886,7 @@
 }
 
 func (h *Head) send(n *node, r *request) {
-	n.sentAt, n.jitter = h.now, 0.5+h.rand.Float64()
+	n.sends, n.sentAt, n.jitter = n.sends+1, h.now, 0.5+h.rand.Float64()
 	n.queue.Drop(r)
 	n.v = max(n.v, r.start)
 	if r.tries == 0 {
@@ -905,14 +903,22 @@
 	a := &attempt{r: r, node: n, sent: h.now, full: float64(len(n.outs))+2 > n.window}
 	n.outs = append(n.outs, a)
 	h.attempts[attemptID{r.ID, uint64(r.tries)}] = a
-	r.tries++
-	r.live++
+	r.tries, r.live = r.tries+1, r.live+1
 	h.do(Send{ID: r.ID, Node: n.Node})
 }
 
+// later is until when a request is held that no node has had for half of its time. One that
+// others went before hardly goes in time: its client is told while it has time to come back.
+func later(r *request) Time {
+	if r.node != nil && r.node.sends-r.passed < overtaken {
+		return r.Due
+	}
+	return 0
+}
+
 // expire answers what is out of time.
 func (h *Head) expire(held *place) {
-	for _, r := range held.Until(h.now + lastCall + 1) {
+	for _, r := range held.Until(h.now+lastCall+1, later) {
 		h.finish(r)
 	}
 }
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -4,6 +4,7 @@
 	"math"
 	"reflect"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -926,3 +927,72 @@
 	}
 	t.Error("the node is never tried again")
 }
+
+// A request that others went before is told of it at half of its time; one at a node
+// that sends rarely keeps all of it, and so does one that a node had already.
+func TestOvertakenRequestIsRefusedAtHalfOfItsTime(t *testing.T) {
+	late := func(overtakers int) time.Duration {
+		r := start(t, site(func(s *Settings) {
+			s.Plans = append(s.Plans, Plan{Name: "limited", Weight: 1, Price: 1, Limit: 0.001, LimitBurst: 10})
+		}), Entry{Node: "n0"})
+		came := r.now
+		r.at(0, Arrival{ID: 9, Class: 1, Plan: 1, Volume: "v", Left: 2 * time.Second, Units: 1}) // its limit holds it
+		for i := range overtakers {
+			id := uint64(20 + i)
+			r.at(0, Arrival{ID: id, Volume: "w", Left: 5 * time.Second, Units: 1})
+			r.end(id, OK)
+		}
+		for r.now < came+3*time.Second {
+			if answers(r.at(5*ms, Wake{}))[9] == "r" {
+				return r.now - came
+			}
+		}
+		return 0
+	}
+	if at := late(2); at < 950*ms || at > time.Second {
+		t.Errorf("overtaken by two it was refused after %v, want just before 1s", at)
+	}
+	if at := late(0); at < 1950*ms || at > 2*time.Second {
+		t.Errorf("overtaken by none it was refused after %v, want just before 2s", at)
+	}
+}
+
+// A client's marked repeat has its aim counted from the first try: what is late already
+// does not go before what can still be in time.
+func TestRepeatAimsFromItsFirstTry(t *testing.T) {
+	for _, again := range []bool{false, true} {
+		r := start(t, site(func(s *Settings) { s.Classes[0].Deadline = time.Second }), Entry{Node: "n0"})
+		for id := uint64(1); id <= 2; id++ {
+			r.at(0, Arrival{ID: id, Volume: "x", Left: time.Second, Units: 1})
+		}
+		r.at(0, Arrival{ID: 3, Volume: "v", Left: 600 * ms, Units: 1, Again: again})
+		r.at(0, Arrival{ID: 4, Volume: "w", Left: time.Second, Units: 1})
+		r.at(20*ms, Ended{ID: 1, Outcome: OK, Closed: true})
+		want := []uint64{1, 2, 3}
+		if again {
+			want[2] = 4
+		}
+		if got := r.sent(); len(got) < 3 || !slices.Equal(got[:3], want) {
+			t.Errorf("again %v: sent %v, want %v first", again, got, want)
+		}
+	}
+}
+
+// Nodes that were replaced leave nothing behind.
+func TestNodesThatAreGoneAreForgotten(t *testing.T) {
+	r := start(t, site())
+	for i := range 5000 {
+		name := "n" + strconv.Itoa(i)
+		r.at(ms, List{Entries: []Entry{{Node: name}}})
+		r.at(0, Arrival{ID: uint64(i + 1), Volume: "v" + strconv.Itoa(i), Left: time.Second, Units: 1})
+		r.end(uint64(i+1), OK)
+		r.at(0, List{Entries: []Entry{{Node: name, State: Gone}}})
+	}
+	if n := len(r.h.nodes); n > 1 {
+		t.Errorf("%d nodes are held, want those of the list alone", n)
+	}
+	r.wait(20 * time.Second)
+	if n := len(r.h.vols) + len(r.h.attempts) + len(r.h.reqs); n > 0 {
+		t.Errorf("%d volumes, attempts and requests are held", n)
+	}
+}
--- a/logic/sums.go
+++ b/logic/sums.go
@@ -36,3 +36,10 @@
 	f.at = max(now, f.at)
 	return f.sum
 }
+
+// sight is what answers told, weighed by age.
+type sight struct{ weight, lat, part faded }
+
+func (s *sight) add(now Time, weight, lat, part float64) (w, l, p float64) {
+	return s.weight.add(now, weight, memory), s.lat.add(now, lat, memory), s.part.add(now, part, memory)
+}
