Silent connections give way to newcomers; a node's old connections are not kept

Seen: in a test with 400 silent connections on a head of 129 none of 20 requests was served; in another, a node that moved was still reached at its old address for seconds. Checked: the loop's own order and discovery's lists (both right, by prints in send and members). At fault: admit.giveWay made room for known clients alone, and Pressed looked only when somebody was admitted; park kept a connection that had been busy while its node's address changed. Change: admit.Config.Displace (the platform's head sets it): a newcomer takes the place of the connection idle for the longest. A connection remembers the address and life it leads to.

--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -51,6 +51,7 @@
 	BufferLeast    int   // bytes that a connection may hold whatever the others do
 	PressureIdle   int   // connections left, under which idle unknown ones are not kept
 	IdleUnderPress time.Duration
+	Displace       bool // a newcomer takes the place of the unknown connection that is idle for the longest
 }
 
 // Check says what does not add up.
@@ -236,7 +237,8 @@
 		// Room is made by an idle connection: for a known client by any unknown one;
 		// within a full address by one of its own that never had a request served, so
 		// that a hoard does not keep out a good client behind the same address.
-		if gone := a.giveWay(v.Reason, ea, known); gone != nil {
+		// Where newcomers displace, any may: silent connections then never keep one out.
+		if gone := a.giveWay(v.Reason, ea, known || a.c.Displace); gone != nil {
 			v.Way, v.Close = true, gone.id
 			a.remove(gone)
 			v.Reason = a.refusal(ea, ew, listener, known)
@@ -305,7 +307,11 @@
 	}
 	for i := range ofKnown {
 		if e := a.idle[i].Front(); e != nil {
-			return e.Value.(*conn)
+			c := e.Value.(*conn)
+			if i == slowBody && a.c.Displace && a.now < c.since+a.c.IdleUnderPress {
+				continue // it is given a while for its body
+			}
+			return c
 		}
 	}
 	return nil
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -51,7 +51,6 @@
 	addr    string
 	rand    *rand.Rand
 	zones   map[string]int
-	known   map[string]bool // nodes told of and not gone
 	state   state
 	next    Time // when what is waited for counts as lost, or resting ends
 	pause   Time
@@ -74,7 +73,7 @@
 
 // New returns a client that asks at once. The seed spreads pauses by chance.
 func New(addr string, n Names, seed uint64) *Client {
-	c := &Client{addr: addr, rand: rand.New(rand.NewPCG(seed, 0x64697363)), zones: map[string]int{}, known: map[string]bool{}, pause: pauseMin}
+	c := &Client{addr: addr, rand: rand.New(rand.NewPCG(seed, 0x64697363)), zones: map[string]int{}, pause: pauseMin}
 	for i, z := range n.Zones {
 		c.zones[z] = i
 	}
@@ -280,6 +279,8 @@
 		return fmt.Errorf("discovery at %s: %w", c.addr, err)
 	case !l.Snapshot && !c.whole:
 		return fmt.Errorf("discovery at %s tells changes where the whole list was asked for", c.addr)
+	case l.Snapshot && len(nodes) == 0: // guards against emptying the fleet
+		return fmt.Errorf("discovery at %s tells a whole list of no node", c.addr)
 	case c.whole && *l.Index < c.version:
 		return fmt.Errorf("discovery at %s went back from version %d to %d", c.addr, c.version, *l.Index)
 	}
--- /dev/null
+++ b/internal/discovery/discovery_test.go
@@ -0,0 +1,214 @@
+package discovery
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"maddergap/internal/nodelist"
+	"maddergap/logic"
+)
+
+const start = 24 * time.Hour
+
+// rig drives a client and plays discovery.
+type rig struct {
+	t      *testing.T
+	c      *Client
+	now    Time
+	next   Time
+	dials  []string
+	asked  string // written and not answered
+	open   bool
+	closed int
+}
+
+func newRig(t *testing.T) *rig {
+	r := &rig{t: t, c: New("10.0.0.1:1", Names{Zones: []string{"z0", "z1"}}, 1), now: start}
+	r.run()
+	return r
+}
+
+func (r *rig) run() {
+	for range 100 {
+		op, next := r.c.Step(r.now)
+		switch r.next = next; {
+		case op.Dial != "":
+			if r.open {
+				r.t.Fatal("dials while it has a connection")
+			}
+			r.dials, r.open, r.asked = append(r.dials, op.Dial), true, ""
+			r.c.Connected(r.now)
+		case op.Close:
+			r.open, r.asked = false, ""
+			r.closed++
+		case len(op.Write) > 0:
+			r.asked, _, _ = strings.Cut(string(op.Write), "\r\n")
+		default:
+			return
+		}
+	}
+	r.t.Fatal("never at rest")
+}
+
+// pass lets time go by.
+func (r *rig) pass(d time.Duration) {
+	for end := r.now + d; r.now < end; {
+		r.now = max(min(end, r.next), r.now+time.Microsecond)
+		r.run()
+	}
+}
+
+// answer sends a list in pieces of n bytes.
+func (r *rig) answer(text string, n int) {
+	b := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+	for len(b) > 0 && r.open {
+		k := min(n, len(b))
+		r.c.Data(r.now, []byte(b[:k]))
+		b = b[k:]
+		r.run()
+	}
+}
+
+func list(index int, whole bool, entries ...string) string {
+	return fmt.Sprintf(`{"index":%d,"snapshot":%v,"endpoints":[%s]}`, index, whole, strings.Join(entries, ","))
+}
+
+func entry(name, status string) string {
+	return fmt.Sprintf(`{"name":%q,"address":"10.0.0.9:1","zone":"z1","type":"x","group":2,"status":%q,"weight":1.0,"since_ms":1700000000123}`, name, status)
+}
+
+func TestWholeListThenWatches(t *testing.T) {
+	for _, n := range []int{1, 7, 1 << 20} {
+		r := newRig(t)
+		if r.asked != "GET /api/targets HTTP/1.1" {
+			t.Fatalf("asked %q first", r.asked)
+		}
+		r.answer(list(41, true, entry("a", "up"), entry("b", "draining")), n)
+		nodes, full, ok := r.c.List()
+		want := nodelist.Node{Name: "a", Addr: "10.0.0.9:1", Zone: 1, Shard: 2, Started: time.UnixMilli(1700000000123)}
+		if !ok || !full || len(nodes) != 2 || nodes[0] != want || nodes[1].State != logic.Draining {
+			t.Fatalf("%v %v %+v", ok, full, nodes)
+		}
+		if r.asked != "GET /api/targets?from=41&hold_ms=2000 HTTP/1.1" {
+			t.Fatalf("asked %q next, and not at once", r.asked)
+		}
+		r.answer(list(43, false, entry("a", "removed")), n)
+		if nodes, full, ok = r.c.List(); !ok || full || len(nodes) != 1 || nodes[0].State != logic.Gone {
+			t.Fatalf("%v %v %+v", ok, full, nodes)
+		}
+		r.answer(list(43, false), n)
+		if _, _, ok = r.c.List(); ok || !strings.Contains(r.asked, "from=43") {
+			t.Fatalf("news of no change, or no further watch: %q", r.asked)
+		}
+	}
+}
+
+// Whatever cannot be used leaves the list in force; the whole list is asked for again,
+// on a new connection, after a pause that is bounded.
+func TestWhatCannotBeUsed(t *testing.T) {
+	answers := map[string]func(r *rig){
+		"silence":      func(r *rig) { r.pass(hold + grace) },
+		"closed":       func(r *rig) { r.open = false; r.c.Closed(r.now) },
+		"noise":        func(r *rig) { r.c.Data(r.now, []byte("\x00\x01\r\n\r\n")) },
+		"endless head": func(r *rig) { r.c.Data(r.now, []byte("HTTP/1.1 200 OK\r\nX: "+strings.Repeat("a", 20<<10))) },
+		"other status": func(r *rig) { r.c.Data(r.now, []byte("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")) },
+		"huge":         func(r *rig) { r.c.Data(r.now, []byte("HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n")) },
+		"not json":     func(r *rig) { r.answer(`{"index":`, 99) },
+		"no index":     func(r *rig) { r.answer(`{"snapshot":true,"endpoints":[]}`, 99) },
+		"goes back":    func(r *rig) { r.answer(list(3, false, entry("c", "up")), 99) },
+		"empties all":  func(r *rig) { r.answer(list(50, true), 99) },
+		"no name":      func(r *rig) { r.answer(list(50, false, entry("", "up")), 99) },
+		"bad address": func(r *rig) {
+			r.answer(strings.Replace(list(50, false, entry("c", "up")), "10.0.0.9:1", "there", 1), 99)
+		},
+		"bad time": func(r *rig) {
+			r.answer(strings.Replace(list(50, false, entry("c", "up")), "1700000000123", "-1", 1), 99)
+		},
+		"more than one": func(r *rig) { r.c.Data(r.now, []byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}{}")) },
+	}
+	for name, spoil := range answers {
+		r := newRig(t)
+		r.answer(list(41, true, entry("a", "up")), 99)
+		r.c.List()
+		for range 20 { // again and again
+			before := len(r.dials)
+			spoil(r)
+			r.run()
+			if _, _, ok := r.c.List(); ok {
+				t.Fatalf("%s: is news", name)
+			}
+			r.pass(2 * pauseMost)
+			if len(r.dials) == before || len(r.dials) > before+40 {
+				t.Fatalf("%s: %d dials more within %v", name, len(r.dials)-before, 2*pauseMost)
+			}
+			if r.asked != "GET /api/targets HTTP/1.1" {
+				t.Fatalf("%s: then asked %q", name, r.asked)
+			}
+			if r.c.Fault == nil {
+				t.Fatalf("%s: no fault is told", name)
+			}
+			r.answer(list(41, true, entry("a", "up")), 99)
+			r.c.List()
+			if r.c.Fault != nil {
+				t.Fatalf("%s: %v is told after a good list", name, r.c.Fault)
+			}
+		}
+	}
+}
+
+func TestUnknownWordsAreTakenCalmly(t *testing.T) {
+	r := newRig(t)
+	r.answer(list(1, true, entry("a", "resting"), strings.Replace(entry("b", "up"), "z1", "moon", 1)), 99)
+	nodes, _, ok := r.c.List()
+	if !ok || nodes[0].State != logic.Draining || nodes[1].Zone != 2 {
+		t.Errorf("%v %+v", ok, nodes)
+	}
+}
+
+// A move drops the old address at once and asks the new one for the whole list.
+func TestMove(t *testing.T) {
+	r := newRig(t)
+	r.answer(list(41, true, entry("a", "up")), 99)
+	r.c.Move(r.now, "10.0.0.1:1") // the same: nothing happens
+	if r.run(); len(r.dials) != 1 {
+		t.Fatal("a move to where it is")
+	}
+	r.c.Move(r.now, "10.0.0.2:2")
+	if r.run(); len(r.dials) != 2 || r.dials[1] != "10.0.0.2:2" || r.closed != 1 || r.asked != "GET /api/targets HTTP/1.1" {
+		t.Fatalf("%v, closed %d, asked %q", r.dials, r.closed, r.asked)
+	}
+	r.answer(list(2, true, entry("a", "up")), 99) // its versions are its own
+	if _, full, ok := r.c.List(); !ok || !full {
+		t.Error("the new address is not followed")
+	}
+}
+
+// FuzzData holds that the pieces an answer comes in change nothing, and that whatever
+// comes the client goes on.
+func FuzzData(f *testing.F) {
+	f.Add([]byte("HTTP/1.1 200 OK\r\nContent-Length: 43\r\n\r\n"+list(41, true)), 3)
+	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n"), 1)
+	f.Fuzz(func(t *testing.T, b []byte, n int) {
+		n = max(1, n%64)
+		var told []string
+		for _, n := range []int{n, len(b) + 1} {
+			r := newRig(t)
+			for p := b; len(p) > 0 && r.open; {
+				k := min(n, len(p))
+				r.c.Data(r.now, p[:k])
+				p = p[k:]
+			}
+			nodes, full, ok := r.c.List()
+			told = append(told, fmt.Sprint(nodes, full, ok))
+			r.pass(10 * time.Second)
+			if !strings.HasPrefix(r.asked, "GET /api/targets") && len(r.dials) < 2 {
+				t.Fatalf("%q: it went to sleep", b)
+			}
+		}
+		if len(b) < 64 && told[0] != told[1] && !strings.Contains(string(b), "200") {
+			t.Fatalf("%q: %v", b, told)
+		}
+	})
+}
--- a/internal/head/conn.go
+++ b/internal/head/conn.go
@@ -40,6 +40,8 @@
 
 	// of a node
 	node      *node
+	addr      string // where it leads, and to which life of the node
+	started   Time
 	at        *attempt // under way
 	connected bool
 	used      bool // it carried a request before
--- a/internal/head/node.go
+++ b/internal/head/node.go
@@ -59,6 +59,7 @@
 	default:
 		c := h.newConn()
 		c.node, c.at, at.conn = n, at, c
+		c.addr, c.started = n.addr, n.started
 		n.conns++
 		h.counts.NodeConns++
 		h.acts = append(h.acts, Action{Op: Dial, Conn: c.id, Addr: n.addr})
@@ -283,9 +284,10 @@
 	}
 }
 
-// park keeps a connection for the next request.
+// park keeps a connection for the next request, unless it leads to where its node was
+// before, or to a life of it that is over: a request was under way when that changed.
 func (h *Head) park(c *conn) {
-	if !c.node.listed || c.gone {
+	if n := c.node; !n.listed || c.gone || c.addr != n.addr || c.started != n.started {
 		h.drop(c, Close)
 		return
 	}
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -87,6 +87,11 @@
 
 const heldLeast = 4 << 10
 
+// idleTime is when a client's connection without a request is closed: the platform lets
+// a head do so after 2 s. Clients that ask once and keep their connection would else
+// hold all that the platform's clients may have.
+const idleTime = 2050 * time.Millisecond
+
 // Load reads the platform's configuration as the environment names it.
 func Load(env func(string) string) (*Config, error) {
 	path := env(EnvConfig)
@@ -165,13 +170,13 @@
 	l := f.Settings.Limits
 	c := &conf.Config{File: path, Listen: []string{f.Listen}, Quiet: true, Logic: f.Settings.Settings(),
 		Unit: 1, BodyHold: mostBody, BodyRate: 1, Buffer: mostBody * 2,
-		HeaderTime: 1500 * time.Millisecond, IdleTime: 10 * time.Second, StallTime: 1200 * time.Millisecond,
+		HeaderTime: 1500 * time.Millisecond, IdleTime: idleTime, StallTime: 1200 * time.Millisecond,
 		StopTime: 3500 * time.Millisecond, StopAfter: 500 * time.Millisecond,
 		NodeIdle: facts.Micros(l.ConnIdle) / 2, NodeConns: b.Nodes, NodesConns: b.Nodes, DialTime: facts.Micros(l.ConnectTimeout),
 		Sizes: 1, Clients: b.Clients, Processes: 1, Header: http1.Limits{Header: 8 << 10, Target: 2 << 10, Fields: 64},
 		Admit: admit.Config{Total: b.Clients, V6Bits: 64, Wide4: 24, Wide6: 48, Entries: 256,
 			AnswerRate: 50, AnswerBurst: b.Told, KnownMultiple: 1, Buffers: b.HeldBytes, BufferLeast: heldLeast,
-			PressureIdle: max(b.Clients/4, 1), IdleUnderPress: 250 * time.Millisecond}}
+			PressureIdle: max(b.Clients/4, 1), IdleUnderPress: 250 * time.Millisecond, Displace: true}}
 	if c.NodeIdle <= 0 {
 		c.NodeIdle = 10 * time.Second
 	}
