Idle connections end soon once clients hold a quarter of the descriptors

At fault: PressureIdle in internal/platform/config.go, a part of the head's own bound, which lies above the third of the descriptors that the platform lets its clients hold, silent ones included. Change: pressure from a quarter of the descriptors on, 100 ms idle; a request that is coming in gives way to newcomers alone.

--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -457,6 +457,9 @@
 		return 0, false
 	}
 	for i := range ofKnown {
+		if i == slowBody && a.c.Displace {
+			break // it gives way to a newcomer alone, where there is no more room
+		}
 		if e := a.idle[i].Front(); e != nil {
 			if c := e.Value.(*conn); a.now >= c.since+a.c.IdleUnderPress {
 				return c.id, true
--- a/internal/e2e/platform_test.go
+++ b/internal/e2e/platform_test.go
@@ -451,6 +451,18 @@
 	if served < 18 {
 		t.Errorf("%d of 20 requests were served among silent connections", served)
 	}
+	time.Sleep(150 * time.Millisecond)
+	s.raw(second(s.request("GET", "read", 0, "1200m", "")))
+	open := 0
+	for _, c := range silent {
+		c.SetReadDeadline(time.Now().Add(2 * time.Millisecond))
+		if _, err := c.Read(make([]byte, 1)); err != nil && os.IsTimeout(err) {
+			open++
+		}
+	}
+	if open > 256/4 {
+		t.Errorf("%d silent connections are kept of 256 descriptors: the platform's clients may have 85 in all", open)
+	}
 	for _, c := range silent {
 		c.SetReadDeadline(began.Add(3 * time.Second))
 		if _, err := io.Copy(io.Discard, c); err != nil && os.IsTimeout(err) {
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -53,6 +53,7 @@
 type Bounds struct {
 	Memory    int64 // bytes that the runtime keeps to
 	Clients   int   // connections
+	Kept      int   // of these, past which idle ones end soon
 	Told      int   // of those turned away with an answer
 	Nodes     int   // connections to nodes
 	Reserved  int   // descriptors for all else
@@ -81,12 +82,19 @@
 	}
 	b.Clients = free * 3 / 5
 	b.Nodes = free - b.Clients
+	b.Kept = sockets / 4
 	b.HeldBytes = max(b.Memory/4, int64(b.Clients)*heldLeast)
 	return b, nil
 }
 
 const heldLeast = 4 << 10
 
+// idleUnderPress is for how long an idle connection is kept once clients have more than
+// Kept. The platform lets its clients hold a third of a head's descriptors, silent ones
+// with the others: guards against those that would leave none to clients with a request,
+// long before the head's own bound is reached.
+const idleUnderPress = 100 * time.Millisecond
+
 // idleTime is when a client's connection without a request is closed: the platform lets
 // a head do so after 2 s. Clients that ask once and keep their connection would else
 // hold all that the platform's clients may have.
@@ -176,7 +184,7 @@
 		Sizes: 1, Clients: b.Clients, Processes: 1, Header: http1.Limits{Header: 8 << 10, Target: 2 << 10, Fields: 64},
 		Admit: admit.Config{Total: b.Clients, V6Bits: 64, Wide4: 24, Wide6: 48, Entries: 256,
 			AnswerRate: 50, AnswerBurst: b.Told, KnownMultiple: 1, Buffers: b.HeldBytes, BufferLeast: heldLeast,
-			PressureIdle: max(b.Clients/4, 1), IdleUnderPress: 250 * time.Millisecond, Displace: true}}
+			PressureIdle: b.Clients - b.Kept, IdleUnderPress: idleUnderPress, Displace: true}}
 	if c.NodeIdle <= 0 {
 		c.NodeIdle = 10 * time.Second
 	}
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -75,7 +75,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			if b.Descriptors() > sockets || b.Clients < sockets/3 || b.Nodes < sockets/4 {
+			if b.Descriptors() > sockets || b.Clients < sockets/3 || b.Kept >= sockets/3 || b.Nodes < sockets/4 {
 				t.Errorf("%d sockets: %+v is %d descriptors", sockets, b, b.Descriptors())
 			}
 			if float64(b.Memory+b.HeldBytes) > memory*(1<<20)*0.95 {
