--- a/cmd/maddergap/main.go
+++ b/cmd/maddergap/main.go
@@ -11,6 +11,7 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/alecthomas/kong"
 
@@ -68,12 +69,13 @@
 type streams struct{ out, err io.Writer }
 
 type serveCmd struct {
-	Config      string `short:"c" type:"path" help:"Configuration file."`
-	Platform    bool   `help:"Serve on a platform, by the configuration that its variables name."`
-	Requests    bool   `help:"With --platform, log every request and attempt."`
-	PassThrough bool   `hidden:"" help:"Send everything at once, for comparisons only."`
-	Worker      int    `hidden:"" default:"-1" help:"One of several processes; its listen queues and its pipe are inherited."`
-	Queues      string `hidden:"" help:"The listen queues."`
+	Config      string        `short:"c" type:"path" help:"Configuration file."`
+	Platform    bool          `help:"Serve on a platform, by the configuration that its variables name."`
+	Requests    bool          `help:"With --platform, log every request and attempt."`
+	Beliefs     time.Duration `help:"With --platform, log this often what is held of each node beside what is on its sockets."`
+	PassThrough bool          `hidden:"" help:"Send everything at once, for comparisons only."`
+	Worker      int           `hidden:"" default:"-1" help:"One of several processes; its listen queues and its pipe are inherited."`
+	Queues      string        `hidden:"" help:"The listen queues."`
 }
 
 func (s *serveCmd) Run(io *streams) error {
--- a/cmd/maddergap/platform.go
+++ b/cmd/maddergap/platform.go
@@ -19,7 +19,7 @@
 	sink := daemon.NewSink(io.err)
 	defer sink.Close()
 	log := slog.New(slog.NewJSONHandler(sink, nil)).With("head", c.Name)
-	return attend(log, func() (*daemon.Daemon, error) { return daemon.NewPlatform(c, nil, load, log) },
+	return attend(log, func() (*daemon.Daemon, error) { return daemon.NewPlatform(c, nil, s.Beliefs, load, log) },
 		func(d *daemon.Daemon, log *slog.Logger) {
 			log.Info("serving", "listen", d.Addrs(), "discovery", c.Discovery, "bounds", c.Bounds, "pid", os.Getpid())
 		})
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math"
 	"reflect"
 	"runtime"
 	"runtime/debug"
@@ -29,11 +30,15 @@
 	feed *discovery.Client
 	told int // lists logged
 	want error
+	// Beliefs are logged this often, 0: never.
+	every    time.Duration
+	compared time.Duration
 }
 
 // NewPlatform opens a head in service on the platform: its clients' protocol, its
-// nodes' and its node list. load reads the configuration again.
-func NewPlatform(c *platform.Config, core CoreOf, load func() (*platform.Config, error), log *slog.Logger) (*Daemon, error) {
+// nodes' and its node list. load reads the configuration again; beliefs is how often what
+// the module holds is compared with the sockets in the log, 0 for never.
+func NewPlatform(c *platform.Config, core CoreOf, beliefs time.Duration, load func() (*platform.Config, error), log *slog.Logger) (*Daemon, error) {
 	var limit unix.Rlimit
 	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err == nil && limit.Cur < uint64(c.Bounds.Descriptors()) {
 		return nil, fmt.Errorf("%s: the bounds need %d descriptors, the limit is %d", c.Conf.File, c.Bounds.Descriptors(), limit.Cur)
@@ -44,7 +49,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Daemon{c: c.Conf, log: log, loop: l, turns: newTurns(log), service: &service{c: c, load: load}}
+	d := &Daemon{c: c.Conf, log: log, loop: l, turns: newTurns(log), service: &service{c: c, load: load, every: beliefs}}
 	if err := d.openPlatform(core); err != nil {
 		l.Close()
 		return nil, err
@@ -117,4 +122,27 @@
 			d.log.Warn("the node list is not news; the last good one stays in force", "cause", s.want)
 		}
 	}
+	if now := d.loop.Now(); s.every > 0 && now >= s.compared+s.every {
+		s.compared = now
+		s.compare(d)
+	}
+}
+
+// comparedMost bounds the lines of one comparison.
+const comparedMost = 64
+
+// compare logs what the module holds of each node beside what is on its sockets. The
+// two differ where attempts are written off, or where the head has told nothing yet.
+func (s *service) compare(d *Daemon) {
+	n := d.head.Counts()
+	d.log.Info("belief", "version", s.feed.Version(), "lists", s.feed.Lists, "lag", n.Lag, "clients", n.Clients,
+		"node_connections", n.NodeConns, "taken", n.Taken, "served", n.Served, "refused", n.Refused, "failed", n.Failed, "left", n.Left)
+	for i, v := range d.head.View() {
+		if i == comparedMost {
+			break
+		}
+		d.log.Info("node", "node", v.Node, "state", int(v.State), "out", v.Out, "counted", v.Counted, "on_sockets", v.Sockets.Open, "unsent", v.Unsent,
+			"idle", v.Idle, "held", v.Held, "window", math.Round(v.Window*100)/100, "answer", v.Answer, "pressure", math.Round(v.Pressure*100)/100,
+			"breaker", v.View.Open, "cold", v.Cold, "differs", v.Out != v.Sockets.Open)
+	}
 }
--- a/internal/e2e/platform_test.go
+++ b/internal/e2e/platform_test.go
@@ -182,13 +182,19 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if s.d, err = daemon.NewPlatform(c, nil, load, slog.New(slog.NewTextHandler(s.log, nil))); err != nil {
+	if s.d, err = daemon.NewPlatform(c, nil, 50*time.Millisecond, load, slog.New(slog.NewTextHandler(s.log, nil))); err != nil {
 		t.Fatal(err)
 	}
 	s.addr = s.d.Addrs()[0]
 	end := s.end
 	go func() { end <- s.d.Run() }()
-	t.Cleanup(func() { s.stop() })
+	t.Cleanup(func() {
+		s.stop()
+		// What the module holds to be out is what is out on the sockets, at each look.
+		if log := s.log.String(); strings.Contains(log, "differs=true") || !strings.Contains(log, "msg=belief") {
+			t.Error("the module's attempts and those on the sockets differ, or were not compared")
+		}
+	})
 	within(t, time.Second, func() bool {
 		status, _ := s.raw("GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n")
 		return status == 200
