--- a/internal/e2e/platform_test.go
+++ b/internal/e2e/platform_test.go
@@ -130,28 +130,41 @@
 		t.Fatal(err)
 	}
 	d := &teller{addr: ln.Addr().String(), index: 1}
-	var e []string
 	for i, s := range shelves {
-		e = append(e, fmt.Sprintf(`{"name":"s%d","address":%q,"zone":"z0","group":%d,"status":"up","since_ms":0}`, i, s.ln.Addr(), i))
+		d.list += "," + shelfEntry(fmt.Sprint("s", i), s, i, "up")
 	}
-	d.list = strings.Join(e, ",")
+	d.list = strings.TrimPrefix(d.list, ",")
 	d.srv = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		d.calls.Add(1)
-		if r.URL.Query().Get("from") != "" {
-			select {
-			case <-r.Context().Done():
-			case <-time.After(200 * time.Millisecond):
+		from := r.URL.Query().Get("from")
+		for range 20 {
+			d.mu.Lock()
+			index, list := d.index, d.list
+			d.mu.Unlock()
+			if from != fmt.Sprint(index) {
+				fmt.Fprintf(w, `{"index":%d,"snapshot":true,"endpoints":[%s]}`, index, list)
+				return
 			}
-			fmt.Fprintf(w, `{"index":%d,"snapshot":false,"endpoints":[]}`, d.index)
-			return
+			time.Sleep(10 * time.Millisecond)
 		}
-		fmt.Fprintf(w, `{"index":%d,"snapshot":true,"endpoints":[%s]}`, d.index, d.list)
+		fmt.Fprintf(w, `{"index":%s,"snapshot":false,"endpoints":[]}`, from)
 	})}
 	go d.srv.Serve(ln)
 	t.Cleanup(func() { d.srv.Close() })
 	return d
 }
 
+func shelfEntry(name string, s *shelf, group int, status string) string {
+	return fmt.Sprintf(`{"name":%q,"address":%q,"zone":"z0","group":%d,"status":%q,"since_ms":0}`, name, s.ln.Addr(), group, status)
+}
+
+// set tells another list.
+func (d *teller) set(entries ...string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.list, d.index = strings.Join(entries, ","), d.index+1
+}
+
 // service runs a head on the platform over real sockets.
 type service struct {
 	*system
@@ -265,6 +278,7 @@
 	}{
 		{"served", ok("fine"), 200, 200, 1},
 		{"1xx ahead", reply{text: "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Hints\r\nLink: a\r\n\r\n" + ok("fine").text}, 200, 200, 1},
+		{"1xx without end", reply{text: strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 40)}, 200, 502, 1},
 		{"report not readable", reply{text: "HTTP/1.1 200 OK\r\nX-Pressure: inflight=;;\r\nContent-Length: 4\r\n\r\nfine"}, 200, 200, 1},
 		{"copy behind", reply{text: ok("fine").text + ok("fine").text}, 200, 200, 1},
 		{"noise behind", reply{text: ok("fine").text + "\x00\xff\x17noise"}, 200, 200, 1},
@@ -476,3 +490,69 @@
 		}
 	}
 }
+
+// Under load nodes are told to drain, go and are replaced by others. By the nodes' own
+// records none is sent to for longer than 500 ms after discovery told it, every request
+// is answered, and no write came twice.
+func TestPlatformDrainsAndReplacements(t *testing.T) {
+	var shelves []*shelf
+	for range 4 {
+		shelves = append(shelves, newShelf(t, func(int, *http.Request) reply { time.Sleep(2 * time.Millisecond); return ok("fine") }))
+	}
+	d := newTeller(t, shelves[0])
+	s := serveOn(t, d)
+	stop := make(chan struct{})
+	var all sync.WaitGroup
+	var served, other atomic.Int64
+	for i := range 4 {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				method, class := "GET", "read"
+				if i%2 == 0 {
+					method, class = "PUT", "write"
+				}
+				if status, body := s.raw(second(s.request(method, class, 0, "1200m", ""))); status == 200 && body == "fine" {
+					served.Add(1)
+				} else {
+					other.Add(1)
+				}
+			}
+		}()
+	}
+	for i := 1; i < len(shelves); i++ {
+		time.Sleep(200 * time.Millisecond)
+		old, next := shelves[i-1], shelves[i]
+		d.set(shelfEntry(fmt.Sprint("s", i-1), old, 0, "draining"), shelfEntry(fmt.Sprint("s", i), next, 0, "up"))
+		time.Sleep(500 * time.Millisecond)
+		before := len(old.ids())
+		d.set(shelfEntry(fmt.Sprint("s", i), next, 0, "up"))
+		time.Sleep(300 * time.Millisecond)
+		if n := len(old.ids()); n != before {
+			t.Errorf("%d requests came to a node 500 ms and more after it was told to drain", n-before)
+		}
+	}
+	close(stop)
+	all.Wait()
+	seen := map[string]int{}
+	for _, sh := range shelves {
+		ids := sh.ids()
+		if len(ids) == 0 {
+			t.Error("a node was never sent to")
+		}
+		for _, id := range ids {
+			if seen[id]++; seen[id] > 1 {
+				t.Errorf("%s came %d times", id, seen[id])
+			}
+		}
+	}
+	if served.Load() < 200 || other.Load() > 0 {
+		t.Errorf("%d served, %d not", served.Load(), other.Load())
+	}
+}
--- a/internal/head/head_test.go
+++ b/internal/head/head_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"maddergap/internal/conf"
+	"maddergap/internal/nodelist"
 	"maddergap/logic"
 )
 
@@ -683,3 +684,20 @@
 		t.Error("the slot is lost")
 	}
 }
+
+// Nodes that come and go leave nothing behind, nor do their connections.
+func TestReplacedNodesLeaveNothing(t *testing.T) {
+	r := newRig(t, "")
+	for i := range 3000 {
+		name := fmt.Sprint("x", i)
+		r.h.Nodes(r.now, []nodelist.Node{{Name: name, Addr: "node:" + name}})
+		r.run()
+		c := r.client(get("/feed-a/u/x"))
+		r.say(r.dials[len(r.dials)-1], ok("a"))
+		r.h.Closed(r.now, c)
+		r.pass(time.Millisecond)
+	}
+	if len(r.h.nodes) > 3 || len(r.h.slots) > 16 || len(r.h.reqs) > 0 || r.h.Counts().NodeConns > 2 {
+		t.Errorf("%d nodes, %d slots, %d requests, %d connections are held", len(r.h.nodes), len(r.h.slots), len(r.h.reqs), r.h.Counts().NodeConns)
+	}
+}
