Answers beyond 64 KiB are good, and load reports are read by the settings' names

Ruled out: spoilt bytes, the stall time, the nodes' health (all nodes alike). At fault: plain.answerHead (bound of the request's body for answers), platform.load. Change: an answer may be a sixteenth of the runtime's memory, all that are held a quarter; both spellings of a report are read.

--- a/internal/head/head.go
+++ b/internal/head/head.go
@@ -157,6 +157,7 @@
 	span      Span
 	held      int64 // bytes of all client connections
 	turnTexts [admit.Reasons]turnText
+	answers   int64 // bytes of answers that are held until they are whole
 	stopping  bool
 	leaving   bool // clients are told that their connection ends
 	counts    Counts
--- a/internal/head/node.go
+++ b/internal/head/node.go
@@ -385,6 +385,7 @@
 	}
 	at.ended = true
 	ex := at.ex
+	h.answers -= int64(len(at.body))
 	h.release(at.body)
 	at.body = nil
 	ex.live--
--- a/internal/head/way.go
+++ b/internal/head/way.go
@@ -72,9 +72,10 @@
 	// Answer checks an answer that is to go to the client, whole.
 	Answer(r *http1.Response, body []byte) bool
 	AppendRetryAfter(b []byte, after time.Duration) []byte
-	// Most is how large a body may be, and Stall for how long an answer that has
-	// begun may stand still.
+	// Most is how large a request's body may be, MostAnswer an answer and all answers
+	// that are held, and Stall for how long an answer that has begun may stand still.
 	Most() int
+	MostAnswer() (one, all int64)
 	Stall() time.Duration
 }
 
@@ -121,7 +122,7 @@
 // that it is whole could not be told.
 func (w plain) answerHead(h *Head, at *attempt) bool {
 	r := &at.conn.resp
-	if r.Length > int64(w.p.Most()) || r.Length < 0 && !r.Chunked {
+	if one, _ := w.p.MostAnswer(); r.Length > one || r.Length < 0 && !r.Chunked {
 		return false
 	}
 	at.holds = true
@@ -130,8 +131,10 @@
 }
 
 func (w plain) answerData(h *Head, at *attempt, data []byte) bool {
+	one, all := w.p.MostAnswer()
+	h.answers += int64(len(data)) // given back when the attempt ends
 	at.body = append(at.body, data...)
-	return len(at.body) <= w.p.Most()
+	return int64(len(at.body)) <= one && h.answers <= all
 }
 
 func (w plain) answerDone(h *Head, at *attempt) {
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -59,6 +59,8 @@
 	Reserved  int   // descriptors for all else
 	Sockets   int
 	HeldBytes int64 // for clients
+	Answer    int64 // bytes of one answer; nodes send some larger than the protocol has them
+	Answers   int64 // of all that are held until they are whole
 }
 
 // Descriptors is the sum with every bound reached.
@@ -83,6 +85,7 @@
 	b.Clients = free * 3 / 5
 	b.Nodes = free - b.Clients
 	b.Kept = sockets / 4
+	b.Answer, b.Answers = b.Memory/16, b.Memory/4
 	b.HeldBytes = max(b.Memory/4, int64(b.Clients)*heldLeast)
 	return b, nil
 }
@@ -198,7 +201,7 @@
 func (c *Config) Protocol() *Protocol {
 	p := &Protocol{classes: map[string]int{}, plans: map[string]int{}, writes: c.Facts.FamilyInfo.Writes,
 		most: c.Facts.FamilyInfo.UnitsTop, shards: c.Facts.FamilyInfo.Shards, heads: c.Facts.FleetSize,
-		stall: c.Conf.DialTime, ids: newIDs(endedKept)}
+		stall: c.Conf.DialTime, answer: c.Bounds.Answer, answers: c.Bounds.Answers, ids: newIDs(endedKept)}
 	for i, k := range c.Facts.Classes {
 		p.classes[k.Name] = i
 	}
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -78,6 +78,9 @@
 			if b.Descriptors() > sockets || b.Clients < sockets/3 || b.Kept >= sockets/3 || b.Nodes < sockets/4 {
 				t.Errorf("%d sockets: %+v is %d descriptors", sockets, b, b.Descriptors())
 			}
+			if b.Answer < 1<<20 || b.Answers < b.Answer {
+				t.Errorf("%v MB: %+v", memory, b)
+			}
 			if float64(b.Memory+b.HeldBytes) > memory*(1<<20)*0.95 {
 				t.Errorf("%v MB: %+v", memory, b)
 			}
@@ -159,6 +162,8 @@
 	}{
 		{"200 OK\r\nX-Pressure: inflight=7,queue=2,util=0.61", logic.OK, 7, true},
 		{"200 OK\r\nX-Pressure: inflight=1,queue=9", logic.OK, 9, true},
+		{"200 OK\r\nX-Pressure: concurrent=2.239", logic.OK, 2.239, true},
+		{"200 OK\r\nX-Pressure: depth=3,concurrent=1", logic.OK, 3, true},
 		{"200 OK\r\nX-Pressure: inflight=many", logic.OK, 0, false},
 		{"200 OK\r\nX-Pressure: inflight=NaN", logic.OK, 0, false},
 		{"200 OK\r\nX-Pressure: inflight=-3", logic.OK, 0, false},
--- a/internal/platform/protocol.go
+++ b/internal/platform/protocol.go
@@ -46,6 +46,8 @@
 	shards  int
 	heads   int
 	stall   time.Duration
+	answer  int64
+	answers int64
 	ids     *ids
 	Ready   func() bool
 }
@@ -63,9 +65,12 @@
 // Closed lets go of it.
 func (p *Protocol) Closed(id string, o head.Outcome) { p.ids.end(id, o) }
 
-// Most is how large a body may be.
+// Most is how large a request's body may be.
 func (p *Protocol) Most() int { return mostBody }
 
+// MostAnswer is how large an answer may be, MostAnswers all that are held at once.
+func (p *Protocol) MostAnswer() (one, all int64) { return p.answer, p.answers }
+
 // Stall is for how long an answer that has begun may stand still.
 func (p *Protocol) Stall() time.Duration { return p.stall }
 
@@ -269,7 +274,7 @@
 		b = rest
 		name, value, _ := bytes.Cut(bytes.TrimSpace(part), []byte("="))
 		switch string(name) {
-		case "inflight", "queue":
+		case "concurrent", "inflight", "depth", "queue": // by the settings, and in the protocol's own words
 			x, err := strconv.ParseFloat(string(value), 64)
 			if err != nil || !(x >= 0 && x < 1e6) || math.IsNaN(x) {
 				return 0, false
