--- a/internal/badday/badday_test.go
+++ b/internal/badday/badday_test.go
@@ -220,7 +220,7 @@
 			return ""
 		})), []int{4}},
 		{"keeps no order", breakage(nil, swapTurns), []int{5}},
-		{"overspends the attempt budget", breakage(nil, again(50, traceRead, archiveExport)), []int{6}},
+		{"overspends the attempt budget", breakage(nil, again(400, traceRead, archiveExport)), []int{6}},
 		{"overspends a limit", breakage(nil, bypass(func(_ logic.Time, a logic.Arrival, nodes map[int]logic.Entry) string {
 			if n := nodes[a.Shard]; a.Class != journalAppend && a.Plan == 0 && n.Started == 0 && n.State == logic.Serving {
 				return n.Node
--- a/internal/head/head_test.go
+++ b/internal/head/head_test.go
@@ -701,3 +701,19 @@
 		t.Errorf("%d nodes, %d slots, %d requests, %d connections are held", len(r.h.nodes), len(r.h.slots), len(r.h.reqs), r.h.Counts().NodeConns)
 	}
 }
+
+// A node's address changes, or it starts anew, while a request is under way on a
+// connection to it: that connection is not kept for the next.
+func TestConnectionToWhereANodeWasIsNotKept(t *testing.T) {
+	for name, n := range map[string]nodelist.Node{"moved": {Name: "n0", Addr: "node:9"}, "new start": {Name: "n0", Addr: "node:0", Started: time.Unix(2e9, 0)}} {
+		r := newRig(t, "")
+		r.client(get("/feed-a/s/x"))
+		r.h.Nodes(r.now, []nodelist.Node{n, {Name: "n1", Addr: "node:1", Shard: 1}})
+		r.run()
+		r.say(r.node(0), ok("a"))
+		r.client(get("/feed-a/s/y"))
+		if len(r.dials) != 2 || r.ended[r.node(0)] != Close {
+			t.Errorf("%s: %d connections were made, want another; the first ended by %v", name, len(r.dials), r.ended[r.node(0)])
+		}
+	}
+}
