--- a/internal/e2e/platform_test.go
+++ b/internal/e2e/platform_test.go
@@ -242,7 +242,7 @@
 		body = "payload"
 	}
 	return id, fmt.Sprintf("%s /api HTTP/1.1\r\nHost: b\r\nX-Txn: %s\r\nX-Lane: %s\r\nTier: low\r\nPiece: 0123456789abcdef\r\nX-Remaining: %s\r\n"+
-		"IO-Info: volume=00000003b4d60021,units=1,shard=%d,hosts=1\r\n%sContent-Length: %d\r\n\r\n%s", method, id, class, left, shard, more, len(body), body)
+		"IO-Info: volume=00000000feed0001,units=1,shard=%d,hosts=1\r\n%sContent-Length: %d\r\n\r\n%s", method, id, class, left, shard, more, len(body), body)
 }
 
 // raw sends text on a connection of its own and returns the answer's status and body;
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -88,8 +88,8 @@
 	}
 }
 
-const good = "PUT /api HTTP/1.1\r\nHost: b\r\nX-Txn: 9b1f03aa5c7e2d41\r\nX-Lane: write\r\nTier: high\r\nPiece: 7f3a9c21e0b4d655\r\n" +
-	"X-Remaining: 480m\r\nContent-Length: 5\r\nIO-Info: volume=00000003b4d60021,units=2.5,shard=-1,hosts=3\r\n\r\n"
+const good = "PUT /api HTTP/1.1\r\nHost: b\r\nX-Txn: 00c0ffee00c0ffee\r\nX-Lane: write\r\nTier: high\r\nPiece: abcdef9876543210\r\n" +
+	"X-Remaining: 480m\r\nContent-Length: 5\r\nIO-Info: volume=00000000feed0001,units=2.5,shard=-1,hosts=3\r\n\r\n"
 
 func ask(t *testing.T, p *Protocol, text string) head.Ask {
 	t.Helper()
@@ -103,17 +103,17 @@
 func TestAsk(t *testing.T) {
 	p := protocol(t)
 	a := ask(t, p, good)
-	want := logic.Arrival{Shard: -1, Plan: 1, Class: 1, Key: "7f3a9c21e0b4d655", Volume: "00000003b4d60021", Left: 480 * time.Millisecond, Units: 2.5, Hosts: 3}
-	if a.Status != 0 || a.ID != "9b1f03aa5c7e2d41" || a.Arrival != want {
+	want := logic.Arrival{Shard: -1, Plan: 1, Class: 1, Key: "abcdef9876543210", Volume: "00000000feed0001", Left: 480 * time.Millisecond, Units: 2.5, Hosts: 3}
+	if a.Status != 0 || a.ID != "00c0ffee00c0ffee" || a.Arrival != want {
 		t.Fatalf("%+v", a)
 	}
 	if a = ask(t, p, strings.Replace(good, "480m", "1500.5u\r\nX-Resent: 1", 1)); a.Arrival.Left != 1500500 || !a.Arrival.Again {
 		t.Errorf("%+v", a)
 	}
 	for _, c := range [][2]string{
-		{"X-Txn: 9b1f03aa5c7e2d41\r\n", ""}, {"9b1f03aa5c7e2d41", "a b"}, {"9b1f03aa5c7e2d41", strings.Repeat("a", 65)},
+		{"X-Txn: 00c0ffee00c0ffee\r\n", ""}, {"00c0ffee00c0ffee", "a b"}, {"00c0ffee00c0ffee", strings.Repeat("a", 65)},
 		{"X-Lane: write", "X-Lane: other"}, {"X-Lane: write", "X-Lane: read"}, {"X-Lane: write", "X-Lane: write\r\nX-Lane: read"},
-		{"Tier: high", "Tier: "}, {"Piece: 7f", "Piece: zz"}, {"Piece: 7f3a", "Piece: 7f"},
+		{"Tier: high", "Tier: "}, {"Piece: ab", "Piece: zz"}, {"Piece: abcd", "Piece: ab"},
 		{"480m", "480"}, {"480m", "0m"}, {"480m", "-4m"}, {"480m", "NaNm"}, {"480m", "1e9m"}, {"480m", "99999999999999999m"}, {"480m", "4.8.0m"}, {"480m", "480s"}, {"480m", "m"},
 		{"units=2.5", "units=0"}, {"units=2.5", "units=7"}, {"units=2.5", "units=-1"}, {"units=2.5", "units=Inf"}, {",units=2.5", ""},
 		{"shard=-1", "shard=4"}, {"shard=-1", "shard=-2"}, {"shard=-1", "shard=1.5"}, {"hosts=3", "hosts=0"}, {"hosts=3", "hosts=4"},
@@ -142,8 +142,8 @@
 		t.Fatal(err)
 	}
 	b := string(p.AppendRequest(nil, &r, 123456*time.Microsecond))
-	want := "PUT /api HTTP/1.1\r\nHost: b\r\nX-Txn: 9b1f03aa5c7e2d41\r\nX-Lane: write\r\nTier: high\r\nPiece: 7f3a9c21e0b4d655\r\n" +
-		"IO-Info: volume=00000003b4d60021,units=2.5,shard=-1,hosts=3\r\nX-Remaining: 123456u\r\n"
+	want := "PUT /api HTTP/1.1\r\nHost: b\r\nX-Txn: 00c0ffee00c0ffee\r\nX-Lane: write\r\nTier: high\r\nPiece: abcdef9876543210\r\n" +
+		"IO-Info: volume=00000000feed0001,units=2.5,shard=-1,hosts=3\r\nX-Remaining: 123456u\r\n"
 	if b != want {
 		t.Errorf("%q", b)
 	}
