Reread: one piece of code where service on a platform had written a second

What stood twice, or need not stand: - daemon: makeHead, listen and tooFew serve both ways to open a daemon; pollFile runs where there is a file. GOMAXPROCS and the memory limit are set by the command, not by a constructor, which had set them for every test beside it. - the loop's bound of connections was written 8 beside platform's clientsOver: Bounds.Accepted. - http1: Limits.Block cuts a header block for clients, nodes and discovery; Parts walks a list for HasToken and both load reports. benchlink's us was facts.Micros. - head: Protocol.Answer could never say no and is gone; Most was BodyHold; stall and cut no longer ask a protocol for what it cannot know; volume and class are those of the request's Ask; leaving holds wherever stopping does; attempt.out for three spellings of 'written whole'. - discovery.Names had one field; service.told had no reader; a NaN was tested for twice; the table of a request's fields was built anew for each field. Behaviour is as it was; no assertion changed.

--- a/cmd/benchlink/main.go
+++ b/cmd/benchlink/main.go
@@ -8,8 +8,8 @@
 	"io"
 	"os"
 	"strings"
-	"time"
 
+	"maddergap/internal/facts"
 	"maddergap/internal/wire"
 	"maddergap/logic"
 )
@@ -53,7 +53,7 @@
 		events[e.Head] = append(events[e.Head], e)
 	}
 	for _, id := range order {
-		if text := serve(w, heads, id, us(b.Clock), events[id]); text != "" {
+		if text := serve(w, heads, id, facts.Micros(b.Clock), events[id]); text != "" {
 			delete(heads, id)
 			fmt.Fprintf(w, "broken %s %s\n", id, strings.ReplaceAll(text, "\n", " "))
 		}
@@ -98,20 +98,18 @@
 	return ""
 }
 
-func us(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
-
 func event(e wire.Event) logic.Event {
 	switch e.Kind {
 	case "registry":
 		l := logic.List{Full: e.How == "F" || e.How == "C", Failed: e.How == "X"}
 		for _, it := range e.Items {
 			l.Entries = append(l.Entries, logic.Entry{Node: it.Shelf, Zone: it.Zone, Shard: it.Cluster,
-				State: states[it.Condition], Started: us(it.UpSince)})
+				State: states[it.Condition], Started: facts.Micros(it.UpSince)})
 		}
 		return l
 	case "job_in":
 		return logic.Arrival{ID: e.Job, Shard: e.Cell, Plan: e.Plan, Class: e.Service, Key: e.Key,
-			Volume: e.User, Left: us(e.Grace), Units: e.Weight, Hosts: e.Writers, Again: e.Again}
+			Volume: e.User, Left: facts.Micros(e.Grace), Units: e.Weight, Hosts: e.Writers, Again: e.Again}
 	case "ended":
 		o, known := outcomes[e.How]
 		if !known {
@@ -119,7 +117,7 @@
 		}
 		held, says := e.Telemetry["concurrent"]
 		waiting, saysWaiting := e.Telemetry["depth"]
-		return logic.Ended{ID: e.Job, Attempt: e.N, Node: e.Shelf, Outcome: o, Took: us(e.Took),
+		return logic.Ended{ID: e.Job, Attempt: e.N, Node: e.Shelf, Outcome: o, Took: facts.Micros(e.Took),
 			Closed:   e.Terminal,
 			Reported: max(held, waiting), Reports: says || saysWaiting}
 	case "begun":
--- a/cmd/maddergap/main.go
+++ b/cmd/maddergap/main.go
@@ -106,8 +106,8 @@
 }
 
 // serve runs a head until SIGINT or SIGTERM; SIGHUP reloads.
-func serve(w *daemon.Worker, core daemon.CoreOf, c *conf.Config, io *streams, ready func(*daemon.Daemon, *slog.Logger)) error {
-	out := io.err
+func serve(w *daemon.Worker, core daemon.CoreOf, c *conf.Config, std *streams, ready func(*daemon.Daemon, *slog.Logger)) error {
+	out := std.err
 	if c.Log != "" {
 		f, err := os.OpenFile(c.Log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 		if err != nil {
@@ -116,21 +116,23 @@
 		defer f.Close()
 		out = f
 	}
-	sink := daemon.NewSink(out)
-	defer sink.Close()
-	log := slog.New(slog.NewJSONHandler(sink, nil))
+	var who []any
 	if w != nil {
-		log = log.With("worker", w.Index)
+		who = []any{"worker", w.Index}
 	}
-	return attend(log, func() (*daemon.Daemon, error) { return daemon.NewWith(w, core, c, log) }, ready)
+	return attend(out, who, func(log *slog.Logger) (*daemon.Daemon, error) { return daemon.NewWith(w, core, c, log) }, ready)
 }
 
-// attend opens a daemon and runs it until SIGINT or SIGTERM; SIGHUP reloads.
-func attend(log *slog.Logger, open func() (*daemon.Daemon, error), ready func(*daemon.Daemon, *slog.Logger)) error {
+// attend opens a daemon that logs to out and runs it until SIGINT or SIGTERM; SIGHUP
+// reloads. who stands in every line of the log.
+func attend(out io.Writer, who []any, open func(*slog.Logger) (*daemon.Daemon, error), ready func(*daemon.Daemon, *slog.Logger)) error {
+	sink := daemon.NewSink(out)
+	defer sink.Close()
+	log := slog.New(slog.NewJSONHandler(sink, nil)).With(who...)
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
 	defer signal.Stop(signals)
-	d, err := open()
+	d, err := open(log)
 	if err != nil {
 		return err
 	}
--- a/cmd/maddergap/platform.go
+++ b/cmd/maddergap/platform.go
@@ -3,6 +3,8 @@
 import (
 	"log/slog"
 	"os"
+	"runtime"
+	"runtime/debug"
 
 	"maddergap/internal/daemon"
 	"maddergap/internal/platform"
@@ -16,10 +18,12 @@
 		return err
 	}
 	c.Conf.Quiet = !s.Requests
-	sink := daemon.NewSink(io.err)
-	defer sink.Close()
-	log := slog.New(slog.NewJSONHandler(sink, nil)).With("head", c.Name)
-	return attend(log, func() (*daemon.Daemon, error) { return daemon.NewPlatform(c, nil, s.Beliefs, load, log) },
+	runtime.GOMAXPROCS(1) // one core, which others may share
+	debug.SetMemoryLimit(c.Bounds.Memory)
+	return attend(io.err, []any{"head", c.Name},
+		func(log *slog.Logger) (*daemon.Daemon, error) {
+			return daemon.NewPlatform(c, nil, s.Beliefs, load, log)
+		},
 		func(d *daemon.Daemon, log *slog.Logger) {
 			log.Info("serving", "listen", d.Addrs(), "discovery", c.Discovery, "bounds", c.Bounds, "pid", os.Getpid())
 		})
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -94,10 +94,9 @@
 	// Beyond the clients admitted: those being turned away for as long as they are
 	// listened to, and room to see that a known one has come.
 	most, told := c.Clients+64, c.Admit.AnswerBurst+2*int(c.Admit.AnswerRate)
-	var limit unix.Rlimit
-	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err == nil && uint64(most+told+keptDescriptors) > limit.Cur {
+	if limit, few := tooFew(most + told + keptDescriptors); few {
 		return nil, &conf.Mistake{File: c.File, Reason: fmt.Sprintf("clients %d, with refusals and %d descriptors kept for nodes and files, needs %d descriptors; the limit is %d",
-			c.Clients, keptDescriptors, most+told+keptDescriptors, limit.Cur)}
+			c.Clients, keptDescriptors, most+told+keptDescriptors, limit)}
 	}
 	l, err := loop.New(most, told)
 	if err != nil {
@@ -119,23 +118,14 @@
 
 func (d *Daemon) open(core CoreOf, nodes []nodelist.Node) (err error) {
 	c := d.c
-	if d.obs, err = newObserver(c, d.log, d.loop.Start()); err != nil {
-		return err
-	}
 	seed := c.Seed
 	if seed == 0 {
 		seed = rand.Uint64()
 	}
-	if core == nil {
-		core = func(s logic.Settings, seed uint64, now logic.Time) (head.Core, error) { return logic.New(s, seed, now) }
-	}
-	decides, err := core(c.Logic, seed, d.loop.Now())
-	if err != nil {
+	if err := d.makeHead(core, seed); err != nil {
 		return err
 	}
-	d.head = head.NewWith(decides, c, seed, d.loop.Now(), d.loop.Start(), d.obs)
-	d.loop.Head, d.loop.Watched, d.loop.Woken = d.head, d.reread, d.woken
-	d.loop.Turned = func(t *loop.Turn) { d.turns.took(d.loop.Now(), t) }
+	d.loop.Watched = d.reread
 	d.head.Nodes(d.loop.Now(), nodes)
 	if err := d.loop.Watch(c.Nodes); err != nil {
 		return err
@@ -157,8 +147,31 @@
 		}
 		return nil
 	}
-	for _, addr := range c.Listen {
-		bound, err := d.loop.Listen(addr, sorter(c))
+	return d.listen(sorter(c))
+}
+
+// makeHead puts a head on the loop.
+func (d *Daemon) makeHead(core CoreOf, seed uint64) (err error) {
+	if d.obs, err = newObserver(d.c, d.log, d.loop.Start()); err != nil {
+		return err
+	}
+	if core == nil {
+		core = func(s logic.Settings, seed uint64, now logic.Time) (head.Core, error) { return logic.New(s, seed, now) }
+	}
+	decides, err := core(d.c.Logic, seed, d.loop.Now())
+	if err != nil {
+		return err
+	}
+	d.head = head.NewWith(decides, d.c, seed, d.loop.Now(), d.loop.Start(), d.obs)
+	d.loop.Head, d.loop.Woken = d.head, d.woken
+	d.loop.Turned = func(t *loop.Turn) { d.turns.took(d.loop.Now(), t) }
+	return nil
+}
+
+// listen opens the listeners.
+func (d *Daemon) listen(sorter []bpf.RawInstruction) error {
+	for _, addr := range d.c.Listen {
+		bound, err := d.loop.Listen(addr, sorter)
 		if err != nil {
 			return err
 		}
@@ -167,6 +180,13 @@
 	return nil
 }
 
+// tooFew tells whether the process may not have so many descriptors, and how many it may.
+func tooFew(need int) (limit uint64, few bool) {
+	var l unix.Rlimit
+	err := unix.Getrlimit(unix.RLIMIT_NOFILE, &l)
+	return l.Cur, err == nil && uint64(need) > l.Cur
+}
+
 // Addrs are the addresses listened on.
 func (d *Daemon) Addrs() []string { return d.addrs }
 
@@ -269,24 +289,11 @@
 	if d.metrics != nil {
 		defer d.metrics.Close()
 	}
-	poll := time.NewTicker(pollNodes)
-	defer poll.Stop()
 	quit := make(chan struct{})
 	defer close(quit)
-	go func() {
-		if d.service != nil {
-			return
-		}
-		for {
-			select {
-			case <-quit:
-				return
-			case <-poll.C:
-				d.poll.Store(true)
-				d.loop.Wake()
-			}
-		}
-	}()
+	if d.service == nil {
+		go d.pollFile(quit)
+	}
 	if d.worker != nil {
 		go func() {
 			if workers.Beat(d.worker.Beat, func() bool { d.loop.Wake(); return d.alive.Swap(false) }, quit) != nil {
@@ -320,6 +327,21 @@
 	return nil
 }
 
+// pollFile has the node list read again, now and then.
+func (d *Daemon) pollFile(quit chan struct{}) {
+	poll := time.NewTicker(pollNodes)
+	defer poll.Stop()
+	for {
+		select {
+		case <-quit:
+			return
+		case <-poll.C:
+			d.poll.Store(true)
+			d.loop.Wake()
+		}
+	}
+}
+
 // CheckNodes reads the node list of a configuration and holds that every shard
 // of every volume has a node.
 func CheckNodes(c *conf.Config) (int, error) {
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -6,17 +6,11 @@
 	"log/slog"
 	"math"
 	"reflect"
-	"runtime"
-	"runtime/debug"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"maddergap/internal/discovery"
-	"maddergap/internal/head"
 	"maddergap/internal/loop"
 	"maddergap/internal/platform"
-	"maddergap/logic"
 )
 
 // readyAfter is for how long a head that was told of nodes at its start waits for a
@@ -25,11 +19,10 @@
 
 // service is what a head has of the platform it is in service on.
 type service struct {
-	c    *platform.Config
-	load func() (*platform.Config, error)
-	feed *discovery.Client
-	told int // lists logged
-	want error
+	c     *platform.Config
+	load  func() (*platform.Config, error)
+	feed  *discovery.Client
+	fault error // of the list, as last logged
 	// Beliefs are logged this often, 0: never.
 	every    time.Duration
 	compared time.Duration
@@ -39,13 +32,10 @@
 // nodes' and its node list. load reads the configuration again; beliefs is how often what
 // the module holds is compared with the sockets in the log, 0 for never.
 func NewPlatform(c *platform.Config, core CoreOf, beliefs time.Duration, load func() (*platform.Config, error), log *slog.Logger) (*Daemon, error) {
-	var limit unix.Rlimit
-	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err == nil && limit.Cur < uint64(c.Bounds.Descriptors()) {
-		return nil, fmt.Errorf("%s: the bounds need %d descriptors, the limit is %d", c.Conf.File, c.Bounds.Descriptors(), limit.Cur)
+	if limit, few := tooFew(c.Bounds.Descriptors()); few {
+		return nil, fmt.Errorf("%s: the bounds need %d descriptors, the limit is %d", c.Conf.File, c.Bounds.Descriptors(), limit)
 	}
-	runtime.GOMAXPROCS(1) // one core, which others may share
-	debug.SetMemoryLimit(c.Bounds.Memory)
-	l, err := loop.New(c.Conf.Clients+8, c.Bounds.Told)
+	l, err := loop.New(c.Bounds.Accepted(), c.Bounds.Told)
 	if err != nil {
 		return nil, err
 	}
@@ -57,22 +47,12 @@
 	return d, nil
 }
 
-func (d *Daemon) openPlatform(core CoreOf) (err error) {
+func (d *Daemon) openPlatform(core CoreOf) error {
 	c, s := d.c, d.service
-	if d.obs, err = newObserver(c, d.log, d.loop.Start()); err != nil {
-		return err
-	}
-	if core == nil {
-		core = func(s logic.Settings, seed uint64, now logic.Time) (head.Core, error) { return logic.New(s, seed, now) }
-	}
-	decides, err := core(c.Logic, c.Seed, d.loop.Now())
-	if err != nil {
+	if err := d.makeHead(core, c.Seed); err != nil {
 		return err
 	}
-	d.head = head.NewWith(decides, c, c.Seed, d.loop.Now(), d.loop.Start(), d.obs)
-	d.loop.Head, d.loop.Woken = d.head, d.woken
-	d.loop.Turned = func(t *loop.Turn) { d.turns.took(d.loop.Now(), t) }
-	s.feed = discovery.New(s.c.Discovery, discovery.Names{Zones: s.c.Facts.Zones}, c.Seed)
+	s.feed = discovery.New(s.c.Discovery, s.c.Facts.Zones, c.Seed)
 	p := s.c.Protocol()
 	known := false
 	if s.c.Known != nil {
@@ -87,14 +67,7 @@
 	p.Ready = func() bool { return s.feed.Told() || known && d.loop.Now() >= started+readyAfter }
 	d.head.Speak(p)
 	d.head.Follow(s.feed)
-	for _, addr := range c.Listen {
-		bound, err := d.loop.Listen(addr, nil)
-		if err != nil {
-			return err
-		}
-		d.addrs = append(d.addrs, bound)
-	}
-	return nil
+	return d.listen(nil)
 }
 
 // again takes a new configuration: where discovery is. What the module was told at
@@ -117,9 +90,9 @@
 
 // watch logs what befell the node list since it was last called.
 func (s *service) watch(d *Daemon) {
-	if s.feed.Fault != s.want {
-		if s.want = s.feed.Fault; s.want != nil {
-			d.log.Warn("the node list is not news; the last good one stays in force", "cause", s.want)
+	if s.feed.Fault != s.fault {
+		if s.fault = s.feed.Fault; s.fault != nil {
+			d.log.Warn("the node list is not news; the last good one stays in force", "cause", s.fault)
 		}
 	}
 	if now := d.loop.Now(); s.every > 0 && now >= s.compared+s.every {
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -32,11 +32,6 @@
 	pauseMost = time.Second
 )
 
-// Names are the words that a site has for the list.
-type Names struct {
-	Zones []string // in the order of the settings
-}
-
 type state uint8
 
 const (
@@ -71,10 +66,11 @@
 	Fault   error
 }
 
-// New returns a client that asks at once. The seed spreads pauses by chance.
-func New(addr string, n Names, seed uint64) *Client {
+// New returns a client that asks at once. zones are the names of the settings, in their
+// order; the seed spreads pauses by chance.
+func New(addr string, zones []string, seed uint64) *Client {
 	c := &Client{addr: addr, rand: rand.New(rand.NewPCG(seed, 0x64697363)), zones: map[string]int{}, pause: pauseMin}
-	for i, z := range n.Zones {
+	for i, z := range zones {
 		c.zones[z] = i
 	}
 	return c
@@ -158,15 +154,10 @@
 	}
 	c.in = append(c.in, p...)
 	if !c.inBody {
-		n := http1.HeaderEnd(c.in, c.scanned)
-		if n == 0 && len(c.in) <= http1.DefaultLimits.Header {
-			c.scanned = len(c.in)
-			return
-		}
+		n := http1.DefaultLimits.Block(c.in, &c.scanned)
 		if n == 0 {
-			n = len(c.in)
+			return
 		}
-		c.scanned = 0
 		if err := http1.ParseResponse(c.in[:n], &c.resp, "GET", http1.DefaultLimits); err != nil {
 			c.lose(now, err)
 			return
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -25,7 +25,7 @@
 }
 
 func newRig(t *testing.T) *rig {
-	r := &rig{t: t, c: New("10.0.0.1:1", Names{Zones: []string{"z0", "z1"}}, 1), now: start}
+	r := &rig{t: t, c: New("10.0.0.1:1", []string{"z0", "z1"}, 1), now: start}
 	r.run()
 	return r
 }
--- a/internal/head/answer.go
+++ b/internal/head/answer.go
@@ -29,7 +29,7 @@
 
 // endHeader ends a client's answer header, saying whether it is the last.
 func (h *Head) endHeader(b []byte, cl *conn, ex *exchange) []byte {
-	cl.closing = cl.closing || h.stopping || h.leaving || !ex.whole
+	cl.closing = cl.closing || h.leaving || !ex.whole
 	if cl.closing {
 		b = append(b, "Connection: close\r\n"...)
 	} else if ex.req.Minor == 0 {
@@ -198,14 +198,8 @@
 	if !ok {
 		return 0, false
 	}
-	for len(v) > 0 {
-		part := v
-		if i := bytes.IndexByte(v, ','); i >= 0 {
-			part, v = v[:i], v[i+1:]
-		} else {
-			v = nil
-		}
-		if x, ok := bytes.CutPrefix(bytes.TrimSpace(part), []byte("named_metrics.inflight=")); ok {
+	for part := range http1.Parts(v) {
+		if x, ok := bytes.CutPrefix(part, []byte("named_metrics.inflight=")); ok {
 			if n, ok := http1.Number(x); ok {
 				return float64(n), true
 			}
--- a/internal/head/client.go
+++ b/internal/head/client.go
@@ -49,10 +49,8 @@
 	vol      *conf.Volume // as the configuration was when it came
 	reason   string
 	old      bool // kept for use again
-	ask      Ask  // of a protocol whose messages are held whole
-	hold     int  // for which the whole body is held, up to so many bytes; 0: it may stream
-	volume   string
-	class    int
+	ask      Ask  // what the module is told of it
+	entire   bool // its body is held whole before it is taken, up to BodyHold
 }
 
 // Welcome says what becomes of a new connection.
@@ -162,15 +160,11 @@
 				c.reading = h.now
 				h.by(c, h.now+h.c.HeaderTime)
 			}
-			n := http1.HeaderEnd(p, c.scanned)
-			if n == 0 && len(p) <= h.c.Header.Header {
-				c.scanned = len(p)
-				return p
-			}
-			c.scanned, c.reading = 0, 0
+			n := h.c.Header.Block(p, &c.scanned)
 			if n == 0 {
-				n = len(p)
+				return p
 			}
+			c.reading = 0
 			h.begin(c, p[:n])
 			p = p[n:]
 		case !ex.whole:
@@ -212,7 +206,7 @@
 	ex.body.Reset(&r.Message)
 	ex.whole = ex.body.Done()
 	ex.invited = !r.Expect
-	if h.stopping || h.leaving {
+	if h.leaving {
 		c.closing = true
 	}
 	if r.Close {
@@ -349,31 +343,36 @@
 	}
 	switch {
 	case ex.id != 0 || ex.final:
-	case ex.hold > 0 && len(ex.held) > ex.hold:
-		c.closing = true
-		h.own(ex, 413, "the body is longer than any may be")
-	case ex.whole || ex.hold == 0 && len(ex.held) >= h.c.BodyHold:
+	case ex.entire && len(ex.held) > h.c.BodyHold:
+		h.tooLong(c, ex)
+	case ex.whole || !ex.entire && len(ex.held) >= h.c.BodyHold:
 		h.take(ex)
 	}
 }
 
+// tooLong answers a body that is held whole and too long for it.
+func (h *Head) tooLong(c *conn, ex *exchange) {
+	c.closing = true
+	h.own(ex, 413, "the body is longer than any may be")
+}
+
 // take gives a request to the module: from here on it is owed one final answer.
 func (h *Head) take(ex *exchange) {
-	a, fault := h.way.arrival(h, ex)
-	if fault != nil {
+	if fault := h.way.arrival(h, ex); fault != nil {
 		h.own(ex, fault.Status, fault.Reason)
 		return
 	}
 	h.lastID++
 	ex.id, ex.taken = h.lastID, h.now
+	a := &ex.ask.Arrival
 	a.ID, a.Left = ex.id, h.left(a.Left)
-	ex.due, ex.volume, ex.class = h.now+a.Left, a.Volume, a.Class
+	ex.due = h.now + a.Left
 	h.reqs[ex.id] = ex
 	h.counts.Taken++
 	if ex.client != nil {
 		h.adm.Taken(h.now, uint64(ex.client.id))
 	}
-	h.events = append(h.events, a)
+	h.events = append(h.events, *a)
 }
 
 // badBody ends a request whose body is malformed: nothing of it may run.
--- a/internal/head/head.go
+++ b/internal/head/head.go
@@ -275,7 +275,7 @@
 // one are closed, and no new request is read.
 func (h *Head) Stop(now Time) {
 	h.tick(now)
-	h.stopping = true
+	h.stopping, h.leaving = true, true
 	for _, c := range h.slots {
 		if c != nil && c.client() && c.ex == nil && len(c.pending()) == 0 {
 			h.drop(c, Close)
--- a/internal/head/node.go
+++ b/internal/head/node.go
@@ -25,8 +25,12 @@
 	span    [8]byte
 	holds   bool   // its answer is held whole before any of it is passed on
 	body    []byte // so much of it
+	stall   Time   // for which it may stand still
 }
 
+// out tells whether all of it was written.
+func (at *attempt) out() bool { return at.sent && len(at.conn.pending()) == 0 }
+
 // interimMost is how many 1xx answers may come before one.
 const interimMost = 16
 
@@ -205,14 +209,10 @@
 			return nil
 		}
 		if !c.inBody {
-			n := http1.HeaderEnd(p, c.scanned)
-			if n == 0 && len(p) <= h.c.Header.Header {
-				c.scanned = len(p)
+			n := h.c.Header.Block(p, &c.scanned)
+			if n == 0 {
 				return p
 			}
-			if c.scanned = 0; n == 0 {
-				n = len(p)
-			}
 			if err := http1.ParseResponse(p[:n], &c.resp, at.ex.method, h.c.Header); err != nil {
 				h.broken(c, logic.Failed)
 				return nil
@@ -250,7 +250,7 @@
 		}
 	}
 	if at := c.at; at != nil && !c.gone && at.holds {
-		h.by(c, min(at.ex.due, h.now+h.way.stall(h)))
+		h.by(c, min(at.ex.due, h.now+at.stall))
 	} else if at != nil && !c.gone && at.ex.answer == at {
 		if !at.begun {
 			at.begun = true
@@ -267,7 +267,7 @@
 func (h *Head) answerDone(c *conn) {
 	at := c.at
 	c.at, c.inBody = nil, false
-	keep := !c.resp.Close && at.sent && len(c.pending()) == 0
+	keep := !c.resp.Close && at.out()
 	ex := at.ex
 	if ex.upload == at {
 		ex.upload = nil
@@ -342,7 +342,7 @@
 		return
 	}
 	c.at = nil
-	unsent := c.pending()
+	out := at.out()
 	if eof {
 		h.drop(c, Close)
 	} else {
@@ -353,8 +353,10 @@
 		h.end(at, at.verdict)
 	case !c.connected:
 		h.end(at, logic.ConnectFailed)
-	case !at.written || !at.sent || len(unsent) > 0:
-		h.end(at, h.way.cut(at))
+	case !at.written: // a kept connection that closed just then: proven not to have run
+		h.end(at, logic.Moot)
+	case !out:
+		h.end(at, h.way.cut())
 	default:
 		h.end(at, logic.Reset)
 	}
@@ -396,8 +398,8 @@
 		Closed: ex.final, Spent: ex.spent, Reported: at.report, Reports: at.reports})
 	if h.obs != nil {
 		h.span = Span{Request: h.requestID(ex.id), Trace: ex.trace, ID: at.span, Parent: ex.span, Sampled: ex.sampled,
-			Start: at.began, End: h.now, Method: ex.method, Path: ex.place.Path, Volume: ex.volume,
-			Class: h.c.Logic.Classes[ex.class].Name, Status: at.status, Attempt: at.n, Node: at.node, Ended: o}
+			Start: at.began, End: h.now, Method: ex.method, Path: ex.place.Path, Volume: ex.ask.Arrival.Volume,
+			Class: h.c.Logic.Classes[ex.ask.Arrival.Class].Name, Status: at.status, Attempt: at.n, Node: at.node, Ended: o}
 		h.obs.Attempt(&h.span)
 	}
 	h.recycle(ex)
--- a/internal/head/trace.go
+++ b/internal/head/trace.go
@@ -54,7 +54,7 @@
 	}
 	if ex.id != 0 {
 		s.Start = ex.taken
-		s.Volume, s.Class = ex.volume, h.c.Logic.Classes[ex.class].Name
+		s.Volume, s.Class = ex.ask.Arrival.Volume, h.c.Logic.Classes[ex.ask.Arrival.Class].Name
 	}
 	h.span = s
 	h.obs.Request(&h.span)
--- a/internal/head/view.go
+++ b/internal/head/view.go
@@ -27,14 +27,10 @@
 			continue
 		}
 		s := on[c.node.name]
-		switch {
-		case c.at == nil:
+		if c.at == nil {
 			s.Idle++
-		default:
-			s.Open++
-			if !c.connected || !c.at.sent || len(c.pending()) > 0 {
-				s.Unsent++
-			}
+		} else if s.Open++; !c.connected || !c.at.out() {
+			s.Unsent++
 		}
 		on[c.node.name] = s
 	}
--- a/internal/head/way.go
+++ b/internal/head/way.go
@@ -14,8 +14,8 @@
 type way interface {
 	// begin says what becomes of a request whose header was read and that was admitted.
 	begin(h *Head, c *conn, ex *exchange)
-	// arrival is what the module is told of a request; a fault is answered instead.
-	arrival(h *Head, ex *exchange) (logic.Arrival, *http1.Error)
+	// arrival fills in what the module is told of a request; a fault is answered instead.
+	arrival(h *Head, ex *exchange) *http1.Error
 	// appendRequest writes an attempt's start line and fields, without its length.
 	appendRequest(h *Head, b []byte, at *attempt) []byte
 	// verdict reads the header of a node's answer.
@@ -25,13 +25,11 @@
 	answerHead(h *Head, at *attempt) bool
 	answerData(h *Head, at *attempt, data []byte) bool
 	answerDone(h *Head, at *attempt)
-	// cut is the outcome of an attempt whose connection broke before it had gone out whole.
-	cut(at *attempt) logic.Outcome
+	// cut is the outcome of an attempt whose connection broke when it had gone out in part.
+	cut() logic.Outcome
 	// faulty is the outcome of one whose answer's body cannot be read.
 	faulty() logic.Outcome
 	retryAfter(b []byte, after time.Duration) []byte
-	// stall is for how long an answer that is held may stand still.
-	stall(h *Head) time.Duration
 	// ends tells whether a client that sends no more has left.
 	ends() bool
 	// ended tells of a final answer, or of a client that left.
@@ -69,12 +67,9 @@
 	// left is for how long the head will wait.
 	AppendRequest(b []byte, r *http1.Request, left time.Duration) []byte
 	Verdict(r *http1.Response) Verdict
-	// Answer checks an answer that is to go to the client, whole.
-	Answer(r *http1.Response, body []byte) bool
 	AppendRetryAfter(b []byte, after time.Duration) []byte
-	// Most is how large a request's body may be, MostAnswer an answer and all answers
-	// that are held, and Stall for how long an answer that has begun may stand still.
-	Most() int
+	// MostAnswer is how large an answer may be, and all answers that are held, and Stall
+	// for how long an answer that has begun may stand still.
 	MostAnswer() (one, all int64)
 	Stall() time.Duration
 }
@@ -93,10 +88,9 @@
 		h.own(ex, a.Status, a.Reason)
 		return
 	}
-	ex.ask, ex.hold = a, w.p.Most()
-	if ex.req.Length > int64(ex.hold) {
-		c.closing = true
-		h.own(ex, 413, "the body is longer than any may be")
+	ex.ask, ex.entire = a, true
+	if ex.req.Length > int64(h.c.BodyHold) {
+		h.tooLong(c, ex)
 		return
 	}
 	h.invite(c, ex)
@@ -105,12 +99,7 @@
 	}
 }
 
-func (w plain) arrival(h *Head, ex *exchange) (logic.Arrival, *http1.Error) {
-	if err := w.p.Open(&ex.ask); err != nil {
-		return logic.Arrival{}, err
-	}
-	return ex.ask.Arrival, nil
-}
+func (w plain) arrival(h *Head, ex *exchange) *http1.Error { return w.p.Open(&ex.ask) }
 
 func (w plain) appendRequest(h *Head, b []byte, at *attempt) []byte {
 	return w.p.AppendRequest(b, &at.ex.req, max(at.ex.due-h.now, time.Millisecond))
@@ -125,8 +114,7 @@
 	if one, _ := w.p.MostAnswer(); r.Length > one || r.Length < 0 && !r.Chunked {
 		return false
 	}
-	at.holds = true
-	at.body = h.buffer()
+	at.holds, at.stall, at.body = true, w.p.Stall(), h.buffer()
 	return true
 }
 
@@ -139,12 +127,8 @@
 
 func (w plain) answerDone(h *Head, at *attempt) {
 	ex := at.ex
-	if ex.final || !w.p.Answer(&at.conn.resp, at.body) {
-		o := logic.OK // it was served already, or its client has left: the node did its part
-		if !ex.final {
-			o = w.faulty()
-		}
-		h.end(at, o)
+	if ex.final { // its client has left: the node did its part
+		h.end(at, logic.OK)
 		return
 	}
 	ex.final, ex.answer, ex.status = true, at, at.conn.resp.Status
@@ -162,12 +146,7 @@
 }
 
 // cut: what did not come whole was not run.
-func (w plain) cut(at *attempt) logic.Outcome {
-	if !at.written {
-		return logic.Moot
-	}
-	return logic.ConnectFailed
-}
+func (w plain) cut() logic.Outcome { return logic.ConnectFailed }
 
 func (w plain) faulty() logic.Outcome { return logic.Failed }
 
@@ -175,8 +154,6 @@
 	return w.p.AppendRetryAfter(b, after)
 }
 
-func (w plain) stall(*Head) time.Duration { return w.p.Stall() }
-
 func (w plain) ends() bool { return true }
 
 func (w plain) ended(ex *exchange, o Outcome) {
--- a/internal/head/webdav.go
+++ b/internal/head/webdav.go
@@ -36,13 +36,14 @@
 	h.judged(c, ex, dav.Judge(h.t, ex.method, ex.place, string(r.Get("depth")), string(r.Get("destination")), string(r.Host)))
 }
 
-func (webdav) arrival(h *Head, ex *exchange) (logic.Arrival, *http1.Error) {
+func (webdav) arrival(h *Head, ex *exchange) *http1.Error {
 	if ex.listing == nil && ex.whole && ex.req.Length < 0 { // now its length is known
 		ex.job = h.job(ex, ex.got)
 	}
 	v, j := ex.vol, &ex.job
-	return logic.Arrival{Shard: ex.place.Shard, Plan: v.Plan, Class: j.Class, Key: j.Key, Volume: v.Name, Left: j.Time,
-		Units: j.Units, Hosts: v.Hosts}, nil
+	ex.ask.Arrival = logic.Arrival{Shard: ex.place.Shard, Plan: v.Plan, Class: j.Class, Key: j.Key, Volume: v.Name, Left: j.Time,
+		Units: j.Units, Hosts: v.Hosts}
+	return nil
 }
 
 func (webdav) appendRequest(h *Head, b []byte, at *attempt) []byte {
@@ -154,19 +155,12 @@
 	h.answered(ex)
 }
 
-func (webdav) cut(at *attempt) logic.Outcome {
-	if !at.written { // a kept connection that closed just then: proven not to have run
-		return logic.Moot
-	}
-	return logic.Reset
-}
+func (webdav) cut() logic.Outcome { return logic.Reset }
 
 func (webdav) faulty() logic.Outcome { return logic.Reset }
 
 func (webdav) retryAfter(b []byte, after time.Duration) []byte { return appendRetryAfter(b, after) }
 
-func (webdav) stall(h *Head) time.Duration { return h.c.StallTime }
-
 func (webdav) ends() bool { return false }
 
 func (webdav) ended(*exchange, Outcome) {}
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -11,6 +11,7 @@
 import (
 	"bytes"
 	"fmt"
+	"iter"
 )
 
 // Limits bound one message's header.
@@ -98,6 +99,20 @@
 	}
 }
 
+// Block is HeaderEnd within the bound: all of p once that is past it, for the parser to
+// refuse, and 0 while more is to be waited for. scanned is kept between calls.
+func (l Limits) Block(p []byte, scanned *int) int {
+	n := HeaderEnd(p, *scanned)
+	if n == 0 && len(p) <= l.Header {
+		*scanned = len(p)
+		return 0
+	}
+	if *scanned = 0; n == 0 {
+		n = len(p)
+	}
+	return n
+}
+
 // Get returns the first field of the name (any case), nil if there is none.
 func (m *Message) Get(name string) []byte {
 	for i := range m.Fields {
@@ -338,20 +353,28 @@
 
 // HasToken tells whether a comma-separated list names a token.
 func HasToken(list []byte, token string) bool {
-	for len(list) > 0 {
-		part := list
-		if i := bytes.IndexByte(list, ','); i >= 0 {
-			part, list = list[:i], list[i+1:]
-		} else {
-			list = nil
-		}
-		if Is(bytes.Trim(part, " \t"), token) {
+	for part := range Parts(list) {
+		if Is(part, token) {
 			return true
 		}
 	}
 	return false
 }
 
+// Parts are the elements of a comma-separated list, without the blanks around them.
+func Parts(list []byte) iter.Seq[[]byte] {
+	return func(yield func([]byte) bool) {
+		for len(list) > 0 {
+			var part []byte
+			if part, list, _ = bytes.Cut(list, comma); !yield(bytes.Trim(part, " \t")) {
+				return
+			}
+		}
+	}
+}
+
+var comma = []byte(",")
+
 // HopByHop tells whether a field speaks of one connection alone and is not
 // passed on (RFC 9110 7.6.1); listed is the value of Connection.
 func HopByHop(name, listed []byte) bool {
--- a/internal/lanes/lanes.go
+++ b/internal/lanes/lanes.go
@@ -21,7 +21,7 @@
 
 // Slot is the part of a request that says where it waits; requests embed it. Aim is
 // not after Due, and Seq tells requests apart; they do not change. By is until when it
-// is held at the most, and does not change while it is.
+// is held at the most; while it is, Until alone changes it.
 type Slot[R any, K, V comparable] struct {
 	Due, Aim, By Time
 	Seq          int
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -64,12 +64,15 @@
 }
 
 // Descriptors is the sum with every bound reached.
-func (b Bounds) Descriptors() int { return b.Clients + clientsOver + b.Told + b.Nodes + b.Reserved }
+func (b Bounds) Descriptors() int { return b.Accepted() + b.Told + b.Nodes + b.Reserved }
+
+// Accepted is how many client connections there may be, those included that are to be
+// told or to take another's place.
+func (b Bounds) Accepted() int { return b.Clients + clientsOver }
 
 const (
-	mostFile = 16 << 20
-	// Connections accepted past the bound, to be told or to take another's place.
-	clientsOver = 8
+	mostFile    = 16 << 20
+	clientsOver = 8 // connections accepted past the bound
 	// The loop's own, the listener, the standard streams, the runtime's poller, the
 	// node list's connection and the next one.
 	reserved = 24
--- a/internal/platform/protocol.go
+++ b/internal/platform/protocol.go
@@ -1,11 +1,11 @@
 // Package platform is the protocol of the platform that heads are put in service on:
 // what its clients ask, what its storage nodes are sent and answer, the configuration
-// it gives a head, and the bounds that follow from its limits. It does no I/O.
+// it gives a head, and the bounds that follow from its limits. It reads nothing by itself
+// but in Load.
 package platform
 
 import (
 	"bytes"
-	"math"
 	"strconv"
 	"time"
 
@@ -65,10 +65,7 @@
 // Closed lets go of it.
 func (p *Protocol) Closed(id string, o head.Outcome) { p.ids.end(id, o) }
 
-// Most is how large a request's body may be.
-func (p *Protocol) Most() int { return mostBody }
-
-// MostAnswer is how large an answer may be, MostAnswers all that are held at once.
+// MostAnswer is how large an answer may be, and all that are held at once.
 func (p *Protocol) MostAnswer() (one, all int64) { return p.answer, p.answers }
 
 // Stall is for how long an answer that has begun may stand still.
@@ -91,13 +88,14 @@
 		return head.Ask{Status: 404, Reason: "there is no such page"}
 	}
 	var id, class, plan, key, left, extras []byte
+	once := [...]struct {
+		name string
+		to   *[]byte
+	}{{fieldID, &id}, {fieldClass, &class}, {fieldPlan, &plan}, {fieldKey, &key}, {fieldLeft, &left}, {fieldExtras, &extras}}
 	for i := range r.Fields {
 		f := &r.Fields[i]
-		for _, want := range [...]struct {
-			name string
-			to   *[]byte
-		}{{fieldID, &id}, {fieldClass, &class}, {fieldPlan, &plan}, {fieldKey, &key}, {fieldLeft, &left}, {fieldExtras, &extras}} {
-			if len(f.Name) == len(want.name) && http1.Is(f.Name, want.name) {
+		for _, want := range once {
+			if http1.Is(f.Name, want.name) {
 				if *want.to != nil {
 					return bad(want.name + " stands twice")
 				}
@@ -192,10 +190,8 @@
 // extras reads volume, units, shard and hosts, each once.
 func (p *Protocol) extras(b []byte, a *logic.Arrival) bool {
 	var seen [4]bool
-	for len(b) > 0 {
-		part, rest, _ := bytes.Cut(b, []byte(","))
-		b = rest
-		name, value, ok := bytes.Cut(bytes.TrimSpace(part), []byte("="))
+	for part := range http1.Parts(b) {
+		name, value, ok := bytes.Cut(part, []byte("="))
 		if !ok {
 			return false
 		}
@@ -269,14 +265,12 @@
 // load reads a load report: the greater of the requests held and those that wait. One
 // that cannot be read is as none.
 func load(b []byte) (most float64, ok bool) {
-	for len(b) > 0 {
-		part, rest, _ := bytes.Cut(b, []byte(","))
-		b = rest
-		name, value, _ := bytes.Cut(bytes.TrimSpace(part), []byte("="))
+	for part := range http1.Parts(b) {
+		name, value, _ := bytes.Cut(part, []byte("="))
 		switch string(name) {
 		case "concurrent", "inflight", "depth", "queue": // by the settings, and in the protocol's own words
 			x, err := strconv.ParseFloat(string(value), 64)
-			if err != nil || !(x >= 0 && x < 1e6) || math.IsNaN(x) {
+			if err != nil || !(x >= 0 && x < 1e6) {
 				return 0, false
 			}
 			most, ok = max(most, x), true
@@ -285,9 +279,6 @@
 	return most, ok
 }
 
-// Answer checks a whole answer.
-func (p *Protocol) Answer(r *http1.Response, body []byte) bool { return true }
-
 // AppendRetryAfter writes a pause in decimal seconds, which the platform's clients read.
 func (p *Protocol) AppendRetryAfter(b []byte, after time.Duration) []byte {
 	if after <= 0 {
