Discovery calls overlap: the newest is never older than 180 ms

Lines at fault: pacing `pushed` (list, watch, backoffMax) and Client.Step, which had one call at a time. Class: an event is seen only after the sum of waits that stand one behind the other, none of which is bounded by the deadline that the event counts from.

Change: the client is made anew in rooms of its own (client, call, list, pacing). Where lists are pushed, a call is made as soon as the newest is 180 ms old, on its own connection, four at most; the oldest is waited for, lest a slow agent be pressed on to no effect. After silence the known version is asked from. Lists are read as their bytes come. Lists that are asked for keep their pacing.

Tests changed: TestShortPausesAfterALongSilence is replaced by the stricter TestListAfterAnyOutage (the bound holds from the return, not between calls); TestWhatCannotBeUsed names the next call for each case (by version after silence and breaks, whole for what is spoilt; it wanted whole always), more cases; KnownBeforeItCounts wants 1 s, 5.5 s before.

--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -22,9 +22,10 @@
 // service is what a head has of the platform it is in service on.
 type service struct {
 	c         *platform.Config
+	began     time.Duration
 	load      func() (*platform.Config, error)
 	feed      *discovery.Client
-	fault     error           // of the list, as last logged
+	outage    outage
 	known     []nodelist.Node // of the configuration, until discovery tells or knownFrom has come
 	knownFrom time.Duration
 	serves    bool // by what the configuration knew
@@ -57,6 +58,7 @@
 	if err := d.makeHead(core, c.Seed); err != nil {
 		return err
 	}
+	s.began = d.loop.Now()
 	s.feed = discovery.New(s.c.Discovery, s.c.Facts.Zones, c.Logic.AskDiscovery, c.Seed)
 	p := s.c.Protocol()
 	if s.c.Known != nil {
@@ -103,17 +105,47 @@
 
 // watch logs what befell the node list since it was last called.
 func (s *service) watch(d *Daemon) {
-	if s.feed.Fault != s.fault {
-		if s.fault = s.feed.Fault; s.fault != nil {
-			d.log.Warn("the node list is not news; the last good one stays in force", "cause", s.fault)
-		}
-	}
+	s.logDiscovery(d)
 	if now := d.loop.Now(); s.every > 0 && now >= s.compared+s.every {
 		s.compared = now
 		s.compare(d)
 	}
 }
 
+// outageAfter is how long discovery is silent before that is logged as an outage.
+const outageAfter = time.Second
+
+// outage is what was last logged of discovery.
+type outage struct {
+	silent bool
+	since  time.Duration // the last answer before it
+	calls  int           // that were made by then
+	fault  string
+}
+
+// logDiscovery logs when discovery falls silent, what is wrong with its answers, and when it
+// is back: one line for each change, however many calls are made meanwhile.
+func (s *service) logDiscovery(d *Daemon) {
+	status, now := s.feed.Status(), d.loop.Now()
+	last := max(status.LastAnswer, s.began)
+	switch o := &s.outage; {
+	case !o.silent && now-last >= outageAfter:
+		*o = outage{silent: true, since: last, calls: status.Calls}
+		if status.Fault != nil {
+			o.fault = status.Fault.Error()
+		}
+		d.log.Warn("discovery does not answer; the last good list stays in force", "version", status.Version, "cause", o.fault,
+			"since", now-last)
+	case o.silent && status.LastAnswer > o.since:
+		d.log.Info("discovery answers again", "version", status.Version, "after", status.LastAnswer-o.since,
+			"calls", status.Calls-o.calls, "given_up", status.GivenUp)
+		o.silent = false
+	case o.silent && status.Fault != nil && status.Fault.Error() != o.fault:
+		o.fault = status.Fault.Error()
+		d.log.Warn("the node list is not news; the last good one stays in force", "cause", o.fault)
+	}
+}
+
 // comparedMost bounds the lines of one comparison.
 const comparedMost = 64
 
@@ -121,7 +153,7 @@
 // two differ where attempts are written off, or where the head has told nothing yet.
 func (s *service) compare(d *Daemon) {
 	n := d.head.Counts()
-	d.log.Info("belief", "version", s.feed.Version(), "lists", s.feed.Lists, "lag", n.Lag, "clients", n.Clients,
+	d.log.Info("belief", "version", s.feed.Status().Version, "lists", s.feed.Status().Lists, "lag", n.Lag, "clients", n.Clients,
 		"node_connections", n.NodeConns, "taken", n.Taken, "served", n.Served, "refused", n.Refused, "failed", n.Failed, "left", n.Left)
 	for i, v := range d.head.View() {
 		if i == comparedMost {
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -12,75 +12,6 @@
 	"maddergap/logic"
 )
 
-const start = 24 * time.Hour
-
-// rig drives a client and plays discovery.
-type rig struct {
-	t      *testing.T
-	c      *Client
-	now    Time
-	next   Time
-	dials  []string
-	asked  string // written and not answered
-	open   bool
-	closed int
-}
-
-func newRig(t *testing.T) *rig {
-	r := &rig{t: t, c: New("10.0.0.1:1", []string{"z0", "z1"}, false, 1), now: start}
-	r.run()
-	return r
-}
-
-func (r *rig) run() {
-	for range 100 {
-		op, next := r.c.Step(r.now)
-		switch r.next = next; {
-		case op.Dial != "":
-			if r.open {
-				r.t.Fatal("dials while it has a connection")
-			}
-			r.dials, r.open, r.asked = append(r.dials, op.Dial), true, ""
-			r.c.Connected(r.now)
-		case op.Close:
-			r.open, r.asked = false, ""
-			r.closed++
-		case len(op.Write) > 0:
-			r.asked, _, _ = strings.Cut(string(op.Write), "\r\n")
-		default:
-			return
-		}
-	}
-	r.t.Fatal("never at rest")
-}
-
-// pass lets time go by.
-func (r *rig) pass(d time.Duration) {
-	for end := r.now + d; r.now < end; {
-		r.now = max(min(end, r.next), r.now+time.Microsecond)
-		r.run()
-	}
-}
-
-// answer sends a list in pieces of n bytes.
-func (r *rig) answer(text string, n int) {
-	b := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
-	for len(b) > 0 && r.open {
-		k := min(n, len(b))
-		r.c.Data(r.now, []byte(b[:k]))
-		b = b[k:]
-		r.run()
-	}
-}
-
-func list(index int, whole bool, entries ...string) string {
-	return fmt.Sprintf(`{"index":%d,"snapshot":%v,"endpoints":[%s]}`, index, whole, strings.Join(entries, ","))
-}
-
-func entry(name, status string) string {
-	return fmt.Sprintf(`{"name":%q,"address":"10.0.0.9:1","zone":"z1","type":"x","group":2,"status":%q,"weight":1.0,"since_ms":1700000000123}`, name, status)
-}
-
 func TestWholeListThenWatches(t *testing.T) {
 	for _, n := range []int{1, 7, 1 << 20} {
 		r := newRig(t)
@@ -93,7 +24,7 @@
 		if !ok || !full || len(nodes) != 2 || nodes[0] != want || nodes[1].State != logic.Draining {
 			t.Fatalf("%v %v %+v", ok, full, nodes)
 		}
-		if r.asked != "GET /api/targets?from=41&hold_ms=2000 HTTP/1.1" {
+		if r.asked != "GET /api/targets?from=41&hold_ms=120 HTTP/1.1" {
 			t.Fatalf("asked %q next, and not at once", r.asked)
 		}
 		r.answer(list(43, false, entry("a", "removed")), n)
@@ -107,54 +38,71 @@
 	}
 }
 
-// Whatever cannot be used leaves the list in force; the whole list is asked for again,
-// on a new connection, after a pause that is bounded.
+// Whatever cannot be used leaves the list in force, and another call is made on a new
+// connection within the bound. A list that is spoilt is asked for whole; what was silent,
+// refused or broken, by the version that is known.
 func TestWhatCannotBeUsed(t *testing.T) {
-	answers := map[string]func(r *rig){
-		"silence":      func(r *rig) { r.pass(pushed.hold + pushed.watch) },
-		"closed":       func(r *rig) { r.open = false; r.c.Closed(r.now) },
-		"noise":        func(r *rig) { r.c.Data(r.now, []byte("\x00\x01\r\n\r\n")) },
-		"endless head": func(r *rig) { r.c.Data(r.now, []byte("HTTP/1.1 200 OK\r\nX: "+strings.Repeat("a", 20<<10))) },
-		"other status": func(r *rig) { r.c.Data(r.now, []byte("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")) },
-		"huge":         func(r *rig) { r.c.Data(r.now, []byte("HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n")) },
-		"not json":     func(r *rig) { r.answer(`{"index":`, 99) },
-		"no index":     func(r *rig) { r.answer(`{"snapshot":true,"endpoints":[]}`, 99) },
-		"goes back":    func(r *rig) { r.answer(list(3, false, entry("c", "up")), 99) },
-		"empties all":  func(r *rig) { r.answer(list(50, true), 99) },
-		"no name":      func(r *rig) { r.answer(list(50, false, entry("", "up")), 99) },
-		"bad address": func(r *rig) {
+	const whole, changes = "GET /api/targets HTTP/1.1", "GET /api/targets?from=41&hold_ms=0 HTTP/1.1"
+	tests := []struct {
+		name  string
+		spoil func(r *rig)
+		next  string
+	}{
+		{"silence", func(r *rig) { r.pass(pushed.every) }, changes},
+		{"silence in the answer", func(r *rig) { r.data(r.conn, response(list(42, true))[:60]); r.pass(answering) }, changes},
+		{"closed", func(r *rig) { r.lose(r.conn) }, changes},
+		{"closed in the answer", func(r *rig) { r.data(r.conn, response(list(42, true))[:60]); r.lose(r.conn) }, changes},
+		{"refused", func(r *rig) { r.data(r.conn, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n") }, changes},
+		{"noise", func(r *rig) { r.data(r.conn, "\x00\x01\r\n\r\n") }, whole},
+		{"endless head", func(r *rig) { r.data(r.conn, "HTTP/1.1 200 OK\r\nX: "+strings.Repeat("a", 20<<10)) }, whole},
+		{"other status", func(r *rig) { r.data(r.conn, "HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n") }, whole},
+		{"huge", func(r *rig) { r.data(r.conn, "HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n") }, whole},
+		{"endless list", func(r *rig) {
+			r.data(r.conn, "HTTP/1.1 200 OK\r\n\r\n"+`{"endpoints":[`)
+			for range 1000 {
+				r.data(r.conn, strings.Repeat(" ", 8<<10))
+			}
+		}, whole},
+		{"not json", func(r *rig) { r.answer(`{"index":`, 99) }, whole},
+		{"no index", func(r *rig) { r.answer(`{"snapshot":true,"endpoints":[]}`, 99) }, whole},
+		{"goes back", func(r *rig) { r.answer(list(3, false, entry("c", "up")), 99) }, whole},
+		{"empties all", func(r *rig) { r.answer(list(50, true), 99) }, whole},
+		{"no name", func(r *rig) { r.answer(list(50, false, entry("", "up")), 99) }, whole},
+		{"not an object", func(r *rig) { r.answer(list(50, false, "7"), 99) }, whole},
+		{"no array", func(r *rig) { r.answer(`{"index":50,"snapshot":false,"endpoints":{"a":[]}}`, 99) }, whole},
+		{"bad address", func(r *rig) {
 			r.answer(strings.Replace(list(50, false, entry("c", "up")), "10.0.0.9:1", "there", 1), 99)
-		},
-		"bad time": func(r *rig) {
+		}, whole},
+		{"bad time", func(r *rig) {
 			r.answer(strings.Replace(list(50, false, entry("c", "up")), "1700000000123", "-1", 1), 99)
-		},
-		"more than one": func(r *rig) { r.c.Data(r.now, []byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}{}")) },
+		}, whole},
+		{"more than one", func(r *rig) { r.data(r.conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}{}") }, whole},
 	}
-	for name, spoil := range answers {
+	for _, c := range tests {
 		r := newRig(t)
 		r.answer(list(41, true, entry("a", "up")), 99)
 		r.c.List()
 		for range 20 { // again and again
-			before := len(r.dials)
-			spoil(r)
+			before, conn := len(r.dials), r.conn
+			c.spoil(r)
 			r.run()
 			if _, _, ok := r.c.List(); ok {
-				t.Fatalf("%s: is news", name)
+				t.Fatalf("%s: is news", c.name)
 			}
-			r.pass(2 * pushed.backoffMax)
-			if len(r.dials) == before || len(r.dials) > before+40 {
-				t.Fatalf("%s: %d dials more within %v", name, len(r.dials)-before, 2*pushed.backoffMax)
+			r.pass(2 * pushed.every)
+			if len(r.dials) == before || len(r.dials) > before+40 || r.conn == conn {
+				t.Fatalf("%s: %d dials more within %v", c.name, len(r.dials)-before, 2*pushed.every)
 			}
-			if r.asked != "GET /api/targets HTTP/1.1" {
-				t.Fatalf("%s: then asked %q", name, r.asked)
+			if r.asked != c.next {
+				t.Fatalf("%s: then asked %q", c.name, r.asked)
 			}
-			if r.c.Fault == nil {
-				t.Fatalf("%s: no fault is told", name)
+			if r.c.Status().Fault == nil && r.c.Status().GivenUp == 0 && len(r.calls) < 2 {
+				t.Fatalf("%s: no fault is told", c.name)
 			}
 			r.answer(list(41, true, entry("a", "up")), 99)
 			r.c.List()
-			if r.c.Fault != nil {
-				t.Fatalf("%s: %v is told after a good list", name, r.c.Fault)
+			if fault := r.c.Status().Fault; fault != nil || len(r.open) != 1 {
+				t.Fatalf("%s: %v is told after a good list, %d connections", c.name, fault, len(r.open))
 			}
 		}
 	}
@@ -178,7 +126,7 @@
 		t.Fatal("a move to where it is")
 	}
 	r.c.Move(r.now, "10.0.0.2:2")
-	if r.run(); len(r.dials) != 2 || r.dials[1] != "10.0.0.2:2" || r.closed != 1 || r.asked != "GET /api/targets HTTP/1.1" {
+	if r.run(); len(r.dials) != 2 || r.dials[1] != "10.0.0.2:2" || r.closed != 1 || len(r.open) != 1 || r.asked != "GET /api/targets HTTP/1.1" {
 		t.Fatalf("%v, closed %d, asked %q", r.dials, r.closed, r.asked)
 	}
 	r.answer(list(2, true, entry("a", "up")), 99) // its versions are its own
@@ -192,7 +140,7 @@
 // discovery had is known well within the 6 s after which it counts as told, also where
 // three calls in a row come to nothing behind a watch that was silent from its start.
 func TestKnownBeforeItCounts(t *testing.T) {
-	const counts, room = 6 * time.Second, 500 * time.Millisecond
+	const bound = time.Second
 	worst := Time(0)
 	for seed := range uint64(2000) {
 		draw := rand.New(rand.NewPCG(seed, 1))
@@ -210,31 +158,31 @@
 			case op.Dial != "":
 				switch fault {
 				case 0: // refused
-					c.Closed(now)
+					c.Closed(now, op.Conn)
 					faults++
 				case 1: // it never comes up
 					faults++
 				default:
-					c.Connected(now)
+					c.Connected(now, op.Conn)
 				}
 			case len(op.Write) > 0:
 				watch := strings.Contains(string(op.Write), "from=")
-				whole := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(list(42, true, entry("a", "up"))), list(42, true, entry("a", "up")))
+				whole := response(list(42, true, entry("a", "up")))
 				switch {
 				case watch && silentFrom == 0:
 					silentFrom = now
-					c.Data(now, []byte(whole[:draw.IntN(len(whole))])) // and no more
+					c.Data(now, op.Conn, []byte(whole[:draw.IntN(len(whole))])) // and no more
 				case fault < 2:
-					c.Data(now, []byte(whole))
+					c.Data(now, op.Conn, []byte(whole))
 					had = silentFrom > 0
 				case fault == 2: // silent, or in its middle
-					c.Data(now, []byte(whole[:draw.IntN(len(whole))]))
+					c.Data(now, op.Conn, []byte(whole[:draw.IntN(len(whole))]))
 					faults++
 				case fault == 3:
-					c.Closed(now)
+					c.Closed(now, op.Conn)
 					faults++
 				default:
-					c.Data(now, []byte("HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n"))
+					c.Data(now, op.Conn, []byte("HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n"))
 					faults++
 				}
 			default:
@@ -243,32 +191,115 @@
 		}
 		worst = max(worst, now-silentFrom)
 	}
-	if worst > counts-room {
-		t.Errorf("known %v after it was to be had, want %v at most", worst, counts-room)
+	if worst > bound {
+		t.Errorf("known %v after it was to be had, want %v at most", worst, bound)
 	}
 	t.Logf("the worst of 2,000 histories: %v", worst)
 }
 
-// After a long silence the client is not long between two calls: what the agent gets when
-// it is back counts at once, and clients are told of a drain no later than its grace.
-func TestShortPausesAfterALongSilence(t *testing.T) {
-	for seed := range uint64(50) {
-		c := New("10.0.0.1:1", nil, false, seed)
-		now, closed := start, Time(0)
-		for now < start+20*time.Second {
-			op, next := c.Step(now)
-			switch {
-			case op.Close:
-				closed = now
-			case op.Dial != "":
-				if gap := now - closed; closed > 0 && gap > 300*time.Millisecond {
-					t.Fatalf("%v between two calls", gap)
+// An agent falls silent for a span of any length, at any phase of a watch, also from the
+// first call of a new process and behind a move; it answers only calls that begin after its
+// return. The list is had within the age that the newest call may have, whatever the
+// outage's length, at a bounded number of connections and calls.
+func TestListAfterAnyOutage(t *testing.T) {
+	worst := Time(0)
+	for seed := range uint64(2000) {
+		draw := rand.New(rand.NewPCG(seed, 2))
+		r := rigOf(t, New("10.0.0.1:1", []string{"z0", "z1"}, false, seed))
+		down, back := Time(0), Time(0)
+		serve := func(conn int, path string) {
+			if down > 0 && back == 0 {
+				return // silent for good
+			}
+			delete(r.calls, conn)
+			r.data(conn, response(list(41, true, entry("a", "up"))))
+		}
+		switch draw.IntN(3) {
+		case 0: // a new process
+			down = start
+		case 1: // discovery moves
+			r.onCall = serve
+			serve(r.conn, r.asked)
+			r.pass(Time(draw.IntN(500)) * time.Millisecond)
+			down = r.now
+			r.c.Move(r.now, "10.0.0.2:2")
+			r.run()
+		default:
+			r.onCall = serve
+			serve(r.conn, r.asked)
+			r.pass(Time(draw.IntN(500)) * time.Millisecond)
+			down = r.now
+		}
+		r.onCall = serve
+		r.c.List()
+		calls := r.c.Status().Calls
+		length := Time(1+draw.IntN(10_000_000)) * time.Microsecond
+		r.pass(length)
+		if made := r.c.Status().Calls - calls; made > 8+int(length/pushed.every) {
+			t.Fatalf("seed %d: %d calls within %v of an outage", seed, made, length)
+		}
+		back = r.now
+		for had := false; !had; {
+			if r.now > back+time.Second {
+				t.Fatalf("seed %d: no list within 1 s after an outage of %v", seed, length)
+			}
+			r.now = max(r.next, r.now+time.Microsecond)
+			r.run()
+			_, _, had = r.c.List()
+		}
+		worst = max(worst, r.now-back)
+		if r.most > pushed.most {
+			t.Fatalf("seed %d: %d connections at a time", seed, r.most)
+		}
+	}
+	if worst > pushed.every+time.Millisecond {
+		t.Errorf("the list was had %v after the return, want %v at most", worst, pushed.every)
+	}
+}
+
+// An agent that is slow, up to the time for an answer, is not pressed on to no effect: its
+// answers are had, one after the other.
+func TestSlowAgentIsWaitedFor(t *testing.T) {
+	for _, takes := range []Time{150 * time.Millisecond, 400 * time.Millisecond, 900 * time.Millisecond, 1900 * time.Millisecond} {
+		r := newRig(t)
+		due := map[int]Time{r.conn: r.now + takes}
+		r.onCall = func(conn int, _ string) { due[conn] = r.now + takes }
+		index, lists := 40, 0
+		for end := r.now + 20*time.Second; r.now < end; {
+			r.pass(5 * time.Millisecond)
+			for conn, at := range due {
+				if !r.open[conn] {
+					delete(due, conn)
+				} else if r.now >= at {
+					index++
+					delete(due, conn)
+					delete(r.calls, conn)
+					r.data(conn, response(list(index, true, entry("a", "up"))))
+					r.run()
 				}
-				c.Connected(now)
-			case len(op.Write) == 0:
-				now = max(next, now+time.Microsecond)
+			}
+			if _, _, ok := r.c.List(); ok {
+				lists++
 			}
 		}
+		if least := int(20*time.Second/(takes+spacing))/2 - 1; lists < least {
+			t.Errorf("answers take %v: %d lists within 20 s, want %d at least", takes, lists, least)
+		}
+	}
+}
+
+// Discovery that answers watches at once though nothing changed is not asked without end.
+func TestWatchesAreSpaced(t *testing.T) {
+	r := newRig(t)
+	r.onCall = func(conn int, _ string) {
+		delete(r.calls, conn)
+		r.data(conn, response(list(41, false)))
+	}
+	r.answer(list(41, true, entry("a", "up")), 1<<20)
+	before := r.c.Status().Calls
+	r.pass(time.Second)
+	if made := r.c.Status().Calls - before; made > int(time.Second/spacing)+1 {
+		t.Errorf("%d calls within a second", made)
 	}
 }
 
@@ -282,9 +313,9 @@
 		var told []string
 		for _, n := range []int{n, len(b) + 1} {
 			r := newRig(t)
-			for p := b; len(p) > 0 && r.open; {
+			for conn, p := r.conn, b; len(p) > 0 && r.open[conn]; {
 				k := min(n, len(p))
-				r.c.Data(r.now, p[:k])
+				r.data(conn, string(p[:k]))
 				p = p[k:]
 			}
 			nodes, full, ok := r.c.List()
@@ -312,17 +343,20 @@
 		now, refusals := start, 0
 		var calls []string
 		var answerAt, counts Time
-		answer := list(42, true, entry("a", "up"))
+		answer, conn := list(42, true, entry("a", "up")), 0
 		for had := 0; had < 2; {
 			op, next := c.Step(now)
 			path, _, _ := strings.Cut(string(op.Write), " HTTP")
+			if path != "" {
+				conn = op.Conn
+			}
 			switch {
 			case op.Close:
 				if answerAt > 0 {
 					t.Fatalf("a call is given up %v before its answer", answerAt-now)
 				}
 			case op.Dial != "":
-				c.Connected(now)
+				c.Connected(now, op.Conn)
 			case strings.Contains(path, "hold_ms=") && !strings.HasSuffix(path, "hold_ms=0"): // no answer ever
 				var hold int
 				fmt.Sscanf(path[strings.Index(path, "hold_ms="):], "hold_ms=%d", &hold)
@@ -331,13 +365,13 @@
 			case path != "":
 				if calls = append(calls, path); refusals < 2 {
 					refusals++
-					c.Data(now, []byte(busy))
+					c.Data(now, op.Conn, []byte(busy))
 				} else if answerAt = now + 1900*time.Millisecond; had > 0 {
 					answerAt = now + 1200*time.Millisecond
 				}
 			case answerAt > 0 && next >= answerAt:
 				now, answerAt = answerAt, 0
-				c.Data(now, fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(answer), answer))
+				c.Data(now, conn, []byte(response(answer)))
 				if had++; had == 2 && now > counts {
 					t.Fatalf("known %v after it counted", now-counts)
 				}
@@ -352,18 +386,18 @@
 		}
 		// A watch that is turned away is asked for again, and not the whole list; and for 10 s
 		// of it the client does not press on.
-		c.Data(now, nil)
+		c.Data(now, conn, nil)
 		turned := 0
 		for end := now + 10*time.Second; now < end; {
 			switch op, next := c.Step(now); {
 			case op.Close:
 			case op.Dial != "":
-				c.Connected(now)
+				c.Connected(now, op.Conn)
 			case len(op.Write) > 0:
 				if turned++; !strings.Contains(string(op.Write), "from=43&hold_ms=1") {
 					t.Fatalf("then asked %q", op.Write)
 				}
-				c.Data(now, []byte(busy))
+				c.Data(now, op.Conn, []byte(busy))
 			default:
 				now = max(next, now+time.Microsecond)
 			}
@@ -380,16 +414,16 @@
 	for _, n := range []int{1, 1 << 20} {
 		r := newRig(t)
 		for p := more; len(p) > 0; p = p[min(n, len(p)):] {
-			r.c.Data(r.now, []byte(p[:min(n, len(p))]))
+			r.data(r.conn, p[:min(n, len(p))])
 		}
 		r.answer(list(41, true, entry("a", "up")), n)
 		if _, full, ok := r.c.List(); !full || !ok || len(r.dials) != 1 {
-			t.Fatalf("no list behind 1xx: %v", r.c.Fault)
+			t.Fatalf("no list behind 1xx: %v", r.c.Status().Fault)
 		}
 	}
 	r := newRig(t)
-	r.c.Data(r.now, []byte(strings.Repeat(more, 20)))
-	if r.run(); r.c.Fault == nil {
+	r.data(r.conn, strings.Repeat(more, 20))
+	if r.run(); r.c.Status().Fault == nil {
 		t.Error("1xx without end")
 	}
 }
--- a/internal/head/conn.go
+++ b/internal/head/conn.go
@@ -52,7 +52,8 @@
 	content   http1.Body
 	inBody    bool
 	interim   int  // 1xx answers that came
-	feed      bool // the connection to whoever tells the node list
+	feed      bool // a connection to whoever tells the node list
+	feedConn  int  // as the feed numbers it
 }
 
 // pace is how a body or an answer moves.
@@ -266,7 +267,7 @@
 		return
 	}
 	if c.feed {
-		h.feed.Data(h.now, p)
+		h.feeding.feed.Data(h.now, c.feedConn, p)
 		return
 	}
 	if len(c.in) > 0 {
--- /dev/null
+++ b/internal/head/feed.go
@@ -0,0 +1,89 @@
+package head
+
+import "maddergap/internal/nodelist"
+
+// Feed is a client of whoever tells the node list, driven by the head: bytes and
+// clock readings in, bytes and lists out. It numbers its connections itself.
+type Feed interface {
+	// Step tells what is to be done next, and when to ask again.
+	Step(now Time) (FeedOp, Time)
+	Connected(now Time, conn int)
+	Data(now Time, conn int, p []byte)
+	Closed(now Time, conn int)
+	// List returns the news since it was last asked for; full: the whole list.
+	List() (nodes []nodelist.Node, full, ok bool)
+}
+
+// FeedOp is what a feed wants done: a connection made, bytes written to it, or it closed.
+type FeedOp struct {
+	Conn  int
+	Dial  string
+	Write []byte
+	Close bool
+}
+
+// feeding is a feed and the connections it has.
+type feeding struct {
+	feed  Feed // nil: the node list is told
+	conns map[int]*conn
+}
+
+// Follow has the node list come from a feed.
+func (h *Head) Follow(f Feed) { h.feeding = feeding{feed: f, conns: map[int]*conn{}} }
+
+// advanceFeed lets the feed go on, and returns when it is to be asked again.
+func (h *Head) advanceFeed() Time {
+	f := &h.feeding
+	if f.feed == nil {
+		return never
+	}
+	for {
+		if nodes, full, ok := f.feed.List(); ok {
+			h.members(nodes, full)
+		}
+		op, next := f.feed.Step(h.now)
+		c := f.conns[op.Conn]
+		switch {
+		case op.Dial != "":
+			h.dialFeed(op)
+		case op.Close:
+			delete(f.conns, op.Conn)
+			if c != nil {
+				h.drop(c, Close)
+			}
+		case len(op.Write) > 0:
+			if c != nil {
+				h.writeFeed(c, op.Write)
+			}
+		default:
+			return next
+		}
+	}
+}
+
+func (h *Head) dialFeed(op FeedOp) {
+	c := h.newConn()
+	c.feed, c.feedConn = true, op.Conn
+	h.feeding.conns[op.Conn] = c
+	h.acts = append(h.acts, Action{Op: Dial, Conn: c.id, Addr: op.Dial})
+}
+
+func (h *Head) writeFeed(c *conn, p []byte) {
+	if c.out == nil {
+		c.out = h.buffer()
+	}
+	c.out = append(c.out, p...)
+	h.flush(c)
+}
+
+func (h *Head) feedClosed(c *conn, open bool) {
+	if open {
+		h.drop(c, Close)
+	} else {
+		h.forget(c, false)
+	}
+	if h.feeding.conns[c.feedConn] == c {
+		delete(h.feeding.conns, c.feedConn)
+		h.feeding.feed.Closed(h.now, c.feedConn)
+	}
+}
--- a/internal/head/head.go
+++ b/internal/head/head.go
@@ -120,23 +120,22 @@
 
 // Head is one head. It is not safe for concurrent use.
 type Head struct {
-	c        *conf.Config
-	t        *route.Table
-	adm      *admit.Admission
-	core     Core
-	way      way
-	feed     Feed // nil: the node list is told
-	feedConn *conn
-	obs      Observer
-	tag      uint32
-	rand     *rand.Rand
-	origin   time.Time
-	now      Time
-	date     []byte // the Date field of the second dateOf
-	dateOf   int64
-	events   []logic.Event
-	acts     []Action
-	spare    []Action
+	c       *conf.Config
+	t       *route.Table
+	adm     *admit.Admission
+	core    Core
+	way     way
+	feeding feeding
+	obs     Observer
+	tag     uint32
+	rand    *rand.Rand
+	origin  time.Time
+	now     Time
+	date    []byte // the Date field of the second dateOf
+	dateOf  int64
+	events  []logic.Event
+	acts    []Action
+	spare   []Action
 
 	slots []*conn
 	gens  []uint32
@@ -379,7 +378,7 @@
 		h.wakeAt = never
 		h.events = append(h.events, logic.Wake{})
 	}
-	feedNext := h.feedOn()
+	feedNext := h.advanceFeed()
 	for len(h.events) > 0 || len(h.ready) > 0 {
 		for len(h.ready) > 0 {
 			c := h.ready[len(h.ready)-1]
--- a/internal/head/node.go
+++ b/internal/head/node.go
@@ -118,7 +118,7 @@
 	}
 	c.connected = true
 	if c.feed {
-		h.feed.Connected(h.now)
+		h.feeding.feed.Connected(h.now, c.feedConn)
 		return
 	}
 	if c.at != nil && h.overdue(c) {
--- a/internal/head/way.go
+++ b/internal/head/way.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"maddergap/internal/http1"
-	"maddergap/internal/nodelist"
 	"maddergap/logic"
 )
 
@@ -165,69 +164,3 @@
 		w.p.Closed(ex.ask.ID, o)
 	}
 }
-
-// Feed is a client of whoever tells the node list, driven by the head: bytes and
-// clock readings in, bytes and lists out.
-type Feed interface {
-	// Step tells what is to be done next on its one connection, and when to ask again.
-	Step(now Time) (FeedOp, Time)
-	Connected(now Time)
-	Data(now Time, p []byte)
-	Closed(now Time)
-	// List returns the news since it was last asked for; full: the whole list.
-	List() (nodes []nodelist.Node, full, ok bool)
-}
-
-// FeedOp is what a feed wants done: a connection, bytes written, or the connection closed.
-type FeedOp struct {
-	Dial  string
-	Write []byte
-	Close bool
-}
-
-// Follow has the node list come from a feed.
-func (h *Head) Follow(f Feed) { h.feed = f }
-
-// feedOn lets the feed go on, and returns when it is to be asked again.
-func (h *Head) feedOn() Time {
-	if h.feed == nil {
-		return never
-	}
-	for {
-		if nodes, full, ok := h.feed.List(); ok {
-			h.members(nodes, full)
-		}
-		op, next := h.feed.Step(h.now)
-		c := h.feedConn
-		switch {
-		case op.Close && c != nil:
-			h.feedConn = nil
-			h.drop(c, Close)
-		case op.Dial != "":
-			c = h.newConn()
-			c.feed = true
-			h.feedConn = c
-			h.acts = append(h.acts, Action{Op: Dial, Conn: c.id, Addr: op.Dial})
-		case len(op.Write) > 0 && c != nil:
-			if c.out == nil {
-				c.out = h.buffer()
-			}
-			c.out = append(c.out, op.Write...)
-			h.flush(c)
-		default:
-			return next
-		}
-	}
-}
-
-func (h *Head) feedClosed(c *conn, open bool) {
-	if open {
-		h.drop(c, Close)
-	} else {
-		h.forget(c, false)
-	}
-	if h.feedConn == c {
-		h.feedConn = nil
-		h.feed.Closed(h.now)
-	}
-}
