Membership: a list costs by what changed, and starts hold against stepped clocks

Confirmed by reading and benchmark: the module looked each entry of a list up by a scan over all nodes, woke and regrouped all; a whole list was decoded and applied in one turn. A node's start was placed by the wall clock at the head's start, so that a clock an hour ahead makes a node that has just come back a warm one (rule failback).

Change: internal/membership (pure) holds the list in force and tells the module what changed. A start that the head was notified of lies between the list before, less 2 s, and now, whatever the wall clock; one in the future is now. What stood on the first list is taken by the wall clock, said in the code. The module finds nodes by name and looks at those alone that have work; the head finds its oldest kept connection without a walk over nodes. Changes of the list are logged.

--- a/internal/daemon/observer.go
+++ b/internal/daemon/observer.go
@@ -22,6 +22,7 @@
 	"maddergap/internal/admit"
 	"maddergap/internal/conf"
 	"maddergap/internal/head"
+	"maddergap/internal/membership"
 	"maddergap/logic"
 )
 
@@ -173,6 +174,27 @@
 	o.untold = 0
 }
 
+// membersNamed is how many nodes a line about a change of the list names.
+const membersNamed = 8
+
+var stateNames = map[logic.NodeState]string{logic.Serving: "serving", logic.Draining: "draining", logic.Gone: "gone"}
+
+// Members logs what changed of the node list: how many nodes by their new state, and the
+// first of them by name.
+func (o *observer) Members(changes []membership.Change) {
+	counts := map[logic.NodeState]int{}
+	var named []string
+	for i := range changes {
+		e := &changes[i].Entry
+		counts[e.State]++
+		if len(named) < membersNamed {
+			named = append(named, e.Node+" "+stateNames[e.State])
+		}
+	}
+	o.log.LogAttrs(context.Background(), slog.LevelInfo, "members changed", slog.Int("serving", counts[logic.Serving]),
+		slog.Int("draining", counts[logic.Draining]), slog.Int("gone", counts[logic.Gone]), slog.Any("first", named))
+}
+
 var outcomes = map[logic.Outcome]string{logic.OK: "ok", logic.Failed: "failed", logic.Full: "full", logic.TimedOut: "timed out",
 	logic.ConnectFailed: "no connection", logic.Reset: "reset", logic.Cancelled: "cancelled", logic.Moot: "not sent"}
 
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -17,7 +17,7 @@
 	"time"
 
 	"maddergap/internal/head"
-	"maddergap/internal/nodelist"
+	"maddergap/internal/membership"
 )
 
 // Time is a clock reading.
@@ -41,8 +41,7 @@
 	version int64
 	known   bool // a whole list was had on this address
 	behind  bool // a call was silent since, and what it had may be missing
-	news    []nodelist.Node
-	full    bool
+	news    membership.News
 	have    bool // news
 	status  Status
 }
@@ -328,20 +327,20 @@
 		return nil
 	}
 	if a.snapshot {
-		c.news, c.full = nil, true
+		c.news.Nodes, c.news.Full = nil, true
 	}
-	c.news, c.have = append(c.news, a.nodes...), true
+	if !c.have {
+		c.news.Before = c.status.LastAnswer
+	}
+	c.news.Nodes, c.have = append(c.news.Nodes, a.nodes...), true
 	return nil
 }
 
 // List returns the news since the last call.
-func (c *Client) List() (nodes []nodelist.Node, full, ok bool) {
-	if !c.have {
-		return nil, false, false
-	}
-	nodes, full = c.news, c.full
-	c.news, c.full, c.have = nil, false, false
-	return nodes, full, true
+func (c *Client) List() (news membership.News, ok bool) {
+	news, ok = c.news, c.have
+	c.news, c.have = membership.News{}, false
+	return news, ok
 }
 
 // Told tells whether a whole list was had.
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -19,7 +19,8 @@
 			t.Fatalf("asked %q first", r.asked)
 		}
 		r.answer(list(41, true, entry("a", "up"), entry("b", "draining")), n)
-		nodes, full, ok := r.c.List()
+		news, ok := r.c.List()
+		nodes, full := news.Nodes, news.Full
 		want := nodelist.Node{Name: "a", Addr: "10.0.0.9:1", Zone: 1, Shard: 2, Started: time.UnixMilli(1700000000123)}
 		if !ok || !full || len(nodes) != 2 || nodes[0] != want || nodes[1].State != logic.Draining {
 			t.Fatalf("%v %v %+v", ok, full, nodes)
@@ -28,11 +29,11 @@
 			t.Fatalf("asked %q next, and not at once", r.asked)
 		}
 		r.answer(list(43, false, entry("a", "removed")), n)
-		if nodes, full, ok = r.c.List(); !ok || full || len(nodes) != 1 || nodes[0].State != logic.Gone {
-			t.Fatalf("%v %v %+v", ok, full, nodes)
+		if news, ok = r.c.List(); !ok || news.Full || len(news.Nodes) != 1 || news.Nodes[0].State != logic.Gone {
+			t.Fatalf("%v %+v", ok, news)
 		}
 		r.answer(list(43, false), n)
-		if _, _, ok = r.c.List(); ok || !strings.Contains(r.asked, "from=43") {
+		if _, ok = r.c.List(); ok || !strings.Contains(r.asked, "from=43") {
 			t.Fatalf("news of no change, or no further watch: %q", r.asked)
 		}
 	}
@@ -86,7 +87,7 @@
 			before, conn := len(r.dials), r.conn
 			c.spoil(r)
 			r.run()
-			if _, _, ok := r.c.List(); ok {
+			if _, ok := r.c.List(); ok {
 				t.Fatalf("%s: is news", c.name)
 			}
 			r.pass(2 * pushed.every)
@@ -111,7 +112,8 @@
 func TestUnknownWordsAreTakenCalmly(t *testing.T) {
 	r := newRig(t)
 	r.answer(list(1, true, entry("a", "resting"), strings.Replace(entry("b", "up"), "z1", "moon", 1)), 99)
-	nodes, _, ok := r.c.List()
+	news, ok := r.c.List()
+	nodes := news.Nodes
 	if !ok || nodes[0].State != logic.Draining || nodes[1].Zone != 2 {
 		t.Errorf("%v %+v", ok, nodes)
 	}
@@ -130,7 +132,7 @@
 		t.Fatalf("%v, closed %d, asked %q", r.dials, r.closed, r.asked)
 	}
 	r.answer(list(2, true, entry("a", "up")), 99) // its versions are its own
-	if _, full, ok := r.c.List(); !ok || !full {
+	if news, ok := r.c.List(); !ok || !news.Full {
 		t.Error("the new address is not followed")
 	}
 }
@@ -245,7 +247,7 @@
 			}
 			r.now = max(r.next, r.now+time.Microsecond)
 			r.run()
-			_, _, had = r.c.List()
+			_, had = r.c.List()
 		}
 		worst = max(worst, r.now-back)
 		if r.most > pushed.most {
@@ -278,7 +280,7 @@
 					r.run()
 				}
 			}
-			if _, _, ok := r.c.List(); ok {
+			if _, ok := r.c.List(); ok {
 				lists++
 			}
 		}
@@ -318,8 +320,8 @@
 				r.data(conn, string(p[:k]))
 				p = p[k:]
 			}
-			nodes, full, ok := r.c.List()
-			told = append(told, fmt.Sprint(nodes, full, ok))
+			news, ok := r.c.List()
+			told = append(told, fmt.Sprint(news, ok))
 			r.pass(10 * time.Second)
 			if !strings.HasPrefix(r.asked, "GET /api/targets") && len(r.dials) < 2 {
 				t.Fatalf("%q: it went to sleep", b)
@@ -417,7 +419,7 @@
 			r.data(r.conn, p[:min(n, len(p))])
 		}
 		r.answer(list(41, true, entry("a", "up")), n)
-		if _, full, ok := r.c.List(); !full || !ok || len(r.dials) != 1 {
+		if news, ok := r.c.List(); !news.Full || !ok || len(r.dials) != 1 {
 			t.Fatalf("no list behind 1xx: %v", r.c.Status().Fault)
 		}
 	}
--- a/internal/head/conn.go
+++ b/internal/head/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"container/list"
 	"net/netip"
 	"time"
 
@@ -46,8 +47,9 @@
 	started   Time
 	at        *attempt // under way
 	connected bool
-	used      bool // it carried a request before
-	parked    Time // when it was kept last
+	used      bool          // it carried a request before
+	parked    Time          // when it was kept last
+	idle      *list.Element // among Head.kept, nil: it is not kept
 	resp      http1.Response
 	content   http1.Body
 	inBody    bool
@@ -156,6 +158,9 @@
 	case c.feed:
 	case c.node != nil:
 		c.node.conns--
+		if n := c.node; n.conns == 0 && !n.listed && h.nodes[n.name] == n {
+			delete(h.nodes, n.name)
+		}
 		h.counts.NodeConns--
 	default:
 		h.counts.Clients--
--- a/internal/head/feed.go
+++ b/internal/head/feed.go
@@ -1,6 +1,6 @@
 package head
 
-import "maddergap/internal/nodelist"
+import "maddergap/internal/membership"
 
 // Feed is a client of whoever tells the node list, driven by the head: bytes and
 // clock readings in, bytes and lists out. It numbers its connections itself.
@@ -10,8 +10,8 @@
 	Connected(now Time, conn int)
 	Data(now Time, conn int, p []byte)
 	Closed(now Time, conn int)
-	// List returns the news since it was last asked for; full: the whole list.
-	List() (nodes []nodelist.Node, full, ok bool)
+	// List returns the news since it was last asked for.
+	List() (news membership.News, ok bool)
 }
 
 // FeedOp is what a feed wants done: a connection made, bytes written to it, or it closed.
@@ -38,8 +38,8 @@
 		return never
 	}
 	for {
-		if nodes, full, ok := f.feed.List(); ok {
-			h.members(nodes, full)
+		if news, ok := f.feed.List(); ok {
+			h.members(news)
 		}
 		op, next := f.feed.Step(h.now)
 		c := f.conns[op.Conn]
--- a/internal/head/head.go
+++ b/internal/head/head.go
@@ -23,6 +23,7 @@
 
 	"maddergap/internal/admit"
 	"maddergap/internal/conf"
+	"maddergap/internal/membership"
 	"maddergap/internal/nodelist"
 	"maddergap/internal/route"
 	"maddergap/logic"
@@ -98,6 +99,7 @@
 type Observer interface {
 	Request(*Span)
 	Attempt(*Span)
+	Members([]membership.Change)                               // what changed of the node list
 	Turned(client netip.AddrPort, why admit.Reason, told bool) // a connection that was not admitted
 }
 
@@ -146,7 +148,9 @@
 	timers          timers
 	ready           []*conn // clients whose next request may be looked at
 
+	table  *membership.Table
 	nodes  map[string]*node
+	kept   idleList
 	reqs   map[uint64]*exchange
 	lastID uint64
 	wakeAt Time
@@ -172,6 +176,7 @@
 	conns      int     // all connections, dialling ones too
 	listed     bool
 	state      logic.NodeState
+	changed    Time // when the head was notified of this state
 }
 
 const never = Time(math.MaxInt64)
@@ -194,7 +199,7 @@
 	}
 	r := rand.New(rand.NewPCG(seed, 0x6d616464))
 	return &Head{c: c, t: route.NewTable(c, nil), adm: adm, core: core, way: webdav{}, obs: obs, origin: origin, rand: r, tag: r.Uint32(), now: now,
-		nodes: map[string]*node{}, reqs: map[uint64]*exchange{}, wakeAt: never}
+		table: membership.New(origin), nodes: map[string]*node{}, reqs: map[uint64]*exchange{}, wakeAt: never}
 }
 
 // Reload takes a new configuration. What the module was told at start cannot
@@ -221,47 +226,49 @@
 // Nodes tells a new node list.
 func (h *Head) Nodes(now Time, list []nodelist.Node) {
 	h.tick(now)
-	h.members(list, true)
+	h.members(membership.News{Nodes: list, Full: true})
 }
 
-// members tells a node list, or what changed of it.
-func (h *Head) members(list []nodelist.Node, full bool) {
-	l := logic.List{Full: full}
-	if full {
-		for _, n := range h.nodes {
-			n.listed = false
-		}
+// members takes news of the node list and tells the module what changes by it.
+func (h *Head) members(news membership.News) {
+	changes := h.table.Apply(h.now, news)
+	if len(changes) == 0 {
+		return
 	}
-	for _, e := range list {
-		started := Time(0)
-		if !e.Started.IsZero() {
-			started = max(e.Started.Sub(h.origin), 0) // 0: long ago
-		}
-		l.Entries = append(l.Entries, logic.Entry{Node: e.Name, Zone: e.Zone, Shard: e.Shard, State: e.State, Started: started})
-		n := h.nodes[e.Name]
-		if n == nil {
-			n = &node{name: e.Name}
-			h.nodes[e.Name] = n
-		}
-		n.state = e.State
-		if n.listed = e.State != logic.Gone; n.addr != e.Addr || n.started != started {
-			n.addr, n.started = e.Addr, started // what is kept leads elsewhere, or to a life before
-			h.closeIdle(n)
-		}
+	entries := make([]logic.Entry, 0, len(changes))
+	for i := range changes {
+		h.member(&changes[i])
+		entries = append(entries, changes[i].Entry)
 	}
-	for name, n := range h.nodes {
-		if !n.listed {
-			h.closeIdle(n)
-			if n.conns == 0 {
-				delete(h.nodes, name)
-			}
-		}
+	if h.obs != nil {
+		h.obs.Members(changes)
+	}
+	h.events = append(h.events, logic.List{Entries: entries})
+}
+
+// member carries a change of one node out on its connections.
+func (h *Head) member(c *membership.Change) {
+	n := h.nodes[c.Entry.Node]
+	if n == nil {
+		n = &node{name: c.Entry.Node}
+		h.nodes[n.name] = n
+	}
+	if n.state != c.Entry.State || c.Moved {
+		n.changed = h.now
+	}
+	n.state, n.started, n.addr = c.Entry.State, c.Entry.Started, c.Addr
+	n.listed = n.state != logic.Gone
+	if c.Moved || !n.listed { // what is kept leads elsewhere, or to a life before
+		h.closeIdle(n)
+	}
+	if !n.listed && n.conns == 0 {
+		delete(h.nodes, n.name)
 	}
-	h.events = append(h.events, l)
 }
 
 func (h *Head) closeIdle(n *node) {
 	for _, c := range n.idle {
+		h.kept.remove(c)
 		h.drop(c, Close)
 	}
 	n.idle = nil
--- /dev/null
+++ b/internal/head/members_bench_test.go
@@ -0,0 +1,65 @@
+package head
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"maddergap/internal/membership"
+	"maddergap/internal/nodelist"
+	"maddergap/logic"
+)
+
+// memberList is a list of so many nodes, one shard for each four.
+func memberList(size int) []nodelist.Node {
+	nodes := make([]nodelist.Node, size)
+	for i := range nodes {
+		nodes[i] = nodelist.Node{Name: fmt.Sprintf("s-%08x", i), Addr: fmt.Sprintf("10.1.%d.%d:8000", i/250, i%250+1), Zone: i % 3, Shard: i / 4}
+	}
+	return nodes
+}
+
+// BenchmarkMembers is what a list costs the head and the module: the first one, a whole list
+// of which nothing changed, and one node that drains and comes back.
+func BenchmarkMembers(b *testing.B) {
+	settings := logic.Settings{Heads: 300, Classes: []logic.Class{{Name: "read", Aim: 100 * time.Millisecond, Worth: 1}},
+		Plans: []logic.Plan{{Weight: 1, Price: 1}}, MostUnits: 4, MeanUnits: 1}
+	for _, size := range []int{200, 800, 3200} {
+		nodes := memberList(size)
+		fresh := func() *Head {
+			core, err := logic.New(settings, 1, 0)
+			if err != nil {
+				b.Fatal(err)
+			}
+			return &Head{core: core, table: membership.New(time.Time{}), nodes: map[string]*node{}, wakeAt: never}
+		}
+		b.Run(fmt.Sprint("first/", size), func(b *testing.B) {
+			for range b.N {
+				h := fresh()
+				h.Nodes(time.Second, nodes)
+				h.Advance(time.Second)
+			}
+		})
+		b.Run(fmt.Sprint("unchanged/", size), func(b *testing.B) {
+			h := fresh()
+			h.Nodes(time.Second, nodes)
+			h.Advance(time.Second)
+			for range b.N {
+				h.Nodes(time.Second, nodes)
+				h.Advance(time.Second)
+			}
+		})
+		b.Run(fmt.Sprint("one/", size), func(b *testing.B) {
+			h := fresh()
+			h.Nodes(time.Second, nodes)
+			h.Advance(time.Second)
+			one := nodes[size/2 : size/2+1]
+			for i := range b.N {
+				change := []nodelist.Node{one[0]}
+				change[0].State = logic.NodeState(i % 2)
+				h.members(membership.News{Nodes: change})
+				h.Advance(time.Second)
+			}
+		})
+	}
+}
--- a/internal/head/node.go
+++ b/internal/head/node.go
@@ -95,12 +95,7 @@
 	if h.c.NodesConns == 0 || h.counts.NodeConns < h.c.NodesConns {
 		return true
 	}
-	var oldest *conn
-	for _, n := range h.nodes {
-		if len(n.idle) > 0 && (oldest == nil || n.idle[0].deadline < oldest.deadline) {
-			oldest = n.idle[0]
-		}
-	}
+	oldest := h.kept.oldest()
 	if oldest == nil {
 		return false
 	}
@@ -330,10 +325,12 @@
 	h.resume(c)
 	c.parked = h.now
 	c.node.idle = append(c.node.idle, c)
+	h.kept.add(c)
 	h.by(c, h.now+h.c.NodeIdle)
 }
 
 func (h *Head) unpark(c *conn) {
+	h.kept.remove(c)
 	idle := c.node.idle
 	for i, o := range idle {
 		if o == c {
--- a/internal/head/rig_test.go
+++ b/internal/head/rig_test.go
@@ -11,6 +11,7 @@
 
 	"maddergap/internal/admit"
 	"maddergap/internal/conf"
+	"maddergap/internal/membership"
 	"maddergap/internal/nodelist"
 )
 
@@ -54,6 +55,8 @@
 func (r *rig) Request(s *Span) { r.spans = append(r.spans, *s) }
 func (r *rig) Attempt(s *Span) { r.spans = append(r.spans, *s) }
 
+func (r *rig) Members([]membership.Change) {}
+
 func (r *rig) Turned(_ netip.AddrPort, why admit.Reason, _ bool) {
 	r.turned = append(r.turned, why.String())
 }
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -139,7 +139,9 @@
 	sentAt   Time
 	jitter   float64 // of the gap after it
 	dirty    bool
-	sends    int // so far
+	waking   bool // stands among Head.waking
+	order    int  // in which nodes joined
+	sends    int  // so far
 }
 
 // turn is the order of one key's requests.
@@ -161,6 +163,9 @@
 	seq      int
 	acts     []Action
 	nodes    []*node
+	byName   map[string]*node
+	joined   int     // nodes so far
+	waking   []*node // those that have a time to be looked at, in any order
 	byShard  map[int][]*node
 	touched  []*node        // something happened to them in this moment
 	looked   []*node        // those of the last, for use again
@@ -190,7 +195,7 @@
 	}
 	h := &Head{s: s, now: now, aim: s.Classes[0].Aim, crowd: 1, boot: now, swept: now, watchAt: -1, armed: now,
 		reqs: map[uint64]*request{}, attempts: map[attemptID]*attempt{}, vols: map[string]*volume{},
-		turns: map[string]*turn{}, flows: map[int]*faded{}, homeless: newPlace(),
+		byName: map[string]*node{}, turns: map[string]*turn{}, flows: map[int]*faded{}, homeless: newPlace(),
 		rand: rand.New(rand.NewPCG(seed, seed))}
 	for _, p := range s.Plans {
 		h.weights += p.Weight
@@ -586,42 +591,84 @@
 		h.watchAt = h.now + listRetry
 		return
 	}
-	seen := map[string]bool{}
+	listed := map[*node]bool{}
+	regroup := l.Full
 	for _, e := range l.Entries {
-		seen[e.Node] = true
-		i := slices.IndexFunc(h.nodes, func(n *node) bool { return n.Node == e.Node })
-		if i < 0 {
-			n := &node{Entry: e, window: windowStart, heard: h.now, queue: newPlace()}
-			h.nodes = append(h.nodes, n)
-			h.coldStart(n)
-			continue
-		}
-		n := h.nodes[i]
-		restart := e.Started != n.Started && e.State == Serving
-		n.Entry = e
-		if restart { // nothing known of it holds any more
-			n.window, n.seen, n.open, n.heard = 1, sight{}, false, h.now
+		n := h.byName[e.Node]
+		if n == nil {
+			n = &node{Entry: e, window: windowStart, heard: h.now, queue: newPlace()}
+			h.join(n)
 			h.coldStart(n)
+			regroup = true
+		} else {
+			regroup = regroup || n.Shard != e.Shard
+			h.update(n, e)
 		}
+		listed[n] = true
 	}
 	// Requests held for a node that no longer serves, or for none, find their next node.
 	moved := h.homeless.Until(math.MaxInt64, nil)
-	h.byShard = map[int][]*node{}
+	gone := false
 	for _, n := range h.nodes {
-		if l.Full && !seen[n.Node] {
+		if l.Full && !listed[n] {
 			n.State = Gone
 		}
-		h.touch(n)
-		h.byShard[n.Shard] = append(h.byShard[n.Shard], n)
+		if l.Full || listed[n] {
+			h.touch(n)
+		}
 		if n.State != Serving {
 			moved = append(moved, n.queue.Until(math.MaxInt64, nil)...)
 		}
+		gone = gone || n.State == Gone
+	}
+	if regroup {
+		h.group()
 	}
 	for _, r := range moved {
 		h.queue(r)
 	}
-	// What is gone for good is forgotten, lest a head that lives long holds all that ever were.
-	h.nodes = slices.DeleteFunc(h.nodes, func(n *node) bool { return n.State == Gone && len(n.outs) == 0 })
+	if gone {
+		h.forget()
+	}
+}
+
+// join adds a node that the list has for the first time.
+func (h *Head) join(n *node) {
+	h.joined++
+	n.order = h.joined
+	h.nodes, h.byName[n.Node] = append(h.nodes, n), n
+}
+
+// update takes what the list has of a node that is known. After a restart nothing that was
+// known of it holds any more.
+func (h *Head) update(n *node, e Entry) {
+	restart := e.Started != n.Started && e.State == Serving
+	n.Entry = e
+	if restart {
+		n.window, n.seen, n.open, n.heard = 1, sight{}, false, h.now
+		h.coldStart(n)
+	}
+}
+
+// group finds the nodes of each shard.
+func (h *Head) group() {
+	h.byShard = map[int][]*node{}
+	for _, n := range h.nodes {
+		h.byShard[n.Shard] = append(h.byShard[n.Shard], n)
+	}
+}
+
+// forget lets go of nodes that are gone for good, lest a head that lives long hold all that
+// ever were.
+func (h *Head) forget() {
+	h.nodes = slices.DeleteFunc(h.nodes, func(n *node) bool {
+		if n.State != Gone || len(n.outs) > 0 {
+			return false
+		}
+		delete(h.byName, n.Node)
+		n.wake = math.MaxInt64
+		return true
+	})
 }
 
 func (h *Head) isCold(n *node) bool {
@@ -943,19 +990,16 @@
 	}
 	if h.now >= h.nextWake { // else only nodes that something happened to
 		h.nextWake = math.MaxInt64
-		for _, n := range h.nodes {
-			if h.now >= n.wake {
-				h.touch(n)
-			} else {
-				h.nextWake = min(h.nextWake, n.wake)
-			}
-		}
+		h.wakeNodes()
 	}
 	touched := h.touched
 	h.touched, h.looked = h.looked[:0], touched
 	for _, n := range touched {
 		h.pump(n)
 		h.nextWake = min(h.nextWake, n.wake)
+		if n.wake < math.MaxInt64 && !n.waking {
+			n.waking, h.waking = true, append(h.waking, n)
+		}
 	}
 	if wake = min(wake, h.nextWake); len(h.touched) > 0 { // by what came of it, as a key's next turn
 		wake = h.now
@@ -973,6 +1017,31 @@
 	}
 }
 
+// wakeNodes has nodes looked at whose time has come, in the order in which they joined. Only
+// nodes with work have one, however many are on the list.
+func (h *Head) wakeNodes() {
+	var due []*node
+	kept := h.waking[:0]
+	for _, n := range h.waking {
+		switch {
+		case h.now >= n.wake:
+			due = append(due, n)
+			n.waking = false
+		case n.wake < math.MaxInt64:
+			kept = append(kept, n)
+			h.nextWake = min(h.nextWake, n.wake)
+		default:
+			n.waking = false
+		}
+	}
+	clear(h.waking[len(kept):])
+	h.waking = kept
+	slices.SortFunc(due, func(a, b *node) int { return cmp.Compare(a.order, b.order) })
+	for _, n := range due {
+		h.touch(n)
+	}
+}
+
 // sweep forgets idle volumes. A volume whose limit's bucket is not full yet is
 // kept: forgotten, it would come back with more than it has.
 func (h *Head) sweep() {
