Guard: one place asks whether an attempt may begin, and counts what is broken

Change: internal/guard (pure) holds start, drain, cancelled, deadline, repeat, answer and close. It is asked when the module sends and again in Head.Out, where the first byte of an attempt is handed out; what it withholds never ran and its connection is kept. It is told in Wrote, and of answers and closes, and counts what was broken past the 0.15 s that a held-up head may take. An attempt whose bytes waited is written anew with the time that is left.

--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"maddergap/internal/admit"
+	"maddergap/internal/guard"
 	"maddergap/internal/head"
 	"maddergap/internal/loop"
 )
@@ -63,11 +64,13 @@
 	turnDesc     = prometheus.NewDesc("maddergap_turn_longest_seconds", "The longest turn of the loop within this minute and the last, and the longest of each part.", []string{"part"}, nil)
 	heldDesc     = prometheus.NewDesc("maddergap_client_buffers_bytes", "Bytes held for all client connections.", nil, nil)
 	lagDesc      = prometheus.NewDesc("maddergap_lag_seconds", "How much later than asked the head was woken lately; taken twice from its clients' time.", nil, nil)
+	withheldDesc = prometheus.NewDesc("maddergap_attempts_withheld_total", "Attempts that were not begun, by the invariant that was against it.", []string{"rule"}, nil)
+	brokenDesc   = prometheus.NewDesc("maddergap_invariants_broken_total", "Invariants found broken after the fact, by rule.", []string{"rule"}, nil)
 	tableDesc    = prometheus.NewDesc("maddergap_admission_entries", "Entries of admission's tables in use.", []string{"table"}, nil)
 )
 
 func (collector) Describe(ch chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{requestsDesc, attemptsDesc, badDesc, turnedDesc, gaveWayDesc, connsDesc, tableDesc, turnDesc, heldDesc, lagDesc} {
+	for _, d := range []*prometheus.Desc{requestsDesc, attemptsDesc, badDesc, turnedDesc, gaveWayDesc, connsDesc, tableDesc, turnDesc, heldDesc, lagDesc, withheldDesc, brokenDesc} {
 		ch <- d
 	}
 }
@@ -99,6 +102,10 @@
 	for r := admit.None + 1; r < admit.Reasons; r++ {
 		count(turnedDesc, c.Turned[r], r.String())
 	}
+	for r := guard.None + 1; r < guard.Rules; r++ {
+		count(withheldDesc, c.Guard.Withheld[r], r.String())
+		count(brokenDesc, c.Guard.Broken[r], r.String())
+	}
 	gauge(connsDesc, c.Clients, "client")
 	gauge(connsDesc, c.Admitted.Known, "known")
 	gauge(connsDesc, c.NodeConns, "node")
--- a/internal/daemon/observer.go
+++ b/internal/daemon/observer.go
@@ -21,6 +21,7 @@
 
 	"maddergap/internal/admit"
 	"maddergap/internal/conf"
+	"maddergap/internal/guard"
 	"maddergap/internal/head"
 	"maddergap/internal/membership"
 	"maddergap/logic"
@@ -78,10 +79,13 @@
 	file     *os.File
 	turns    *rate.Limiter // of lines about connections not admitted
 	untold   int
+	// violations limits the lines about invariants, unlogged counts those left out.
+	violations *rate.Limiter
+	unlogged   int
 }
 
 func newObserver(c *conf.Config, log *slog.Logger, start time.Time) (*observer, error) {
-	o := &observer{log: log, quiet: c.Quiet, start: start, turns: rate.NewLimiter(turnLines, turnLines)}
+	o := &observer{log: log, quiet: c.Quiet, start: start, turns: rate.NewLimiter(turnLines, turnLines), violations: rate.NewLimiter(turnLines, turnLines)}
 	if c.Traces == "" {
 		return o, nil
 	}
@@ -195,6 +199,23 @@
 		slog.Int("draining", counts[logic.Draining]), slog.Int("gone", counts[logic.Gone]), slog.Any("first", named))
 }
 
+// Violation logs an invariant that was broken, or an attempt that was not begun for it, or
+// counts it for the next line.
+func (o *observer) Violation(v guard.Violation) {
+	if !o.violations.Allow() {
+		o.unlogged++
+		return
+	}
+	level, text := slog.LevelError, "invariant broken"
+	if v.Withheld {
+		level, text = slog.LevelInfo, "attempt withheld"
+	}
+	o.log.LogAttrs(context.Background(), level, text, slog.String("rule", v.Rule.String()), slog.String("request", v.Name),
+		slog.String("node", v.Node), slog.Int("attempt", v.Attempt), slog.Duration("now", v.Now), slog.Duration("limit", v.Limit),
+		slog.Int("others_not_logged", o.unlogged))
+	o.unlogged = 0
+}
+
 var outcomes = map[logic.Outcome]string{logic.OK: "ok", logic.Failed: "failed", logic.Full: "full", logic.TimedOut: "timed out",
 	logic.ConnectFailed: "no connection", logic.Reset: "reset", logic.Cancelled: "cancelled", logic.Moot: "not sent"}
 
--- /dev/null
+++ b/internal/guard/guard.go
@@ -0,0 +1,176 @@
+// Package guard holds the invariants of what a head does on its connections, apart from the
+// module that decides it: when an attempt may begin, when it may be a repeat, that a request
+// has one final answer, and that no connection ends without it. It is asked at the one place
+// where bytes are handed to a node's connection, and told at the one place where they were
+// written. What it withholds and what it finds broken is counted by rule. It is pure.
+package guard
+
+import (
+	"fmt"
+	"time"
+
+	"maddergap/logic"
+)
+
+// Time is a reading of the head's monotonic clock.
+type Time = logic.Time
+
+// Rule is an invariant.
+type Rule uint8
+
+// Rules. None is that of an attempt which may begin.
+const (
+	None      Rule = iota
+	Start          // nothing is sent before a node list is in force
+	Drain          // nothing begins at a node that drains, is removed, or moved
+	Cancelled      // nothing begins for a client that has gone
+	Deadline       // nothing begins after the client's time, or tells a node more than is left
+	Repeat         // nothing runs twice that may not
+	Answer         // a request has one final answer
+	Close          // no connection is ended while a request on it is owed one
+	Rules          // how many there are
+)
+
+func (r Rule) String() string {
+	return [...]string{"none", "start", "drain", "cancelled", "deadline", "repeat", "answer", "close"}[r]
+}
+
+// What may pass between an event and the write that it should have stopped. The bounds of the
+// acceptance are wider by what passed before the head was notified.
+const (
+	// heldUp is for how long a head may be held up between reading its clock and writing.
+	heldUp = 150 * time.Millisecond
+	// cancelGrace is after a client has gone.
+	cancelGrace = 100 * time.Millisecond
+)
+
+// Attempt is what is known of an attempt when its first byte goes out.
+type Attempt struct {
+	Request uint64 // the head's number of it
+	Node    string
+	Number  int // from 0
+	// InForce: a node list was had. Serving: the node serves by it, and the connection leads to
+	// its present address and life; Changed is when the head was notified of its state.
+	InForce bool
+	Serving bool
+	Changed Time
+	Left    Time // when the client was seen to go, 0: it is there
+	Due     Time // when the client's time is over
+	Told    time.Duration
+	Earlier Earlier
+}
+
+// Earlier is what became of the attempts before it.
+type Earlier struct {
+	Effect  logic.Effect
+	Out     int  // attempts that are still out
+	Ran     bool // one may have run
+	Until   Time // a keyed repeat begins before that
+	Grouped bool // the node drops repeats of the one that may have run
+}
+
+// mayRepeat tells whether the attempt can run without running twice.
+func (e *Earlier) mayRepeat(now Time) bool {
+	switch {
+	case e.Effect == logic.Safe:
+		return true
+	case e.Out > 0:
+		return e.Effect == logic.Keyed && e.Grouped && now < e.Until
+	case !e.Ran:
+		return true
+	}
+	return e.Effect == logic.Keyed && e.Grouped && now < e.Until
+}
+
+// Violation is an invariant that was broken, or would have been.
+type Violation struct {
+	Rule     Rule
+	Withheld bool // nothing of it went out
+	Request  uint64
+	Name     string // the client's name for the request, filled in by the head
+	Node     string
+	Attempt  int
+	Now      Time
+	Limit    Time // the time that it was held against, 0: none
+}
+
+func (v Violation) String() string {
+	return fmt.Sprintf("%v: request %d %s, node %s, attempt %d, at %v, limit %v", v.Rule, v.Request, v.Name, v.Node, v.Attempt, v.Now, v.Limit)
+}
+
+// Counts are sums by rule.
+type Counts struct {
+	Withheld [Rules]uint64 // attempts that were not begun
+	Broken   [Rules]uint64 // found after the fact
+}
+
+// Guard counts what it is asked and told. The zero value is ready.
+type Guard struct {
+	counts Counts
+	// Report is told of each violation, and of each attempt that was withheld; nil: nobody is.
+	Report func(Violation)
+}
+
+// Counts returns the sums.
+func (g *Guard) Counts() Counts { return g.counts }
+
+// MayBegin tells whether the first byte of an attempt may go out now, or the rule against it.
+// Guards against whatever came to pass between the decision to send and the write: a
+// connection that came up late, one whose buffer was full, a list, a client that left.
+func (g *Guard) MayBegin(now Time, a *Attempt) Rule {
+	rule, limit := check(now, a, 0, 0, 0)
+	if rule != None {
+		g.counts.Withheld[rule]++
+		g.report(Violation{Rule: rule, Withheld: true, Request: a.Request, Node: a.Node, Attempt: a.Number, Now: now, Limit: limit})
+	}
+	return rule
+}
+
+// Began tells that the first byte of an attempt was written, and returns the rule that it
+// broke, allowing for a head that is held up.
+func (g *Guard) Began(now Time, a *Attempt) Rule {
+	rule, limit := check(now, a, heldUp, cancelGrace, heldUp)
+	if rule != None {
+		g.broke(Violation{Rule: rule, Request: a.Request, Node: a.Node, Attempt: a.Number, Now: now, Limit: limit})
+	}
+	return rule
+}
+
+// check returns the first rule against an attempt and the time it is held against.
+func check(now Time, a *Attempt, drain, cancel, told time.Duration) (Rule, Time) {
+	switch {
+	case !a.InForce:
+		return Start, 0
+	case !a.Serving && now >= a.Changed+drain:
+		return Drain, a.Changed
+	case a.Left > 0 && now >= a.Left+cancel:
+		return Cancelled, a.Left
+	case now >= a.Due+told || now+a.Told > a.Due+told:
+		return Deadline, a.Due
+	case !a.Earlier.mayRepeat(now - told):
+		return Repeat, a.Earlier.Until
+	}
+	return None, 0
+}
+
+// AnsweredAgain tells that a request was given a second final answer.
+func (g *Guard) AnsweredAgain(now Time, request uint64) {
+	g.broke(Violation{Rule: Answer, Request: request, Now: now})
+}
+
+// ClosedUnanswered tells that the head ended a connection while a request on it was owed its
+// answer.
+func (g *Guard) ClosedUnanswered(now Time, request uint64) {
+	g.broke(Violation{Rule: Close, Request: request, Now: now})
+}
+
+func (g *Guard) broke(v Violation) {
+	g.counts.Broken[v.Rule]++
+	g.report(v)
+}
+
+func (g *Guard) report(v Violation) {
+	if g.Report != nil {
+		g.Report(v)
+	}
+}
--- /dev/null
+++ b/internal/guard/guard_test.go
@@ -0,0 +1,86 @@
+package guard
+
+import (
+	"testing"
+	"time"
+
+	"maddergap/logic"
+)
+
+const now = 24 * time.Hour
+
+func good() Attempt {
+	return Attempt{Request: 7, Node: "n", InForce: true, Serving: true, Changed: now - time.Hour, Due: now + time.Second, Told: time.Second}
+}
+
+// Each rule, broken on purpose: at once it is withheld; once written it counts as broken past
+// what a held-up head may take, and not before.
+func TestRules(t *testing.T) {
+	keyed := Earlier{Effect: logic.Keyed, Ran: true, Grouped: true, Until: now + time.Second}
+	tests := []struct {
+		name   string
+		change func(a *Attempt)
+		want   Rule
+		// broken: it is found so after the fact too
+		broken bool
+	}{
+		{"nothing against it", func(a *Attempt) {}, None, false},
+		{"no list", func(a *Attempt) { a.InForce = false }, Start, true},
+		{"drains, just notified", func(a *Attempt) { a.Serving, a.Changed = false, now-100*time.Millisecond }, Drain, false},
+		{"drains", func(a *Attempt) { a.Serving, a.Changed = false, now-200*time.Millisecond }, Drain, true},
+		{"client gone just now", func(a *Attempt) { a.Left = now - 50*time.Millisecond }, Cancelled, false},
+		{"client gone", func(a *Attempt) { a.Left = now - 120*time.Millisecond }, Cancelled, true},
+		{"past its time", func(a *Attempt) { a.Due, a.Told = now, 0 }, Deadline, false},
+		{"long past its time", func(a *Attempt) { a.Due, a.Told = now-200*time.Millisecond, 0 }, Deadline, true},
+		{"tells a little more than is left", func(a *Attempt) { a.Told += 100 * time.Millisecond }, Deadline, false},
+		{"tells more than is left", func(a *Attempt) { a.Told += 200 * time.Millisecond }, Deadline, true},
+		{"safe repeat", func(a *Attempt) { a.Earlier = Earlier{Effect: logic.Safe, Ran: true, Out: 1} }, None, false},
+		{"unsafe, none ran", func(a *Attempt) { a.Earlier = Earlier{Effect: logic.Unsafe} }, None, false},
+		{"unsafe, may have run", func(a *Attempt) { a.Earlier = Earlier{Effect: logic.Unsafe, Ran: true} }, Repeat, true},
+		{"unsafe, still out", func(a *Attempt) { a.Earlier = Earlier{Effect: logic.Unsafe, Out: 1} }, Repeat, true},
+		{"keyed within its window", func(a *Attempt) { a.Earlier = keyed }, None, false},
+		{"keyed elsewhere", func(a *Attempt) { a.Earlier = keyed; a.Earlier.Grouped = false }, Repeat, true},
+		{"keyed just past its window", func(a *Attempt) { a.Earlier = keyed; a.Earlier.Until = now - 50*time.Millisecond }, Repeat, false},
+		{"keyed past its window", func(a *Attempt) { a.Earlier = keyed; a.Earlier.Until = now - 200*time.Millisecond }, Repeat, true},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			var reports []Violation
+			g := Guard{Report: func(v Violation) { reports = append(reports, v) }}
+			a := good()
+			c.change(&a)
+			if got := g.MayBegin(now, &a); got != c.want {
+				t.Errorf("may begin: %v, want %v", got, c.want)
+			}
+			found := None
+			if c.broken {
+				found = c.want
+			}
+			if got := g.Began(now, &a); got != found {
+				t.Errorf("began: %v, want %v", got, found)
+			}
+			want := Counts{}
+			if c.want != None {
+				want.Withheld[c.want] = 1
+			}
+			if c.broken {
+				want.Broken[c.want] = 1
+			}
+			if got := g.Counts(); got != want {
+				t.Errorf("counted %+v, want %+v", got, want)
+			}
+			if n := len(reports); c.want != None && (n == 0 || reports[0].Request != 7 || reports[0].Node != "n") || c.broken && n != 2 {
+				t.Errorf("reported %v", reports)
+			}
+		})
+	}
+}
+
+func TestAnswersAndCloses(t *testing.T) {
+	var g Guard
+	g.AnsweredAgain(now, 7)
+	g.ClosedUnanswered(now, 7)
+	if got := g.Counts().Broken; got[Answer] != 1 || got[Close] != 1 {
+		t.Errorf("%v", got)
+	}
+}
--- a/internal/head/bench_test.go
+++ b/internal/head/bench_test.go
@@ -35,7 +35,7 @@
 					node = a.Conn
 					h.Connected(now, a.Conn)
 				case Flush:
-					h.Wrote(now, a.Conn, len(h.Out(a.Conn)))
+					h.Wrote(now, a.Conn, len(h.Out(now, a.Conn)))
 				}
 			}
 		}
--- a/internal/head/client.go
+++ b/internal/head/client.go
@@ -39,6 +39,9 @@
 	sends    int
 	live     int // attempts without an outcome
 	final    bool
+	left     Time // when its client was seen to go, 0: it is there
+	reported bool // its end was told
+	ran      ranAt
 	timedOut bool
 	answer   *attempt // whose answer goes to the client
 	chunked  bool     // it goes out in chunks
@@ -419,7 +422,7 @@
 }
 
 func (h *Head) clientEOF(c *conn) {
-	c.eof = true
+	c.eof, c.left = true, h.way.ends()
 	switch {
 	case c.discard || c.ex == nil && len(c.pending()) == 0 && !c.ready:
 		h.drop(c, Close)
@@ -470,7 +473,7 @@
 	if ex.id == 0 {
 		return
 	}
-	ex.final = true
+	ex.final, ex.left = true, h.now
 	h.counts.Left++
 	h.events = append(h.events, logic.Dropped{ID: ex.id})
 	h.tell(ex, Left)
--- a/internal/head/conn.go
+++ b/internal/head/conn.go
@@ -32,6 +32,7 @@
 	discard  bool // what it still sends is of no use
 	overrun  bool // it sent more ahead than is kept
 	eof      bool // it sends no more
+	left     bool // it has gone
 	shut     bool // nor does the head
 	reading  Time // when the first byte of a header came, 0: none
 	owed     bool // admission is to be told of its request's end, once the answer went out
@@ -137,6 +138,9 @@
 	if c.gone {
 		return
 	}
+	if c.owes() {
+		h.guard.ClosedUnanswered(h.now, c.ex.id)
+	}
 	c.gone = true
 	s := c.id.Slot()
 	h.slots[s] = nil
@@ -230,13 +234,19 @@
 	}
 }
 
-// Out returns what is to be written to a connection.
-func (h *Head) Out(id ConnID) []byte {
-	if c := h.conn(id); c != nil {
-		c.flushing = false
-		return c.pending()
+// Out returns what is to be written to a connection. It is the one place where bytes are
+// handed out, and where the guard is asked before the first of an attempt.
+func (h *Head) Out(now Time, id ConnID) []byte {
+	h.tick(now)
+	c := h.conn(id)
+	if c == nil {
+		return nil
 	}
-	return nil
+	c.flushing = false
+	if at := c.at; at != nil && !at.written && len(c.pending()) > 0 && !h.mayBegin(c) {
+		return nil
+	}
+	return c.pending()
 }
 
 // Wrote tells that n bytes of Out were written.
@@ -316,6 +326,7 @@
 	case c.node != nil:
 		h.nodeClosed(c, false)
 	default:
+		c.left = true
 		h.clientGone(c, false)
 	}
 }
--- /dev/null
+++ b/internal/head/guarded.go
@@ -0,0 +1,126 @@
+package head
+
+import (
+	"time"
+
+	"maddergap/internal/guard"
+	"maddergap/logic"
+)
+
+// ranAt is where and when an attempt of a request began that may have run.
+type ranAt struct {
+	known       bool
+	zone, shard int
+	began       Time
+}
+
+// guarded describes an attempt to the guard.
+func (h *Head) guarded(at *attempt) guard.Attempt {
+	ex := at.ex
+	a := guard.Attempt{Request: ex.id, Node: at.node, Number: at.n, InForce: h.listed, Left: ex.left, Due: ex.due,
+		Told: at.told, Earlier: h.earlier(at)}
+	n := h.nodes[at.node]
+	if n == nil {
+		return a
+	}
+	a.Serving, a.Changed = n.listed && n.state == logic.Serving, n.changed
+	if c := at.conn; c != nil && (c.node != n || c.addr != n.addr || c.started != n.started) {
+		a.Serving = false
+	}
+	return a
+}
+
+// earlier tells what became of a request's attempts before this one.
+func (h *Head) earlier(at *attempt) guard.Earlier {
+	ex, class := at.ex, &h.c.Logic.Classes[at.ex.ask.Arrival.Class]
+	e := guard.Earlier{Effect: class.Effect, Out: ex.live - 1, Ran: ex.ran.known}
+	if class.Effect != logic.Keyed || !e.Ran {
+		return e
+	}
+	e.Until = ex.ran.began + class.Window
+	n := h.nodes[at.node]
+	switch class.Group {
+	case logic.GroupZone:
+		e.Grouped = n != nil && n.zone == ex.ran.zone
+	case logic.GroupCell:
+		e.Grouped = n != nil && n.shard == ex.ran.shard
+	default:
+		e.Grouped = true
+	}
+	return e
+}
+
+// violated reports what the guard found, with the client's name for the request.
+func (h *Head) violated(v guard.Violation) {
+	if ex := h.reqs[v.Request]; ex != nil {
+		v.Name = h.nameOf(ex)
+	}
+	h.obs.Violation(v)
+}
+
+// nameOf is the client's name for a request, or the head's own.
+func (h *Head) nameOf(ex *exchange) string {
+	if ex.ask.ID != "" {
+		return ex.ask.ID
+	}
+	return h.requestID(ex.id)
+}
+
+// maySend asks whether an attempt may begin, as the module decides on it.
+func (h *Head) maySend(at *attempt) bool {
+	a := h.guarded(at)
+	return h.guard.MayBegin(h.now, &a) == guard.None
+}
+
+// mayBegin asks whether the attempt of a connection may begin, as its first byte is about to
+// be written. One that would tell its node more time than is left is written anew.
+func (h *Head) mayBegin(c *conn) bool {
+	at := c.at
+	a := h.guarded(at)
+	if at.told > 0 && h.now+at.told > at.ex.due && h.now < at.ex.due {
+		h.encode(c)
+		a.Told = at.told
+	}
+	if h.guard.MayBegin(h.now, &a) == guard.None {
+		return true
+	}
+	h.withhold(c)
+	return false
+}
+
+// withhold takes an attempt of which nothing was written back from its connection, which
+// serves the next one.
+func (h *Head) withhold(c *conn) {
+	at := c.at
+	c.at = nil
+	h.release(c.out)
+	c.out, c.wrote = nil, 0
+	h.end(at, logic.Moot)
+	h.park(c)
+}
+
+// began tells the guard that the first byte of an attempt was written.
+func (h *Head) began(at *attempt) {
+	a := h.guarded(at)
+	h.guard.Began(h.now, &a)
+}
+
+// mayRun notes that an attempt may have run, by how it ended.
+func (h *Head) mayRun(at *attempt, o logic.Outcome) {
+	ex := at.ex
+	if ex.ran.known || o == logic.Full || o == logic.ConnectFailed || o == logic.Moot {
+		return
+	}
+	ex.ran = ranAt{known: true, began: at.began}
+	if n := h.nodes[at.node]; n != nil {
+		ex.ran.zone, ex.ran.shard = n.zone, n.shard
+	}
+}
+
+// owes tells whether a client's connection has a request that is owed its final answer.
+func (c *conn) owes() bool {
+	return c.client() && c.ex != nil && c.ex.id != 0 && !c.ex.final && !c.left
+}
+
+// told is what an attempt tells its node of the time that is left.
+func (h *Head) told(ex *exchange) time.Duration { return max(ex.due-h.now, time.Millisecond) }
--- /dev/null
+++ b/internal/head/guarded_test.go
@@ -0,0 +1,124 @@
+package head
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"maddergap/internal/guard"
+	"maddergap/internal/membership"
+	"maddergap/internal/nodelist"
+	"maddergap/logic"
+)
+
+// careless is a core that sends what it is told, in place of the module.
+type careless struct{ actions []logic.Action }
+
+func (c *careless) Handle(logic.Time, []logic.Event) []logic.Action {
+	actions := c.actions
+	c.actions = nil
+	return actions
+}
+
+// carelessRig is a rig with such a core that has taken one write.
+func carelessRig(t *testing.T) (*rig, *careless, ConnID) {
+	r := newRig(t, "")
+	c := &careless{}
+	r.h.core = c
+	client := r.client("PUT /feed-a/x HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody")
+	r.run()
+	return r, c, client
+}
+
+func (r *rig) sentToNodes() (n int) {
+	for _, id := range r.dials {
+		n += strings.Count(r.take(id), "PUT ")
+	}
+	return n
+}
+
+// What the module must never ask for is withheld, counted by its rule and reported.
+func TestGuardWithholds(t *testing.T) {
+	send := logic.Send{ID: 1, Node: "n0"}
+	tests := []struct {
+		name    string
+		arrange func(r *rig, c *careless, client ConnID)
+		want    guard.Rule
+	}{
+		{"a node that drains", func(r *rig, c *careless, _ ConnID) {
+			r.h.members(membership.News{Nodes: []nodelist.Node{{Name: "n0", Addr: "node:0", State: logic.Draining}}})
+			c.actions = []logic.Action{send}
+		}, guard.Drain},
+		{"a node that drains while its connection comes up", func(r *rig, c *careless, _ ConnID) {
+			r.late = true
+			c.actions = []logic.Action{send}
+			r.h.events = append(r.h.events, logic.Wake{})
+			r.run()
+			r.h.members(membership.News{Nodes: []nodelist.Node{{Name: "n0", Addr: "node:0", State: logic.Draining}}})
+			r.run()
+			r.h.Connected(r.now, r.dials[0])
+		}, guard.Drain},
+		{"a write that may have run", func(r *rig, c *careless, _ ConnID) {
+			c.actions = []logic.Action{send}
+			r.h.events = append(r.h.events, logic.Wake{})
+			r.run()
+			r.sentToNodes()
+			r.h.Closed(r.now, r.dials[0])
+			c.actions = []logic.Action{send}
+		}, guard.Repeat},
+		{"a write that is still out", func(r *rig, c *careless, _ ConnID) {
+			c.actions = []logic.Action{send}
+			r.h.events = append(r.h.events, logic.Wake{})
+			r.run()
+			r.sentToNodes()
+			c.actions = []logic.Action{send}
+		}, guard.Repeat},
+		{"past its client's time", func(r *rig, c *careless, _ ConnID) {
+			r.pass(2 * time.Second)
+			c.actions = []logic.Action{send}
+		}, guard.Deadline},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			r, c, client := carelessRig(t)
+			test.arrange(r, c, client)
+			r.h.events = append(r.h.events, logic.Wake{})
+			r.run()
+			if n := r.sentToNodes(); n != 0 {
+				t.Errorf("%d requests went out", n)
+			}
+			if counts := r.h.Counts().Guard; counts.Withheld[test.want] != 1 || counts.Broken != (guard.Counts{}).Broken {
+				t.Errorf("counted %+v, want one of %v withheld", counts, test.want)
+			}
+			if len(r.violations) != 1 || r.violations[0].Rule != test.want || r.violations[0].Name == "" {
+				t.Errorf("reported %v", r.violations)
+			}
+		})
+	}
+}
+
+// What went out all the same, and what ended without its answer, is found after the fact.
+func TestGuardFindsWhatIsBroken(t *testing.T) {
+	r, c, client := carelessRig(t)
+	c.actions = []logic.Action{logic.Send{ID: 1, Node: "n0"}}
+	r.h.events = append(r.h.events, logic.Wake{})
+	r.late = true
+	r.run()
+	r.h.Connected(r.now, r.dials[0])
+	out := r.h.Out(r.now, r.dials[0]) // the head is held up between this and the write
+	r.h.members(membership.News{Nodes: []nodelist.Node{{Name: "n0", Addr: "node:0", State: logic.Draining}}})
+	r.now += 200 * time.Millisecond
+	r.h.Wrote(r.now, r.dials[0], len(out))
+	r.h.drop(r.h.conn(client), Close)
+	r.h.tell(r.h.reqs[1], Refused)
+	r.h.tell(r.h.reqs[1], Refused)
+	broken := r.h.Counts().Guard.Broken
+	for _, rule := range []guard.Rule{guard.Drain, guard.Close, guard.Answer} {
+		if broken[rule] != 1 {
+			t.Errorf("%v: counted %d times", rule, broken[rule])
+		}
+	}
+	if len(r.violations) != 3 {
+		t.Errorf("reported %v", r.violations)
+	}
+}
--- a/internal/head/head.go
+++ b/internal/head/head.go
@@ -23,6 +23,7 @@
 
 	"maddergap/internal/admit"
 	"maddergap/internal/conf"
+	"maddergap/internal/guard"
 	"maddergap/internal/membership"
 	"maddergap/internal/nodelist"
 	"maddergap/internal/route"
@@ -100,6 +101,7 @@
 	Request(*Span)
 	Attempt(*Span)
 	Members([]membership.Change)                               // what changed of the node list
+	Violation(guard.Violation)                                 // an invariant that was broken, or an attempt that was withheld
 	Turned(client netip.AddrPort, why admit.Reason, told bool) // a connection that was not admitted
 }
 
@@ -113,6 +115,7 @@
 	Admitted                             admit.Counts
 	Held                                 int64 // bytes held for clients
 	Lag                                  time.Duration
+	Guard                                guard.Counts // attempts withheld, invariants broken
 }
 
 // Core decides: the module, or in its place what a comparison or a test wants.
@@ -149,6 +152,8 @@
 	ready           []*conn // clients whose next request may be looked at
 
 	table  *membership.Table
+	listed bool // a node list is in force
+	guard  guard.Guard
 	nodes  map[string]*node
 	kept   idleList
 	reqs   map[uint64]*exchange
@@ -170,13 +175,14 @@
 
 // node is where a storage node is reached.
 type node struct {
-	name, addr string
-	started    Time
-	idle       []*conn // kept connections, the last used last
-	conns      int     // all connections, dialling ones too
-	listed     bool
-	state      logic.NodeState
-	changed    Time // when the head was notified of this state
+	name, addr  string
+	zone, shard int
+	started     Time
+	idle        []*conn // kept connections, the last used last
+	conns       int     // all connections, dialling ones too
+	listed      bool
+	state       logic.NodeState
+	changed     Time // when the head was notified of this state
 }
 
 const never = Time(math.MaxInt64)
@@ -198,8 +204,12 @@
 		panic(err)
 	}
 	r := rand.New(rand.NewPCG(seed, 0x6d616464))
-	return &Head{c: c, t: route.NewTable(c, nil), adm: adm, core: core, way: webdav{}, obs: obs, origin: origin, rand: r, tag: r.Uint32(), now: now,
+	h := &Head{c: c, t: route.NewTable(c, nil), adm: adm, core: core, way: webdav{}, obs: obs, origin: origin, rand: r, tag: r.Uint32(), now: now,
 		table: membership.New(origin), nodes: map[string]*node{}, reqs: map[uint64]*exchange{}, wakeAt: never}
+	if obs != nil {
+		h.guard.Report = h.violated
+	}
+	return h
 }
 
 // Reload takes a new configuration. What the module was told at start cannot
@@ -220,6 +230,7 @@
 func (h *Head) Counts() Counts {
 	c := h.counts
 	c.Admitted, c.Held, c.Lag = h.adm.Counts(), h.held, h.lag.now(h.now)
+	c.Guard = h.guard.Counts()
 	return c
 }
 
@@ -231,6 +242,7 @@
 
 // members takes news of the node list and tells the module what changes by it.
 func (h *Head) members(news membership.News) {
+	h.listed = true
 	changes := h.table.Apply(h.now, news)
 	if len(changes) == 0 {
 		return
@@ -257,6 +269,7 @@
 		n.changed = h.now
 	}
 	n.state, n.started, n.addr = c.Entry.State, c.Entry.Started, c.Addr
+	n.zone, n.shard = c.Entry.Zone, c.Entry.Shard
 	n.listed = n.state != logic.Gone
 	if c.Moved || !n.listed { // what is kept leads elsewhere, or to a life before
 		h.closeIdle(n)
--- a/internal/head/head_test.go
+++ b/internal/head/head_test.go
@@ -423,8 +423,8 @@
 	n := r.node(0)
 	r.say(n, "HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n"+strings.Repeat("x", 40<<10))
 	r.say(n, strings.Repeat("x", 10<<10))
-	if !r.paused[n] || len(r.h.Out(c)) > 64<<10 {
-		t.Errorf("the node is not paused; %d bytes are held", len(r.h.Out(c)))
+	if !r.paused[n] || len(r.h.Out(r.now, c)) > 64<<10 {
+		t.Errorf("the node is not paused; %d bytes are held", len(r.h.Out(r.now, c)))
 	}
 	r.pass(4 * time.Second)
 	if r.ended[c] != Abort || r.ended[n] != Abort {
@@ -600,7 +600,7 @@
 			}
 			for _, a := range acts {
 				if a.Op == Flush {
-					r.h.Wrote(r.now, a.Conn, len(r.h.Out(a.Conn)))
+					r.h.Wrote(r.now, a.Conn, len(r.h.Out(r.now, a.Conn)))
 				}
 			}
 		}
--- a/internal/head/node.go
+++ b/internal/head/node.go
@@ -26,6 +26,7 @@
 	report  float64
 	reports bool
 	status  int
+	told    time.Duration // for how long it tells the node that it is waited for, 0: it does not
 	span    [8]byte
 	holds   bool   // its answer is held whole before any of it is passed on
 	body    []byte // so much of it
@@ -54,7 +55,9 @@
 	switch {
 	case ex.final: // it got its answer in this very turn
 		h.end(at, logic.Moot)
-	case n == nil, len(n.idle) == 0 && (n.conns >= h.c.NodeConns || !h.roomForNode()):
+	case !h.maySend(at):
+		h.end(at, logic.Moot)
+	case len(n.idle) == 0 && (n.conns >= h.c.NodeConns || !h.roomForNode()):
 		h.end(at, logic.ConnectFailed) // nothing was sent
 	case len(n.idle) > 0:
 		c := h.rested(n)
@@ -116,32 +119,40 @@
 		h.feeding.feed.Connected(h.now, c.feedConn)
 		return
 	}
-	if c.at != nil && h.overdue(c) {
-		at := c.at
-		c.at = nil
-		h.end(at, logic.Moot)
-	}
 	if c.at == nil {
 		h.park(c)
 		return
 	}
+	if by := c.at.by; by > 0 && h.now >= by { // a connection that came up late
+		h.withhold(c)
+		return
+	}
 	h.by(c, c.at.ex.due)
 	h.writeRequest(c)
 }
 
-// overdue tells whether an attempt that waited for its connection must not begin any
-// more. Guards against connections that come up late: by then the node may drain or have
-// moved, and the time within which the request may be sent, or repeated, be over.
-func (h *Head) overdue(c *conn) bool {
-	n, at := c.node, c.at
-	return !n.listed || n.state != logic.Serving || c.addr != n.addr || c.started != n.started ||
-		h.now >= at.ex.due || at.by > 0 && h.now >= at.by
-}
-
 // writeRequest hands a request's header and what is held of its body to a node.
 func (h *Head) writeRequest(c *conn) {
+	h.encode(c)
+	at, ex := c.at, c.at.ex
+	if !ex.whole {
+		ex.upload = at
+		if cl := ex.client; cl != nil {
+			h.invite(cl, ex)
+			h.bodyOn(cl)
+			h.readOn(cl)
+		}
+	}
+	c.used, c.interim = true, 0
+	h.flush(c)
+}
+
+// encode writes a request's header and what is held of its body for a connection, in place
+// of what was written before.
+func (h *Head) encode(c *conn) {
 	at := c.at
 	ex, r := at.ex, &at.ex.req
+	c.out, c.wrote = c.out[:0], 0
 	if c.out == nil {
 		c.out = h.buffer()
 	}
@@ -161,16 +172,6 @@
 	if len(ex.held) > 0 {
 		appendBody(c, ex.held)
 	}
-	if !ex.whole {
-		ex.upload = at
-		if cl := ex.client; cl != nil {
-			h.invite(cl, ex)
-			h.bodyOn(cl)
-			h.readOn(cl)
-		}
-	}
-	c.used, c.interim = true, 0
-	h.flush(c)
 }
 
 func appendBody(c *conn, data []byte) {
@@ -219,7 +220,10 @@
 	if at == nil {
 		return
 	}
-	at.written = true
+	if !at.written {
+		at.written = true
+		h.began(at)
+	}
 	if cl := at.ex.client; at.ex.upload == at && cl != nil && cl.paused && len(c.pending()) <= h.room()/2 {
 		h.bodyOn(cl)
 		h.readOn(cl)
@@ -436,6 +440,7 @@
 	}
 	at.ended = true
 	ex := at.ex
+	h.mayRun(at, o)
 	h.answers -= int64(len(at.body))
 	h.release(at.body)
 	at.body = nil
--- a/internal/head/rig_test.go
+++ b/internal/head/rig_test.go
@@ -11,6 +11,7 @@
 
 	"maddergap/internal/admit"
 	"maddergap/internal/conf"
+	"maddergap/internal/guard"
 	"maddergap/internal/membership"
 	"maddergap/internal/nodelist"
 )
@@ -50,6 +51,8 @@
 	log    strings.Builder // every action, for comparing runs
 	spans  []Span
 	turned []string
+	// violations are what the guard withheld or found.
+	violations []guard.Violation
 }
 
 func (r *rig) Request(s *Span) { r.spans = append(r.spans, *s) }
@@ -57,6 +60,8 @@
 
 func (r *rig) Members([]membership.Change) {}
 
+func (r *rig) Violation(v guard.Violation) { r.violations = append(r.violations, v) }
+
 func (r *rig) Turned(_ netip.AddrPort, why admit.Reason, _ bool) {
 	r.turned = append(r.turned, why.String())
 }
@@ -109,7 +114,7 @@
 }
 
 func (r *rig) write(id ConnID) {
-	p := r.h.Out(id)
+	p := r.h.Out(r.now, id)
 	if len(p) == 0 || r.stuck[id] {
 		return
 	}
--- a/internal/head/trace.go
+++ b/internal/head/trace.go
@@ -42,6 +42,10 @@
 
 // tell counts and reports a request's end.
 func (h *Head) tell(ex *exchange, o Outcome) {
+	if ex.reported && ex.id != 0 {
+		h.guard.AnsweredAgain(h.now, ex.id)
+	}
+	ex.reported = true
 	h.way.ended(ex, o)
 	if h.obs == nil {
 		return
--- a/internal/head/way.go
+++ b/internal/head/way.go
@@ -103,7 +103,8 @@
 func (w plain) arrival(h *Head, ex *exchange) *http1.Error { return w.p.Open(&ex.ask) }
 
 func (w plain) appendRequest(h *Head, b []byte, at *attempt) []byte {
-	return w.p.AppendRequest(b, &at.ex.req, max(at.ex.due-h.now, time.Millisecond))
+	at.told = h.told(at.ex)
+	return w.p.AppendRequest(b, &at.ex.req, at.told)
 }
 
 func (w plain) verdict(r *http1.Response) Verdict { return w.p.Verdict(r) }
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -456,7 +456,7 @@
 func (l *Loop) write(s *sock) {
 	id := s.id
 	for s != nil && !s.dialing {
-		p := l.Head.Out(id)
+		p := l.Head.Out(l.Now(), id)
 		if len(p) == 0 {
 			l.want(s, s.events&^unix.EPOLLOUT)
 			return
--- a/internal/platform/drawn_test.go
+++ b/internal/platform/drawn_test.go
@@ -95,7 +95,7 @@
 			case head.Dial:
 				h.Connected(now, a.Conn)
 			case head.Flush:
-				out := string(h.Out(a.Conn))
+				out := string(h.Out(now, a.Conn))
 				h.Wrote(now, a.Conn, len(out))
 				if a.Conn == client {
 					return strings.Fields(out)[1]
