maddergap soak: real heads under drawn faults that overlap, judged from socket records

Change: internal/soak draws a deployment and a script from a seed, runs heads as processes before stand-ins of discovery (one agent each, with its own outages), nodes and clients that keep their connections until the kill, and judges by internal/audit, which learns when each head was notified, clients that left, the time told, and what a cold node bears in requests of mean work. Heads log what they find broken themselves; that counts too. `--inject` (hidden) gives a process its table of failing system calls.

Found by it so far: two faults of its own (a node that takes no connections served what had waited in its queue; a client sent a request once more with its first deadline), mended. TestSoak 10 s, TestPlatformRules.

--- a/cmd/maddergap/main.go
+++ b/cmd/maddergap/main.go
@@ -26,6 +26,7 @@
 	Demo    demoCmd    `cmd:"" help:"Run a head with embedded stand-in nodes and two volumes."`
 	Node    nodeCmd    `cmd:"" help:"Run a stand-in storage node (for tests and rehearsals, never for data)."`
 	Badday  baddayCmd  `cmd:"" name:"badday" help:"Run a scripted bad day and judge the seven rules from the socket records."`
+	Soak    soakCmd    `cmd:"" help:"Run a fleet of heads under drawn faults that overlap, and judge the rules from the socket records."`
 	Flood   floodCmd   `cmd:"" help:"Press on a head with connections from many loopback addresses and tell what each kind of client got."`
 	Bench   benchCmd   `cmd:"" help:"Measure the head against net/http/httputil.ReverseProxy."`
 	Version versionCmd `cmd:"" help:"Print the version."`
@@ -73,6 +74,7 @@
 	Platform    bool          `help:"Serve on a platform, by the configuration that its variables name."`
 	Requests    bool          `help:"With --platform, log every request and attempt."`
 	Beliefs     time.Duration `help:"With --platform, log this often what is held of each node beside what is on its sockets."`
+	Inject      string        `hidden:"" help:"With --platform, system calls that fail, for rehearsals."`
 	PassThrough bool          `hidden:"" help:"Send everything at once, for comparisons only."`
 	Worker      int           `hidden:"" default:"-1" help:"One of several processes; its listen queues and its pipe are inherited."`
 	Queues      string        `hidden:"" help:"The listen queues."`
--- a/cmd/maddergap/platform.go
+++ b/cmd/maddergap/platform.go
@@ -8,6 +8,7 @@
 
 	"maddergap/internal/daemon"
 	"maddergap/internal/platform"
+	"maddergap/internal/syscalls"
 )
 
 // platform runs a head in service on a platform.
@@ -18,6 +19,11 @@
 		return err
 	}
 	c.Conf.Quiet = !s.Requests
+	if s.Inject != "" {
+		if c.Conf.Inject, err = syscalls.Parse(s.Inject); err != nil {
+			return usage{err}
+		}
+	}
 	runtime.GOMAXPROCS(1) // one core, which others may share
 	debug.SetMemoryLimit(c.Bounds.Memory)
 	return attend(io.err, []any{"head", c.Name},
--- /dev/null
+++ b/cmd/maddergap/soak.go
@@ -0,0 +1,75 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"time"
+
+	"maddergap/internal/soak"
+)
+
+type soakCmd struct {
+	Seed     uint64        `default:"1" help:"Seed of the faults and the deployment."`
+	Seeds    int           `default:"1" help:"How many seeds to run, one after the other."`
+	Duration time.Duration `default:"20s" help:"How long each runs."`
+	Heads    int           `default:"12" help:"Processes."`
+	Nodes    int           `default:"8" help:"Storage nodes, two for each shard."`
+	Keep     string        `type:"path" help:"Folder for configurations and logs; without it they are removed."`
+	Script   bool          `help:"Print what would happen and stop."`
+}
+
+var errSoak = errors.New("a soak broke a rule")
+
+func (c *soakCmd) Run(io *streams) error {
+	failed := 0
+	for i := range c.Seeds {
+		o := &soak.Options{Seed: c.Seed + uint64(i), Duration: c.Duration, Heads: c.Heads, Nodes: c.Nodes}
+		if err := o.Check(); err != nil {
+			return usage{err}
+		}
+		if c.Script {
+			for _, e := range soak.Draw(o).Events {
+				fmt.Fprintln(io.out, e)
+			}
+			continue
+		}
+		good, err := c.one(o, io)
+		if err != nil {
+			return err
+		}
+		if !good {
+			failed++
+		}
+	}
+	if failed > 0 {
+		return fmt.Errorf("%w: %d of %d seeds", errSoak, failed, c.Seeds)
+	}
+	return nil
+}
+
+// one runs one seed.
+func (c *soakCmd) one(o *soak.Options, io *streams) (good bool, err error) {
+	if c.Keep != "" {
+		if err := os.MkdirAll(c.Keep, 0o755); err != nil {
+			return false, err
+		}
+	}
+	dir, err := os.MkdirTemp(c.Keep, fmt.Sprintf("soak-%d-", o.Seed))
+	if err != nil {
+		return false, err
+	}
+	if c.Keep == "" {
+		defer os.RemoveAll(dir)
+	}
+	exe, err := os.Executable()
+	if err != nil {
+		return false, err
+	}
+	r, err := soak.Run(o, []string{exe}, dir)
+	if err != nil {
+		return false, err
+	}
+	r.Write(io.out, fmt.Sprintf("maddergap soak --seed %d --duration %v --heads %d --nodes %d", o.Seed, o.Duration, o.Heads, o.Nodes))
+	return r.Good(), nil
+}
--- /dev/null
+++ b/cmd/maddergap/soak_test.go
@@ -0,0 +1,31 @@
+package main
+
+import (
+	"bytes"
+	"os"
+	"testing"
+	"time"
+
+	"maddergap/internal/soak"
+)
+
+// A short soak of real processes holds every rule.
+func TestSoak(t *testing.T) {
+	if testing.Short() {
+		t.Skip("whole runs are left out")
+	}
+	t.Setenv(asProgram, "1")
+	o := &soak.Options{Seed: 3, Duration: 10 * time.Second, Heads: 5, Nodes: 6}
+	r, err := soak.Run(o, []string{os.Args[0]}, t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var text bytes.Buffer
+	r.Write(&text, "maddergap soak --seed 3 --duration 10s --heads 5 --nodes 6")
+	if !r.Good() {
+		t.Error(text.String())
+	}
+	if r.Audit.Served < 200 {
+		t.Errorf("only %d requests were served:\n%s", r.Audit.Served, text.String())
+	}
+}
--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -52,19 +52,36 @@
 	Nodes   []standin.Entry
 	Down    []Span        // heads ("0", "1", ...) that were killed, until they served again
 	Drains  []Span        // nodes, from when the heads were told
+	Notices []Notice      // nodes that a head was notified of, where heads are notified apart
 	Grace   time.Duration // of rule 3
-	Starts  []Span        // nodes that came up cold, From
-	Cold    Cold
-	Began   int64  // when the day began
-	Lags    []Span // when the rig itself was held up
+	// CancelGrace is after a client has left, for attempts that begin for it; 0: not judged.
+	CancelGrace time.Duration
+	// ToldSlack is what an attempt may tell its node beyond its client's time; 0: not judged.
+	ToldSlack time.Duration
+	Starts    []Span // nodes that came up cold, From
+	Cold      Cold
+	Began     int64  // when the day began
+	Lags      []Span // when the rig itself was held up
 	// Blur is how far a time on one socket may lie from the same on another.
 	Blur time.Duration
 	// Late is what an answer may come after its deadline, for the machine's sake.
 	Late time.Duration
 }
 
+// Notice is the time from which one head is notified that a node drains or is gone, until it
+// is notified of another state, 0: to the end.
+type Notice struct {
+	Head     int
+	Node     string
+	From, To int64
+}
+
 // Cold says what a restarted node bears.
 type Cold struct {
+	// Mean is the mean work of a request; if told, what is borne in a window counts as so many
+	// requests N, and N + 2 sqrt N + 2 (under 30: N + 3 sqrt N + 3) push the node over.
+	Mean     float64
+	Units    float64 // always borne in a window, with Mean
 	Rate     float64 // units a second of a warm node
 	From     float64
 	For      time.Duration
@@ -214,6 +231,7 @@
 			r.breach("%s was answered %v late", t, time.Duration(c.Answered-c.Deadline)*time.Microsecond)
 		}
 		for _, e := range j.attempts[t] {
+			j.begun(&r, c, e)
 			if c.Answered > 0 && e.In > c.Answered+j.blur() {
 				r.breach("%s was sent to %s %v after its answer", t, e.Node, time.Duration(e.In-c.Answered)*time.Microsecond)
 			}
@@ -228,6 +246,17 @@
 	return r
 }
 
+// begun judges one attempt against its client: whether that is there still, and the time that
+// is left to it.
+func (j *judge) begun(r *Rule, c *Client, e *standin.Entry) {
+	if gone := c.GaveUp; j.in.CancelGrace > 0 && gone > 0 && e.In > gone+j.in.CancelGrace.Microseconds()+j.blur() {
+		r.breach("%s was sent to %s %v after its client had left", c.Trace, e.Node, time.Duration(e.In-gone)*time.Microsecond)
+	}
+	if over := e.Told - (c.Deadline - e.In); j.in.ToldSlack > 0 && e.Told > 0 && over > j.in.ToldSlack.Microseconds()+j.blur() {
+		r.breach("%s told %s %v more than is left to its client", c.Trace, e.Node, time.Duration(over)*time.Microsecond)
+	}
+}
+
 // notRun tells whether a node said of an attempt that it did not run.
 func notRun(e *standin.Entry) bool { return e.Status == 503 && e.Ran == 0 }
 
@@ -283,14 +312,35 @@
 			}
 		}
 	}
+	for _, n := range j.in.Notices {
+		j.noticed(&r, n)
+	}
 	return r
 }
 
+// noticed judges the attempts of one head at one node.
+func (j *judge) noticed(r *Rule, n Notice) {
+	for _, e := range j.all {
+		c := j.clients[traceID(e.Trace)]
+		if e.Node != n.Node || c == nil || c.Head != n.Head || e.In < n.From || n.To > 0 && e.In > n.To {
+			continue
+		}
+		after := time.Duration(e.In-n.From) * time.Microsecond
+		r.Figure = max(r.Figure, float64(after.Milliseconds()))
+		if after > j.in.Grace+j.in.Blur {
+			r.breach("%s was sent to %s by head %d %v after that was notified", c.Trace, e.Node, n.Head, after)
+		}
+	}
+}
+
 // cold is rule 4: the sum over any window against a multiple of what the node
 // could do in it, and that none fell.
 func (j *judge) cold() Rule {
 	k := j.in.Cold
 	r := Rule{Number: 4, Name: "cold nodes not pushed over", Unit: "x what the node can do, in any window", Bound: k.Multiple}
+	if k.Mean > 0 {
+		r.Bound = 1
+	}
 	for _, s := range j.in.Starts {
 		var window []*standin.Entry
 		sum := 0.0
@@ -305,7 +355,10 @@
 				window = window[1:]
 			}
 			share := k.From + (1-k.From)*float64(age)/float64(k.For)
-			r.Figure = max(r.Figure, sum/(share*k.Rate*k.Window.Seconds()))
+			r.Figure = max(r.Figure, k.borne(sum, share))
+			if k.Mean > 0 && k.borne(sum, share) > 1 {
+				r.breach("%s got %.0f requests of mean work within %v, %v after its start", e.Node, sum/k.Mean, k.Window, age)
+			}
 		}
 	}
 	for _, e := range j.all {
@@ -316,6 +369,19 @@
 	return r
 }
 
+// borne is what a node got in a window as a part of what it bears at a share of its capacity.
+func (k *Cold) borne(units, share float64) float64 {
+	if k.Mean <= 0 {
+		return units / (share * k.Rate * k.Window.Seconds())
+	}
+	n := max(k.Units, k.Multiple*share*k.Rate*k.Window.Seconds()) / k.Mean
+	slack := 2*math.Sqrt(n) + 2
+	if n < 30 {
+		slack = 3*math.Sqrt(n) + 3
+	}
+	return units / k.Mean / (n + slack)
+}
+
 // order is rule 5: of one key nothing runs beside another, and in the order sent.
 func (j *judge) order() Rule {
 	r := Rule{Number: 5, Name: "order kept", Unit: "requests beside or before their turn", Bound: 0}
--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -9,6 +9,7 @@
 
 	"maddergap/internal/conf"
 	"maddergap/internal/standin"
+	"maddergap/logic"
 )
 
 func config(t *testing.T) *conf.Config {
@@ -146,3 +147,76 @@
 		t.Errorf("%+v", r)
 	}
 }
+
+// What is judged where clients leave, heads are notified apart, and cold nodes bear requests of
+// a mean work: each case breaks its rule once, its neighbour does not.
+func TestPlatformRules(t *testing.T) {
+	const start = int64(1_000_000_000)
+	ms := func(n int64) int64 { return start + n*1000 }
+	config := &conf.Config{Logic: logic.Settings{Classes: []logic.Class{{Name: "read", Effect: logic.Safe}}, Plans: []logic.Plan{{}}},
+		Volumes: []conf.Volume{{Name: "v"}}}
+	base := func() Input {
+		return Input{Config: config, Grace: 500 * time.Millisecond, CancelGrace: 100 * time.Millisecond, ToldSlack: 150 * time.Millisecond,
+			Blur: 10 * time.Millisecond,
+			Cold: Cold{Mean: 1, Units: 4, Rate: 10, From: 0.5, For: 10 * time.Second, Multiple: 1, Window: time.Second}}
+	}
+	answered := Client{Trace: "a", Volume: "v", Sent: ms(0), Deadline: ms(1000), Answered: ms(900), Answers: 1, Status: 200, Units: 1}
+	left := Client{Trace: "a", Volume: "v", Sent: ms(0), Deadline: ms(1000), GaveUp: ms(100), Units: 1}
+	sent := func(at int64) standin.Entry {
+		return standin.Entry{Node: "n", Trace: "a", In: ms(at), Ran: ms(at + 1), Out: ms(at + 2), Status: 200, Units: 1}
+	}
+	cases := []struct {
+		name   string
+		change func(in *Input)
+		broken []int
+	}{
+		{"begins as its client leaves", func(in *Input) { in.Clients, in.Nodes = []Client{left}, []standin.Entry{sent(205)} }, nil},
+		{"begins for a client that left", func(in *Input) { in.Clients, in.Nodes = []Client{left}, []standin.Entry{sent(215)} }, []int{1}},
+		{"tells what is left", func(in *Input) {
+			e := sent(500)
+			e.Told = 650_000
+			in.Clients, in.Nodes = []Client{answered}, []standin.Entry{e}
+		}, nil},
+		{"tells more than is left", func(in *Input) {
+			e := sent(500)
+			e.Told = 670_000
+			in.Clients, in.Nodes = []Client{answered}, []standin.Entry{e}
+		}, []int{1}},
+		{"within the grace", func(in *Input) {
+			in.Clients, in.Nodes = []Client{answered}, []standin.Entry{sent(505)}
+			in.Notices = []Notice{{Head: 0, Node: "n", From: ms(0)}}
+		}, nil},
+		{"after the grace", func(in *Input) {
+			in.Clients, in.Nodes = []Client{answered}, []standin.Entry{sent(515)}
+			in.Notices = []Notice{{Head: 0, Node: "n", From: ms(0)}}
+		}, []int{3}},
+		{"another head was notified", func(in *Input) {
+			in.Clients, in.Nodes = []Client{answered}, []standin.Entry{sent(515)}
+			in.Notices = []Notice{{Head: 1, Node: "n", From: ms(0)}}
+		}, nil},
+		{"it serves again", func(in *Input) {
+			in.Clients, in.Nodes = []Client{answered}, []standin.Entry{sent(700)}
+			in.Notices = []Notice{{Head: 0, Node: "n", From: ms(0), To: ms(600)}}
+		}, nil},
+		{"a cold node at its bound", func(in *Input) { in.crowd(answered, sent, 14) }, nil},
+		{"a cold node past its bound", func(in *Input) { in.crowd(answered, sent, 18) }, []int{4}},
+	}
+	for _, c := range cases {
+		in := base()
+		c.change(&in)
+		if got := Judge(in).BrokenRules(); fmt.Sprint(got) != fmt.Sprint(c.broken) {
+			t.Errorf("%s: broke %v, want %v", c.name, got, c.broken)
+		}
+	}
+}
+
+// crowd sends a node so many requests right after its start.
+func (in *Input) crowd(client Client, sent func(int64) standin.Entry, size int) {
+	in.Starts = []Span{{Name: "n", From: sent(0).In}}
+	for i := range size {
+		c, e := client, sent(100)
+		c.Trace = fmt.Sprint("c", i)
+		e.Trace = c.Trace
+		in.Clients, in.Nodes = append(in.Clients, c), append(in.Nodes, e)
+	}
+}
--- a/internal/child/child.go
+++ b/internal/child/child.go
@@ -23,8 +23,14 @@
 // Start starts a command and waits until addr takes connections. What it says
 // goes to out and, where it does not come up, into the error.
 func Start(addr string, out io.Writer, argv ...string) (*Process, error) {
+	return StartEnv(addr, out, nil, argv...)
+}
+
+// StartEnv is Start with further variables of the environment.
+func StartEnv(addr string, out io.Writer, env []string, argv ...string) (*Process, error) {
 	var said bytes.Buffer
 	cmd := exec.Command(argv[0], argv[1:]...)
+	cmd.Env = append(os.Environ(), env...)
 	cmd.Stdout, cmd.Stderr = out, out
 	if out == nil {
 		cmd.Stdout, cmd.Stderr = nil, &said
@@ -87,6 +93,31 @@
 	}
 }
 
+// Signal sends a signal.
+func (p *Process) Signal(s syscall.Signal) { p.cmd.Process.Signal(s) }
+
+// Ended tells whether it has ended by itself.
+func (p *Process) Ended() bool {
+	select {
+	case err := <-p.end:
+		p.end <- err
+		return true
+	default:
+		return false
+	}
+}
+
+// EndsWithin waits until it has ended, for a while at most.
+func (p *Process) EndsWithin(d time.Duration) bool {
+	select {
+	case err := <-p.end:
+		p.end <- err
+		return true
+	case <-time.After(d):
+		return false
+	}
+}
+
 // Kill ends it at once. Stop and Kill do nothing to one that has ended.
 func (p *Process) Kill() {
 	if p.end != nil {
--- /dev/null
+++ b/internal/soak/agent.go
@@ -0,0 +1,266 @@
+package soak
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"maddergap/internal/audit"
+	"maddergap/internal/discovery"
+)
+
+// Times of the protocol on when a change counts as notified.
+const (
+	countsAfterSilence = 6 * time.Second
+	countsAfterReload  = 4 * time.Second
+)
+
+// micro is the time of the records.
+func micro() int64 { return time.Now().UnixMicro() }
+
+// registry is the true list of nodes, of which each agent has what it was sent.
+type registry struct {
+	mu      sync.Mutex
+	index   int64
+	entries map[string]discovery.Entry
+	agents  []*agent
+}
+
+func newRegistry() *registry { return &registry{index: 1, entries: map[string]discovery.Entry{}} }
+
+// set changes an entry and sends the list to all agents.
+func (g *registry) set(change func(e *discovery.Entry), name string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	e := g.entries[name]
+	change(&e)
+	g.entries[name] = e
+	g.index++
+	for _, a := range g.agents {
+		a.send(g.index, g.entries)
+	}
+}
+
+// agent is discovery on one head's machine.
+type agent struct {
+	head     int
+	registry *registry
+	mu       sync.Mutex
+	ln       net.Listener
+	epoch    int // of connections: those of before stay silent
+	down     bool
+	slow     time.Duration
+	index    int64
+	entries  map[string]discovery.Entry
+	notices  []audit.Notice
+	// countsFrom is when what is told in a reload or behind silent watches counts at the latest.
+	countsFrom time.Time
+}
+
+func (g *registry) agent(head int) *agent {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	a := &agent{head: head, registry: g}
+	g.agents = append(g.agents, a)
+	a.send(g.index, g.entries)
+	return a
+}
+
+// send gives the agent a list; one that is down does not get it.
+func (a *agent) send(index int64, entries map[string]discovery.Entry) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.down {
+		a.have(index, entries)
+	}
+}
+
+// have takes a list and notes from when each change of it counts.
+func (a *agent) have(index int64, entries map[string]discovery.Entry) {
+	counts := time.Now()
+	if a.countsFrom.After(counts) {
+		counts = a.countsFrom
+	}
+	before := a.entries
+	a.index, a.entries = index, map[string]discovery.Entry{}
+	for name, e := range entries {
+		a.entries[name] = e
+		up, was := e.Status == "up", before[name].Status == "up"
+		switch {
+		case was && !up:
+			a.notices = append(a.notices, audit.Notice{Head: a.head, Node: name, From: counts.UnixMicro()})
+		case !was && up:
+			a.end(name)
+		}
+	}
+}
+
+// end ends the notice of a node that serves again.
+func (a *agent) end(name string) {
+	for i := range a.notices {
+		if n := &a.notices[i]; n.Node == name && n.To == 0 {
+			n.To = micro()
+		}
+	}
+}
+
+// listen opens the agent at a new address, and closes the old one a while later.
+func (a *agent) listen() (string, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	a.mu.Lock()
+	old := a.ln
+	a.ln = ln
+	a.mu.Unlock()
+	if old != nil {
+		old.Close()
+	}
+	go a.accept(ln)
+	return ln.Addr().String(), nil
+}
+
+// moved notes that the head was told of the new address.
+func (a *agent) moved() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.countsFrom = time.Now().Add(countsAfterReload)
+}
+
+// goDown makes the agent silent, for good on the connections that it has.
+func (a *agent) goDown() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.epoch, a.down = a.epoch+1, true
+}
+
+// comeBack has it answer, with what there is by now.
+func (a *agent) comeBack() {
+	a.registry.mu.Lock()
+	defer a.registry.mu.Unlock()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.epoch, a.down = a.epoch+1, false
+	a.have(a.registry.index, a.registry.entries)
+}
+
+// silenceWatches has what is open stay silent; what it misses counts later.
+func (a *agent) silenceWatches() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.epoch++
+	a.countsFrom = time.Now().Add(countsAfterSilence)
+}
+
+func (a *agent) setSlow(d time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.slow = d
+	if d > 0 {
+		a.countsFrom = time.Now().Add(countsAfterSilence)
+	}
+}
+
+// known is the list for a configuration: what the agent had last.
+func (a *agent) known() discovery.List {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.list()
+}
+
+func (a *agent) list() discovery.List {
+	l := discovery.List{Index: &a.index, Snapshot: true}
+	index := a.index
+	l.Index = &index
+	for _, e := range a.entries {
+		l.Endpoints = append(l.Endpoints, e)
+	}
+	return l
+}
+
+func (a *agent) accept(ln net.Listener) {
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		go a.serve(c)
+	}
+}
+
+// idleAgent is after how long a connection to an agent is given up.
+const idleAgent = 10 * time.Second
+
+func (a *agent) serve(c net.Conn) {
+	defer c.Close()
+	a.mu.Lock()
+	epoch, dead := a.epoch, a.down
+	a.mu.Unlock()
+	in := bufio.NewReader(c)
+	for {
+		c.SetReadDeadline(time.Now().Add(idleAgent))
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		if dead = dead || !a.answer(c, r, epoch); dead {
+			continue
+		}
+	}
+}
+
+// answer answers a call and tells whether it did: not on a connection of before an outage.
+func (a *agent) answer(c net.Conn, r *http.Request, epoch int) bool {
+	from, err := strconv.ParseInt(r.URL.Query().Get("from"), 10, 64)
+	watch := err == nil
+	hold, _ := time.ParseDuration(r.URL.Query().Get("hold_ms") + "ms")
+	for until := time.Now().Add(hold); ; time.Sleep(3 * time.Millisecond) {
+		a.mu.Lock()
+		alive, slow, index := a.epoch == epoch && !a.down, a.slow, a.index
+		list := a.list()
+		a.mu.Unlock()
+		if !alive {
+			return false
+		}
+		if watch && index == from {
+			if time.Now().Before(until) {
+				continue
+			}
+			list.Snapshot, list.Endpoints = false, []discovery.Entry{}
+		}
+		time.Sleep(slow)
+		text, err := json.Marshal(list)
+		if err != nil {
+			return false
+		}
+		_, err = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+		return err == nil
+	}
+}
+
+// close closes the agent's listener.
+func (a *agent) close() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.ln != nil {
+		a.ln.Close()
+	}
+}
+
+// taken are the notices of a run.
+func (g *registry) taken() (all []audit.Notice) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, a := range g.agents {
+		a.mu.Lock()
+		all = append(all, a.notices...)
+		a.mu.Unlock()
+	}
+	return all
+}
--- /dev/null
+++ b/internal/soak/settings.go
@@ -0,0 +1,126 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"time"
+
+	"maddergap/internal/audit"
+	"maddergap/internal/conf"
+	"maddergap/internal/discovery"
+	"maddergap/internal/platform"
+)
+
+// volumeName is the one volume of a run.
+const volumeName = "00000000feed0001"
+
+// What nodes bear, for the settings and for the audit.
+const (
+	coldFor      = 3 * time.Second
+	coldFrom     = 0.25
+	coldMultiple = 2
+	coldWindow   = time.Second
+	coldUnits    = 16
+	nodeRate     = 150 // units a second of a warm node, for what a cold one bears
+	meanUnits    = 1
+)
+
+// class is a class of requests.
+type class struct {
+	name     string
+	effect   string
+	group    string
+	write    bool
+	target   time.Duration
+	deadline time.Duration
+	window   time.Duration
+}
+
+// settings are the deployment that a run has.
+type settings struct {
+	classes []class
+	shards  int
+	heads   int
+	sockets int
+}
+
+// drawSettings draws a deployment: one class of each effect, deadlines long or short.
+func drawSettings(o *Options) *settings {
+	r := rand.New(rand.NewPCG(o.Seed, 0x73657474))
+	span := func(from, to int) time.Duration { return time.Duration(from+r.IntN(to-from)) * time.Millisecond }
+	s := &settings{shards: o.Nodes / 2, heads: o.Heads, sockets: 256}
+	s.classes = []class{
+		{name: "read", effect: "retryable", group: "all", target: span(60, 150), deadline: span(500, 1600)},
+		{name: "write", effect: "fragile", group: "all", write: true, target: span(80, 200), deadline: span(500, 1600)},
+		{name: "keyed", effect: "dedup", group: []string{"all", "zone", "cell"}[r.IntN(3)], write: true, target: span(80, 200),
+			deadline: span(600, 1600), window: span(200, 600)},
+	}
+	return s
+}
+
+// longest is the longest deadline.
+func (s *settings) longest() (longest time.Duration) {
+	for _, c := range s.classes {
+		longest = max(longest, c.deadline)
+	}
+	return longest
+}
+
+func micros(d time.Duration) int64 { return d.Microseconds() }
+
+// file is the configuration of a head.
+func (s *settings) file(head int, listen, agent string, known discovery.List) ([]byte, error) {
+	var classes []map[string]any
+	var writes []bool
+	for _, c := range s.classes {
+		classes = append(classes, map[string]any{"name": c.name, "target": micros(c.target), "deadline": micros(c.deadline),
+			"effect": c.effect, "group": c.group, "window": micros(c.window), "gain": 2, "lateWorth": 0.1})
+		writes = append(writes, c.write)
+	}
+	return json.Marshal(map[string]any{"name": fmt.Sprint("h", head), "listen": listen, "discovery": agent,
+		"seed": fmt.Sprintf("%016x", rand.Uint64()), "known": known,
+		"limits": map[string]any{"cores": 0.5, "memory_mb": 64, "sockets": s.sockets},
+		"settings": map[string]any{"fleetSize": s.heads, "discovery": "push", "zones": []string{"z0", "z1"}, "classes": classes,
+			"grades": []map[string]any{{"name": "low", "shares": 1, "guaranteed": 1000, "valueFactor": 1}},
+			"familyInfo": map[string]any{"unitsTop": 4, "usualUnits": meanUnits, "fairWorth": 0.3, "nShards": s.shards, "writes": writes,
+				"coldUnits": coldUnits},
+			"guarantees": map[string]any{"cold": micros(coldFor), "coldFrom": coldFrom, "fallMultiple": coldMultiple, "overloadFor": micros(coldWindow)},
+			"limits":     map[string]any{"maxAttempts": 4, "maxRetryAfter": 500000, "retryAfter": true, "connIdle": 4000000, "connectTimeout": 250000}}})
+}
+
+// write puts a configuration in place of the one before, at once and whole.
+func (s *settings) write(path string, text []byte) error {
+	if err := os.WriteFile(path+".new", text, 0o644); err != nil {
+		return err
+	}
+	return os.Rename(path+".new", path)
+}
+
+// audited is what the audit goes by.
+func (s *settings) audited(dir string, text []byte) (*conf.Config, error) {
+	c, err := platform.Parse(filepath.Join(dir, "audit"), text, os.Getenv)
+	if err != nil {
+		return nil, err
+	}
+	c.Conf.Volumes = []conf.Volume{{Name: volumeName}}
+	return c.Conf, nil
+}
+
+func (s *settings) cold() audit.Cold {
+	return audit.Cold{Mean: meanUnits, Units: coldUnits, Rate: nodeRate, From: coldFrom, For: coldFor, Multiple: coldMultiple, Window: coldWindow}
+}
+
+// request writes a request.
+func (s *settings) request(id string, class, shard int, key uint64, wait time.Duration) string {
+	c := &s.classes[class]
+	method, body := "GET", ""
+	if c.write {
+		method, body = "PUT", "payload of "+id
+	}
+	return fmt.Sprintf("%s /api HTTP/1.1\r\nHost: b\r\nX-Txn: %s\r\nX-Lane: %s\r\nTier: low\r\nPiece: %016x\r\nX-Remaining: %dm\r\n"+
+		"IO-Info: volume=%s,units=1,shard=%d,hosts=%d\r\nContent-Length: %d\r\n\r\n%s", method, id, c.name, key, wait.Milliseconds(),
+		volumeName, shard, s.heads, len(body), body)
+}
--- /dev/null
+++ b/internal/soak/soak.go
@@ -0,0 +1,380 @@
+package soak
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"maddergap/internal/audit"
+	"maddergap/internal/discovery"
+)
+
+// What the audit allows.
+const (
+	drainGrace  = 500 * time.Millisecond
+	blur        = 50 * time.Millisecond
+	cancelGrace = 100 * time.Millisecond
+	toldSlack   = 150 * time.Millisecond
+	lateAnswers = 500 * time.Millisecond
+)
+
+// Report is a judged run.
+type Report struct {
+	Options *Options
+	Script  *Script
+	Audit   *audit.Report
+	// Broken are the invariants that heads found broken themselves, as they logged them.
+	Broken []string
+	// Faults are crashes, heads that did not come back, and clients that were owed an end.
+	Faults []string
+	// Lag is the longest that the soak itself was held up.
+	Lag time.Duration
+}
+
+// Good tells whether nothing was broken.
+func (r *Report) Good() bool { return r.Audit.Good() && len(r.Broken)+len(r.Faults) == 0 }
+
+// Run runs a fleet of the program under the script of a seed and judges it. dir keeps the
+// heads' configurations and logs.
+func Run(o *Options, exe []string, dir string) (*Report, error) {
+	if err := o.Check(); err != nil {
+		return nil, err
+	}
+	f := &fleet{o: o, settings: drawSettings(o), registry: newRegistry()}
+	script := Draw(o)
+	lag := watchLag()
+	defer lag.stop()
+	defer f.close()
+	if err := f.openNodes(); err != nil {
+		return nil, err
+	}
+	if err := f.openHeads(script, exe, dir); err != nil {
+		return nil, err
+	}
+	end := make(chan struct{})
+	for _, h := range f.heads {
+		h.clients.start(o.Seed, end)
+	}
+	f.play(script)
+	close(end)
+	for _, h := range f.heads {
+		h.clients.running.Wait()
+	}
+	f.running.Wait()
+	return f.judge(script, dir, lag)
+}
+
+func (f *fleet) openNodes() error {
+	for i := range f.o.Nodes {
+		n := newNode(fmt.Sprintf("s-%02d", i), i/2, f.o.Seed)
+		if err := n.open(""); err != nil {
+			return err
+		}
+		f.nodes = append(f.nodes, n)
+		f.registry.set(func(e *discovery.Entry) {
+			*e = discovery.Entry{Name: n.name, Address: n.addr(), Zone: fmt.Sprint("z", i%2), Group: n.shard, Status: "up"}
+		}, n.name)
+	}
+	return nil
+}
+
+func (f *fleet) openHeads(script *Script, exe []string, dir string) error {
+	block := 1 + os.Getpid()%200
+	for i := range f.o.Heads {
+		log, err := os.Create(filepath.Join(dir, fmt.Sprintf("head%d.log", i)))
+		if err != nil {
+			return err
+		}
+		listen := fmt.Sprintf("127.%d.%d.%d:18100", block, 3+f.o.Seed%200, i+1)
+		h := &head{number: i, listen: listen, agent: f.registry.agent(i), settings: f.settings, dir: dir, exe: exe,
+			inject: script.Inject[i], log: log}
+		h.clients = &clients{head: i, addr: listen, config: f.settings, nextID: &f.ids}
+		f.heads = append(f.heads, h)
+	}
+	var starting sync.WaitGroup
+	errs := make([]error, len(f.heads))
+	for i, h := range f.heads {
+		starting.Go(func() {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			errs[i] = h.start()
+		})
+	}
+	starting.Wait()
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// play carries the script out, each event aside, and ends with a planned stop of all heads
+// while clients still ask.
+func (f *fleet) play(script *Script) {
+	began := time.Now()
+	for _, e := range script.Events {
+		time.Sleep(time.Until(began.Add(e.At)))
+		for _, h := range f.heads {
+			if h.mu.TryLock() {
+				h.crashed()
+				h.mu.Unlock()
+			}
+		}
+		f.running.Go(func() { f.happen(e) })
+	}
+	time.Sleep(time.Until(began.Add(f.o.Duration)))
+	var stopping sync.WaitGroup
+	for _, h := range f.heads {
+		stopping.Go(func() {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			if h.crashed(); !h.ended {
+				h.terminate()
+			}
+		})
+	}
+	stopping.Wait()
+}
+
+// happen carries one event out, from its beginning to its end.
+func (f *fleet) happen(e Event) {
+	if e.Kind <= DiscoverySlow {
+		f.discovery(e)
+		return
+	}
+	if e.Kind <= NodeSpoilt {
+		f.node(e)
+		return
+	}
+	h := f.heads[e.Who]
+	switch e.Kind {
+	case ClientsLeave:
+		h.clients.leaving.Store(true)
+		time.Sleep(e.For)
+		h.clients.leaving.Store(false)
+		return
+	case ClientsStall:
+		f.fault(h.clients.stall())
+		return
+	case ClientsCrowd:
+		h.clients.crowd(f.settings.sockets/2, e.For)
+		return
+	}
+	if !h.mu.TryLock() { // something else happens to it
+		return
+	}
+	defer h.mu.Unlock()
+	if h.ended {
+		return
+	}
+	switch e.Kind {
+	case HeadTerminate:
+		h.terminate()
+		time.Sleep(e.For)
+		h.back()
+	case HeadKill:
+		h.kill()
+		time.Sleep(e.For)
+		h.back()
+	case HeadReload:
+		h.reload()
+	case HeadStop:
+		h.holdUp(e.For)
+	}
+}
+
+func (f *fleet) discovery(e Event) {
+	agents := f.registry.agents
+	if e.Who >= 0 {
+		agents = agents[e.Who : e.Who+1]
+	}
+	for _, a := range agents {
+		switch e.Kind {
+		case DiscoveryDown:
+			a.goDown()
+		case WatchesSilent:
+			a.silenceWatches()
+		case DiscoverySlow:
+			a.setSlow(e.For / 10)
+		}
+	}
+	time.Sleep(e.For)
+	for _, a := range agents {
+		switch e.Kind {
+		case DiscoveryDown:
+			a.comeBack()
+		case DiscoverySlow:
+			a.setSlow(0)
+		}
+	}
+}
+
+func (f *fleet) node(e Event) {
+	n := f.nodes[e.Who]
+	switch e.Kind {
+	case Drain:
+		f.registry.set(func(e *discovery.Entry) { e.Status = "draining" }, n.name)
+		time.Sleep(e.For)
+		f.registry.set(func(e *discovery.Entry) { e.Status = "up" }, n.name)
+	case NodeRestart:
+		if !n.life.TryLock() { // it is down already
+			return
+		}
+		defer n.life.Unlock()
+		address := n.addr()
+		n.vanish()
+		time.Sleep(e.For)
+		if err := n.open(address); err != nil {
+			f.fault(err)
+			return
+		}
+		f.mu.Lock()
+		f.starts = append(f.starts, audit.Span{Name: n.name, From: micro()})
+		f.mu.Unlock()
+		f.registry.set(func(e *discovery.Entry) { e.Since = float64(time.Now().UnixMilli()) }, n.name)
+	case NodeLate:
+		n.pause(true)
+		time.Sleep(e.For)
+		n.pause(false)
+	default:
+		as := map[Kind]mode{NodeHang: hanging, NodeReset: resetting, NodeSpoilt: noisy}[e.Kind]
+		n.set(func(n *node) { n.mode = as })
+		time.Sleep(e.For)
+		n.set(func(n *node) { n.mode = well })
+	}
+}
+
+func (f *fleet) close() {
+	for _, h := range f.heads {
+		h.mu.Lock()
+		if h.process != nil {
+			h.process.Kill()
+		}
+		h.mu.Unlock()
+		h.agent.close()
+		h.log.Close()
+	}
+	for _, n := range f.nodes {
+		n.vanish()
+	}
+}
+
+// judge joins the records.
+func (f *fleet) judge(script *Script, dir string, lag *lagWatch) (*Report, error) {
+	text, err := f.settings.file(0, "127.0.0.1:1", "127.0.0.1:1", discovery.List{})
+	if err != nil {
+		return nil, err
+	}
+	config, err := f.settings.audited(dir, text)
+	if err != nil {
+		return nil, err
+	}
+	r := &Report{Options: f.o, Script: script, Lag: lag.longest(), Faults: f.faults}
+	in := audit.Input{Config: config, Notices: f.registry.taken(), Grace: drainGrace, CancelGrace: cancelGrace, ToldSlack: toldSlack,
+		Late: lateAnswers, Blur: blur + r.Lag, Starts: f.starts, Cold: f.settings.cold()}
+	for _, h := range f.heads {
+		in.Clients = append(in.Clients, h.clients.records()...)
+		in.Down = append(in.Down, h.down...)
+		r.Faults = append(r.Faults, h.faults...)
+		broken, err := brokenLines(h.log.Name())
+		if err != nil {
+			return nil, err
+		}
+		r.Broken = append(r.Broken, broken...)
+	}
+	for _, n := range f.nodes {
+		in.Nodes = append(in.Nodes, n.records()...)
+	}
+	r.Audit = audit.Judge(in)
+	return r, nil
+}
+
+// brokenLines are the invariants that a head logged as broken, and crashes.
+func brokenLines(path string) (lines []string, err error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	scan := bufio.NewScanner(bytes.NewReader(text))
+	scan.Buffer(nil, 1<<20)
+	for scan.Scan() {
+		line := scan.Text()
+		if strings.Contains(line, `"invariant broken"`) || strings.Contains(line, "cut off at the stop") || strings.HasPrefix(line, "panic:") ||
+			strings.HasPrefix(line, "fatal error:") {
+			lines = append(lines, filepath.Base(path)+": "+line)
+		}
+	}
+	return lines, scan.Err()
+}
+
+// linesShown bounds what a report shows of each kind.
+const linesShown = 10
+
+// Write prints the report; where something was broken, with the timeline and what to run to
+// see it again.
+func (r *Report) Write(w io.Writer, command string) {
+	r.Audit.Write(w)
+	fmt.Fprintf(w, "the soak was held up %v at most\n", r.Lag.Round(time.Millisecond))
+	if r.Good() {
+		fmt.Fprintf(w, "seed %d: everything held\n", r.Options.Seed)
+		return
+	}
+	show := func(title string, lines []string) {
+		for i, line := range lines {
+			if i == linesShown {
+				fmt.Fprintf(w, "%s: %d more\n", title, len(lines)-i)
+				return
+			}
+			fmt.Fprintf(w, "%s: %s\n", title, line)
+		}
+	}
+	show("fault", r.Faults)
+	show("found broken by a head", r.Broken)
+	for _, e := range r.Script.Events {
+		fmt.Fprintln(w, e)
+	}
+	fmt.Fprintf(w, "seed %d: BROKEN; again with: %s\n", r.Options.Seed, command)
+}
+
+// lagWatch measures how long this process is held up.
+type lagWatch struct {
+	mu   sync.Mutex
+	most time.Duration
+	end  chan struct{}
+	once sync.Once
+}
+
+const lagTick = 5 * time.Millisecond
+
+func watchLag() *lagWatch {
+	l := &lagWatch{end: make(chan struct{})}
+	go func() {
+		for {
+			before := time.Now()
+			select {
+			case <-l.end:
+				return
+			case <-time.After(lagTick):
+			}
+			l.mu.Lock()
+			l.most = max(l.most, time.Since(before)-lagTick)
+			l.mu.Unlock()
+		}
+	}()
+	return l
+}
+
+func (l *lagWatch) longest() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.most
+}
+
+func (l *lagWatch) stop() { l.once.Do(func() { close(l.end) }) }
--- a/internal/standin/node.go
+++ b/internal/standin/node.go
@@ -55,6 +55,7 @@
 	Half     bool    `json:"half,omitempty"` // its body did not come whole
 	Cold     bool    `json:"cold,omitempty"`
 	Fell     bool    `json:"fell,omitempty"` // the node fell over with it
+	Told     int64   `json:"told,omitempty"` // for how long it is waited for, by its own word
 	Sequence uint64  `json:"sequence"`
 }
 
