Cold nodes bear what one node of their shard bore before, not twice all of it

Cause: coldStart took twice what a head was served on the shard as what a node may bear, a guess that nodes are half used; and counted what several nodes of the shard bore together. A node's capacity is not told, it is only known to be no less than what it bore.

Change: the budget is by what one node of the shard bore; coldPart (2.0) is gone. Tests: TestColdBudgetFollowsWhatWasServedBefore held the old factor and is changed with it, as is the module that TestSameAsReference compares with; TestColdBudgetOfANodeThatSharedItsShard is new.

--- a/logic/fleet_test.go
+++ b/logic/fleet_test.go
@@ -152,7 +152,7 @@
 	if testing.Short() {
 		t.Skip("a minute of fleets")
 	}
-	for _, heads := range []int{20, 30, 140, 300} {
+	for _, heads := range []int{4, 10, 20, 30, 140, 300} {
 		for _, units := range []float64{20, 120, 600} { // a second that the node does when it is warm
 			for _, load := range []float64{0.4, 0.6, 0.9, 1.3} {
 				for _, restarts := range []int{0, 3} {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -29,7 +29,6 @@
 	calmAims     = 1.5              // pressure halves over so many shortest aims without an answer
 	shrink       = 0.7              // multiplicative decrease
 	coldKeep     = 0.67             // part of its budget that a cold node's bucket fills at; it holds the rest
-	coldPart     = 2.0              // x FallMultiple x ColdFrom x what the head was served on the shard before
 	memory       = 3 * time.Second  // what was seen of a node counts half after this
 	history      = 30 * time.Second // so does what a head was served on a shard
 	drift        = 0.02             // step of the estimate of what a unit takes
@@ -691,8 +690,9 @@
 
 // coldStart sets a node's bucket for the time that it is cold (rule on cold
 // nodes): this head's even part of what is always borne or, where that is more,
-// a part in proportion to what it was served on the shard before, which over all
-// heads adds up to what the node really bore. At many heads either is less than
+// a part in proportion to what it was served by a node of the shard before, which over
+// all heads adds up to what such a node really bore: its capacity is not told, and is no
+// less than that. At many heads either is less than
 // one request in a window: it accrues, and each starts at a level by chance, so
 // that their turns are spread. After the head's own start a window passes first,
 // as its life before may have spent it.
@@ -702,12 +702,23 @@
 	}
 	window, units := max(h.s.FallWindow.Seconds(), 1e-3), cmp.Or(h.s.ColdUnits, h.s.MeanUnits)
 	rate := max(coldKeep*units/float64(h.s.Heads)/window,
-		coldPart*h.s.FallMultiple*h.s.ColdFrom*h.served(n.Shard, n.Started, 0))
+		h.s.FallMultiple*h.s.ColdFrom*h.served(n.Shard, n.Started, 0)/h.sharing(n))
 	n.cold = bucket{rate: rate, cap: rate * window * (1 - coldKeep) / coldKeep}
 	n.cold.at = max(h.now, h.boot+h.s.FallWindow)
 	n.cold.level = n.cold.cap - h.rand.Float64()*h.s.MeanUnits
 }
 
+// sharing is how many nodes a shard's requests were shared among before one of them started.
+// Guards against a cold node that is held to bear what several bore together.
+func (h *Head) sharing(started *node) (nodes float64) {
+	for _, n := range h.byShard[started.Shard] {
+		if n.State != Gone {
+			nodes++
+		}
+	}
+	return max(nodes, 1)
+}
+
 // coldLevel fills a cold node's bucket, which grows as its capacity must.
 func (h *Head) coldLevel(n *node) bucket {
 	grown := 1.0
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -381,7 +381,7 @@
 	}
 	r.at(0, List{Entries: []Entry{{Node: "A", Shard: 0, Started: r.now}, {Node: "B", Shard: 1, Started: r.now}}})
 	a, b := r.h.nodes[0].cold.rate, r.h.nodes[1].cold.rate
-	if want := coldPart * 3 * 0.25 * 20; math.Abs(a-want) > want/5 {
+	if want := 3.0 * 0.25 * 20; math.Abs(a-want) > want/5 {
 		t.Errorf("rate at A %.2f, want about %.2f", a, want)
 	}
 	if b > a/10 {
@@ -389,6 +389,23 @@
 	}
 }
 
+// Of two nodes that shared a shard, one that comes back bears half of what both bore.
+func TestColdBudgetOfANodeThatSharedItsShard(t *testing.T) {
+	s := site(func(s *Settings) {
+		s.Heads, s.ColdUnits, s.FallWindow, s.Cold, s.ColdFrom, s.FallMultiple = 100, 1, time.Second, 10*time.Second, 0.25, 3
+	})
+	both := []Entry{{Node: "A", Shard: 0}, {Node: "B", Shard: 0}}
+	r := start(t, s, both...)
+	for id := uint64(1); id <= 400; id++ { // 20 units a second on the shard
+		r.at(100*ms, req(id))
+		r.end(id, OK)
+	}
+	r.at(0, List{Entries: []Entry{{Node: "A", Shard: 0, Started: r.now}}})
+	if a, want := r.h.nodes[0].cold.rate, 3.0*0.25*20/2; math.Abs(a-want) > want/5 {
+		t.Errorf("rate at A %.2f, want about %.2f", a, want)
+	}
+}
+
 func TestColdWindowCountsAsSpentAfterARestart(t *testing.T) {
 	s := site(func(s *Settings) {
 		s.ColdUnits, s.FallWindow, s.Cold, s.ColdFrom = 12, time.Second, 10*time.Second, 0.25
--- a/logic/reference_test.go
+++ b/logic/reference_test.go
@@ -25,7 +25,6 @@
 	calmAims     = 1.5              // pressure halves over so many shortest aims without an answer
 	shrink       = 0.7              // multiplicative decrease
 	coldKeep     = 0.67             // part of its budget that a cold node's bucket fills at; it holds the rest
-	coldPart     = 2.0              // x FallMultiple x ColdFrom x what the head was served on the shard before
 	memory       = 3 * time.Second  // what was seen of a node counts half after this
 	history      = 30 * time.Second // so does what a head was served on a shard
 	drift        = 0.02             // step of the estimate of what a unit takes
@@ -560,12 +559,21 @@
 	}
 	window, units := max(h.s.FallWindow.Seconds(), 1e-3), cmp.Or(h.s.ColdUnits, h.s.MeanUnits)
 	rate := max(coldKeep*units/float64(h.s.Heads)/window,
-		coldPart*h.s.FallMultiple*h.s.ColdFrom*h.served(n.Shard, n.Started, 0))
+		h.s.FallMultiple*h.s.ColdFrom*h.served(n.Shard, n.Started, 0)/h.sharing(n))
 	n.cold = bucket{rate: rate, cap: rate * window * (1 - coldKeep) / coldKeep}
 	n.cold.at = max(h.now, h.boot+h.s.FallWindow)
 	n.cold.level = n.cold.cap - h.rand.Float64()*h.s.MeanUnits
 }
 
+func (h *reference) sharing(started *node) (nodes float64) {
+	for _, n := range h.byShard[started.Shard] {
+		if n.State != Gone {
+			nodes++
+		}
+	}
+	return max(nodes, 1)
+}
+
 func (h *reference) coldLevel(n *node) bucket {
 	grown := 1.0
 	if from := h.s.ColdFrom; from > 0 && from < 1 {
