Stops: nothing is accepted and then reset; what waited to be accepted has less time left

The system now drops what would begin a connection first, those that have begun have 20 ms to stand, and the listener is closed when its queue is empty. The loop tells how long a newcomer may have waited, and its first request has so much less.

--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -226,7 +226,8 @@
 			r.breach("%s has %d answers", t, c.Answers)
 		case c.Unsent, c.GaveUp > 0, j.down(c.Head, c.Sent, end):
 		case c.Answers == 0:
-			r.breach("%s sent to head %d has no answer", t, c.Head)
+			r.breach("%s sent to head %d at %s has no answer, its connection ended %v later", t, c.Head,
+				time.UnixMicro(c.Sent).UTC().Format("15:04:05.000000"), time.Duration(c.Lost-c.Sent)*time.Microsecond)
 		case c.Answered > c.Deadline+j.in.Late.Microseconds():
 			r.breach("%s was answered %v late", t, time.Duration(c.Answered-c.Deadline)*time.Microsecond)
 		}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -47,6 +47,7 @@
 	service     *service      // of a platform, nil: nodes are listed in a file
 	leaving     time.Duration // when newcomers are no longer taken, 0: not stopping
 	alive       atomic.Bool   // the loop turned since this was last asked
+	closeFrom   time.Duration // when listeners may be closed, 0: not stopping
 	closed      bool          // newcomers are taken no more
 	ending      time.Duration // when what is under way is cut off, 0: not stopping
 	over        time.Duration // when the head ends at the latest, 0: nothing is cut off yet
@@ -270,10 +271,19 @@
 	}
 }
 
+// handshakeTime is what connections that have begun have to stand.
+const handshakeTime = 20 * time.Millisecond
+
 // closeListeners takes what stands in the listen queues, which counts as taken, and closes
-// them; where descriptors have run out that goes on in later turns.
+// them once nothing new comes; where descriptors have run out that goes on in later turns.
 func (d *Daemon) closeListeners() {
-	if d.closed {
+	now := d.loop.Now()
+	if d.closeFrom == 0 {
+		d.loop.StopNewcomers()
+		d.closeFrom = now + handshakeTime
+		time.AfterFunc(handshakeTime+time.Millisecond, d.loop.Wake)
+	}
+	if d.closed || now < d.closeFrom {
 		return
 	}
 	if d.closed = d.loop.AcceptAll(); d.closed {
--- a/internal/head/client.go
+++ b/internal/head/client.go
@@ -100,6 +100,14 @@
 	return Welcome{ID: c.id, Admitted: true}
 }
 
+// Waited tells that a new connection, and the request on it, may have waited so long to be
+// accepted: its client's time runs since then.
+func (h *Head) Waited(id ConnID, d time.Duration) {
+	if c := h.conn(id); c != nil {
+		c.waited = d
+	}
+}
+
 // gaveWay closes a connection for room: idle, or with a request that was not taken.
 func (h *Head) gaveWay(c *conn) {
 	h.counts.GaveWay++
@@ -384,6 +392,9 @@
 	ex.id, ex.taken = h.lastID, h.now
 	a := &ex.ask.Arrival
 	a.ID, a.Left = ex.id, h.left(a.Left)
+	if c := ex.client; c != nil && c.requests == 1 {
+		a.Left = max(a.Left-c.waited, 0)
+	}
 	ex.due = h.now + a.Left
 	h.reqs[ex.id] = ex
 	h.counts.Taken++
--- a/internal/head/conn.go
+++ b/internal/head/conn.go
@@ -38,6 +38,7 @@
 	owed     bool // admission is to be told of its request's end, once the answer went out
 	good     bool // it was served
 	requests int  // that it had
+	waited   Time // for which it may have waited to be accepted
 	body     pace // of what it sends
 	answer   pace // of what it takes
 	weight   int  // bytes booked on Head.held
--- a/internal/loop/listen.go
+++ b/internal/loop/listen.go
@@ -176,6 +176,9 @@
 	l.resumeAt = 0
 	if !on {
 		l.resumeAt = l.Now() + acceptRest
+		if l.blocked == 0 {
+			l.blocked = l.Now()
+		}
 	}
 	for _, n := range l.listeners {
 		unix.EpollCtl(l.epfd, unix.EPOLL_CTL_DEL, n.fd, nil)
@@ -230,6 +233,25 @@
 	}
 }
 
+// StopNewcomers has the system drop what would begin a connection, while those that have
+// begun go on to stand in the listen queues. Guards against a connection that is made between
+// the last accept and the close of its listener, which would reset it with its request. Where
+// other processes share the queue, or the system does not take the filter, nothing is done.
+func (l *Loop) StopNewcomers() {
+	const flags, syn = 13, 0x02 // of the TCP header
+	filter := []unix.SockFilter{
+		{Code: unix.BPF_LD | unix.BPF_B | unix.BPF_ABS, K: flags},
+		{Code: unix.BPF_JMP | unix.BPF_JSET | unix.BPF_K, Jt: 0, Jf: 1, K: syn},
+		{Code: unix.BPF_RET | unix.BPF_K, K: 0},
+		{Code: unix.BPF_RET | unix.BPF_K, K: 1 << 18},
+	}
+	for _, n := range l.listeners {
+		if !n.shared {
+			unix.SetsockoptSockFprog(n.fd, unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: uint16(len(filter)), Filter: &filter[0]})
+		}
+	}
+}
+
 // AcceptAll takes all that stand in the listen queues, before these are closed, and tells
 // whether there is none left: where descriptors have run out it is to be called again.
 func (l *Loop) AcceptAll() bool {
@@ -263,6 +285,7 @@
 	case err == nil:
 		l.aborted = 0
 	case errors.Is(err, unix.EAGAIN):
+		l.blocked = 0
 		return false
 	case aborted(err) && l.aborted < abortedMost:
 		l.aborted++
@@ -275,6 +298,9 @@
 	w := l.Head.Accept(l.Now(), addrOf(sa), n.key)
 	switch {
 	case w.Admitted:
+		if l.blocked > 0 {
+			l.Head.Waited(w.ID, l.Now()-l.blocked)
+		}
 		l.clients++
 		l.put(w.ID, sock{fd: fd, id: w.ID, client: true, wanted: unix.EPOLLIN | unix.EPOLLRDHUP})
 		l.watchConn(w.ID)
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -90,6 +90,7 @@
 	conns     []sock  // by the head's slot
 	byFD      []int32 // slot + 1 of a descriptor, 0: none
 	buf       []byte
+	blocked   time.Duration // since when newcomers may have waited, 0: they do not
 	resumeAt  time.Duration // when accepting goes on after descriptors ran out, 0: it goes on
 	aborted   int           // newcomers in a row that were gone
 	clients   int
