Soak: outages of discovery weigh more and overlap rightly; cold nodes by who was told

Now a drain in an outage outlives it, one fault in six is an outage, and silent watches are one head's.

--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -200,6 +200,14 @@
 		}, nil},
 		{"a cold node at its bound", func(in *Input) { in.crowd(answered, sent, 14) }, nil},
 		{"a cold node past its bound", func(in *Input) { in.crowd(answered, sent, 18) }, []int{4}},
+		{"by heads that were told", func(in *Input) {
+			in.crowd(answered, sent, 18)
+			in.Told = []Notice{{Head: 0, Node: "n", From: ms(50)}}
+		}, []int{4}},
+		{"by heads that were not told", func(in *Input) {
+			in.crowd(answered, sent, 18)
+			in.Told = []Notice{{Head: 1, Node: "n", From: ms(50)}}
+		}, nil},
 	}
 	for _, c := range cases {
 		in := base()
--- a/internal/soak/agent.go
+++ b/internal/soak/agent.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -53,11 +54,16 @@
 	mu       sync.Mutex
 	ln       net.Listener
 	epoch    int // of connections: those of before stay silent
+	outages  int // that overlap; in one of them the agent is down
 	down     bool
 	slow     time.Duration
 	index    int64
 	entries  map[string]discovery.Entry
 	notices  []audit.Notice
+	starts   []audit.Notice // of nodes
+	// returned and returnedWith are when the agent came back last, and what it had before.
+	returned     time.Time
+	returnedWith map[string]discovery.Entry
 	// countsFrom is when what is told in a reload or behind silent watches counts at the latest.
 	countsFrom time.Time
 }
@@ -91,6 +97,9 @@
 	for name, e := range entries {
 		a.entries[name] = e
 		up, was := e.Status == "up", before[name].Status == "up"
+		if before != nil && e.Since != before[name].Since {
+			a.starts = append(a.starts, audit.Notice{Head: a.head, Node: name, From: time.Now().UnixMicro()})
+		}
 		switch {
 		case was && !up:
 			a.notices = append(a.notices, audit.Notice{Head: a.head, Node: name, From: counts.UnixMicro()})
@@ -133,11 +142,29 @@
 	a.countsFrom = time.Now().Add(countsAfterReload)
 }
 
+// reachable is for how long an agent has to be back for what it got then to count: none can
+// ask it in a shorter time.
+const reachable = 350 * time.Millisecond
+
 // goDown makes the agent silent, for good on the connections that it has.
 func (a *agent) goDown() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.epoch, a.down = a.epoch+1, true
+	a.outages++
+	if a.epoch++; a.down {
+		return
+	}
+	a.down = true
+	if time.Since(a.returned) < reachable {
+		a.takeBack()
+	}
+}
+
+// takeBack has what the agent got at its last return count from the next one.
+func (a *agent) takeBack() {
+	from := a.returned.UnixMicro()
+	a.notices = slices.DeleteFunc(a.notices, func(n audit.Notice) bool { return n.From >= from })
+	a.entries = a.returnedWith
 }
 
 // comeBack has it answer, with what there is by now.
@@ -146,7 +173,11 @@
 	defer a.registry.mu.Unlock()
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.outages--; a.outages > 0 {
+		return
+	}
 	a.epoch, a.down = a.epoch+1, false
+	a.returned, a.returnedWith = time.Now(), a.entries
 	a.have(a.registry.index, a.registry.entries)
 }
 
@@ -253,14 +284,15 @@
 	}
 }
 
-// taken are the notices of a run.
-func (g *registry) taken() (all []audit.Notice) {
+// taken are the notices of a run: of nodes that drain, and of nodes that started.
+func (g *registry) taken() (drains, starts []audit.Notice) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, a := range g.agents {
 		a.mu.Lock()
-		all = append(all, a.notices...)
+		drains = append(drains, a.notices...)
+		starts = append(starts, a.starts...)
 		a.mu.Unlock()
 	}
-	return all
+	return drains, starts
 }
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -96,8 +96,12 @@
 	quietAtLast  = 2500 * time.Millisecond
 )
 
-// eachEvery is how often a fault begins, in the mean.
-const eachEvery = 350 * time.Millisecond
+// eachEvery is how often a fault begins, in the mean; one of outageEvery is an outage of
+// discovery, beside those that are drawn with the others.
+const (
+	eachEvery   = 350 * time.Millisecond
+	outageEvery = 6
+)
 
 // Draw draws a script. Faults are drawn one by one; some come in pairs that cross: drains in
 // the moment in which discovery returns, reloads in series, a drain behind a stop.
@@ -124,7 +128,11 @@
 		return min(from+time.Duration(r.Int64N(int64(to-from))), max(end-at, from))
 	}
 	head, node := r.IntN(o.Heads), r.IntN(o.Nodes)
-	switch kind := Kind(r.IntN(int(kinds))); kind {
+	kind := Kind(r.IntN(int(kinds)))
+	if r.IntN(outageEvery) == 0 {
+		kind = DiscoveryDown
+	}
+	switch kind {
 	case DiscoveryDown:
 		who := head
 		if r.IntN(2) == 0 {
@@ -132,11 +140,12 @@
 		}
 		length := span(100*time.Millisecond, 5*time.Second)
 		s.add(at, length, kind, who)
-		for range 1 + r.IntN(2) { // nodes drain while it is down, which counts at the return
-			s.add(at+time.Duration(r.Int64N(int64(length))), span(time.Second, 4*time.Second), Drain, r.IntN(o.Nodes))
+		for range 1 + r.IntN(2) { // nodes drain while it is down, beyond the return, at which that counts
+			after := time.Duration(r.Int64N(int64(length)))
+			s.add(at+after, length-after+span(time.Second, 3*time.Second), Drain, r.IntN(o.Nodes))
 		}
 	case WatchesSilent, DiscoverySlow:
-		s.add(at, span(100*time.Millisecond, 2*time.Second), kind, -1)
+		s.add(at, span(100*time.Millisecond, 2*time.Second), kind, head)
 	case Drain:
 		s.add(at, span(time.Second, 4*time.Second), kind, node)
 	case NodeRestart:
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -277,7 +277,8 @@
 		return nil, err
 	}
 	r := &Report{Options: f.o, Script: script, Lag: lag.longest(), Faults: f.faults}
-	in := audit.Input{Config: config, Notices: f.registry.taken(), Grace: drainGrace, CancelGrace: cancelGrace, ToldSlack: toldSlack,
+	drains, starts := f.registry.taken()
+	in := audit.Input{Config: config, Notices: drains, Told: starts, Grace: drainGrace, CancelGrace: cancelGrace, ToldSlack: toldSlack,
 		Late: lateAnswers, Blur: blur + r.Lag, Starts: f.starts, Cold: f.settings.cold()}
 	for _, h := range f.heads {
 		in.Clients = append(in.Clients, h.clients.records()...)
