Asked lists: a head's first call is for what changed since the list it was configured with

Seen: 30 heads start, the list changes at 1.39 s, counts at 1.85 s, and requests go to a draining server at 2.81 s. Every head asks for its whole list as it starts, which leaves the one service two seconds behind what it is asked for; what changes meanwhile counts for calls that stand in its queue.

Change: where lists are asked for, the first call names the version of the configuration's list and applies the answer to it; a version that is another's, or anything spoilt, is followed by a call for the whole list. An agent on the head's own machine is asked for the whole list as before.

--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -66,6 +66,9 @@
 		if err != nil {
 			d.log.Warn("the list of the configuration is not used", "cause", err)
 		}
+		if err == nil {
+			s.feed.Resume(*s.c.Known.Index, nodes)
+		}
 		s.known, s.knownFrom = nodes, d.loop.Now()+knownAfter
 		time.AfterFunc(knownAfter+time.Millisecond, d.loop.Wake)
 	}
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -18,6 +18,7 @@
 
 	"maddergap/internal/head"
 	"maddergap/internal/membership"
+	"maddergap/internal/nodelist"
 )
 
 // Time is a clock reading.
@@ -41,9 +42,11 @@
 	version int64
 	known   bool // a whole list was had on this address
 	behind  bool // a call was silent since, and what it had may be missing
-	news    membership.News
-	have    bool // news
-	status  Status
+	// base is a list that is known from before, until the first answer; nil: none.
+	base   []nodelist.Node
+	news   membership.News
+	have   bool // news
+	status Status
 }
 
 // Status is what became of the calls so far.
@@ -66,6 +69,16 @@
 	return &Client{addr: addr, pacing: p, rand: rand.New(rand.NewPCG(seed, 0x64697363)), zones: newZones(zones), pause: p.pauseMin}
 }
 
+// Resume has the first call ask for what changed since a list that is known from before, where
+// lists are asked for. Guards against a service that is asked for whole lists by a fleet that
+// starts, and falls behind what it is asked for then. It is called before the first Step.
+func (c *Client) Resume(index int64, nodes []nodelist.Node) {
+	if c.pacing.overlaps() || len(nodes) == 0 {
+		return // an agent answers at no cost
+	}
+	c.base, c.version, c.known, c.behind = nodes, index, true, true
+}
+
 // Move has the list asked for at another address, from the whole list on.
 func (c *Client) Move(now Time, addr string) {
 	if addr == c.addr {
@@ -75,7 +88,7 @@
 	for len(c.calls) > 0 {
 		c.end(c.calls[0], true)
 	}
-	c.known, c.behind = false, false
+	c.base, c.known, c.behind = nil, false, false
 	c.next, c.pause = now, c.pacing.pauseMin
 }
 
@@ -242,7 +255,7 @@
 
 // spoilt ends a call whose answer cannot be used: the whole list is next.
 func (c *Client) spoilt(now Time, k *call, why error) {
-	c.known = false
+	c.base, c.known = nil, false
 	c.failed(now, k, why, true)
 }
 
@@ -323,6 +336,10 @@
 	c.version, c.known = a.index, true
 	c.status.Lists++
 	c.status.Version = a.index
+	if c.base != nil && !a.snapshot {
+		a.nodes, a.snapshot = overlaid(c.base, a.nodes), true
+	}
+	c.base = nil
 	if len(a.nodes) == 0 {
 		return nil
 	}
@@ -336,6 +353,16 @@
 	return nil
 }
 
+// overlaid is a list with changes of it applied.
+func overlaid(base, changes []nodelist.Node) []nodelist.Node {
+	changed := map[string]bool{}
+	for _, n := range changes {
+		changed[n.Name] = true
+	}
+	kept := slices.DeleteFunc(slices.Clone(base), func(n nodelist.Node) bool { return changed[n.Name] })
+	return append(kept, changes...)
+}
+
 // List returns the news since the last call.
 func (c *Client) List() (news membership.News, ok bool) {
 	news, ok = c.news, c.have
