--- a/cmd/maddergap/bench.go
+++ b/cmd/maddergap/bench.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"maddergap/internal/bench"
+	"maddergap/internal/soak"
 )
 
 type benchCmd struct {
@@ -15,7 +16,7 @@
 	Turns   int           `default:"5" help:"Measurements of each."`
 	Size    int           `default:"1024" help:"Bytes of a small answer."`
 	Stream  int64         `default:"1024" help:"MiB of the large object."`
-	Only    string        `enum:"all,small,nodes,stream,rush,overload" default:"all" help:"all, small, nodes, stream, rush or overload."`
+	Only    string        `enum:"all,small,nodes,stream,rush,overload,members" default:"all" help:"all, small, nodes, stream, rush, overload or members."`
 	Proxy   string        `hidden:""`
 	Target  string        `hidden:""`
 }
@@ -42,7 +43,8 @@
 		name string
 		run  func() error
 	}{{"small", o.Small}, {"nodes", func() error { return o.Nodes(8, 200) }}, {"stream", func() error { return o.Stream(c.Stream << 20) }},
-		{"rush", func() error { return o.Rush(64, 256, 1024, 4096, 8000) }}, {"overload", func() error { return o.Overload(16, 64, 1024, 4096) }}} {
+		{"rush", func() error { return o.Rush(64, 256, 1024, 4096, 8000) }}, {"overload", func() error { return o.Overload(16, 64, 1024, 4096) }},
+		{"members", func() error { return soak.Members([]string{exe}, dir, []int{200, 800, 3200}, io.out) }}} {
 		if c.Only != "all" && c.Only != step.name {
 			continue
 		}
--- a/internal/soak/agent.go
+++ b/internal/soak/agent.go
@@ -59,6 +59,9 @@
 	slow     time.Duration
 	index    int64
 	entries  map[string]discovery.Entry
+	changed  map[string]int64 // the version with which each entry came
+	calls    int
+	bytes    int64 // of answers
 	notices  []audit.Notice
 	starts   []audit.Notice // of nodes
 	// returned and returnedWith are when the agent came back last, and what it had before.
@@ -71,7 +74,7 @@
 func (g *registry) agent(head int) *agent {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	a := &agent{head: head, registry: g}
+	a := &agent{head: head, registry: g, changed: map[string]int64{}}
 	g.agents = append(g.agents, a)
 	a.send(g.index, g.entries)
 	return a
@@ -96,6 +99,9 @@
 	a.index, a.entries = index, map[string]discovery.Entry{}
 	for name, e := range entries {
 		a.entries[name] = e
+		if e != before[name] {
+			a.changed[name] = index
+		}
 		up, was := e.Status == "up", before[name].Status == "up"
 		if before != nil && e.Since != before[name].Since {
 			a.starts = append(a.starts, audit.Notice{Head: a.head, Node: name, From: time.Now().UnixMicro()})
@@ -206,15 +212,26 @@
 }
 
 func (a *agent) list() discovery.List {
-	l := discovery.List{Index: &a.index, Snapshot: true}
 	index := a.index
-	l.Index = &index
+	l := discovery.List{Index: &index, Snapshot: true, Endpoints: make([]discovery.Entry, 0, len(a.entries))}
 	for _, e := range a.entries {
 		l.Endpoints = append(l.Endpoints, e)
 	}
 	return l
 }
 
+// changes are the entries that came after a version.
+func (a *agent) changes(from int64) discovery.List {
+	index := a.index
+	l := discovery.List{Index: &index, Endpoints: []discovery.Entry{}}
+	for name, version := range a.changed {
+		if version > from {
+			l.Endpoints = append(l.Endpoints, a.entries[name])
+		}
+	}
+	return l
+}
+
 func (a *agent) accept(ln net.Listener) {
 	for {
 		c, err := ln.Accept()
@@ -252,29 +269,46 @@
 	watch := err == nil
 	hold, _ := time.ParseDuration(r.URL.Query().Get("hold_ms") + "ms")
 	for until := time.Now().Add(hold); ; time.Sleep(3 * time.Millisecond) {
-		a.mu.Lock()
-		alive, slow, index := a.epoch == epoch && !a.down, a.slow, a.index
-		list := a.list()
-		a.mu.Unlock()
+		alive, unchanged := a.state(epoch, from)
 		if !alive {
 			return false
 		}
-		if watch && index == from {
-			if time.Now().Before(until) {
-				continue
-			}
-			list.Snapshot, list.Endpoints = false, []discovery.Entry{}
-		}
-		time.Sleep(slow)
-		text, err := json.Marshal(list)
-		if err != nil {
-			return false
+		if !watch || !unchanged || time.Now().After(until) {
+			return a.tell(c, watch, from)
 		}
-		_, err = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
-		return err == nil
 	}
 }
 
+// state tells whether a connection of an epoch is answered, and whether a version is the last.
+func (a *agent) state(epoch int, version int64) (alive, unchanged bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.epoch == epoch && !a.down, a.index == version
+}
+
+// tell writes the whole list, or for a watch what changed.
+func (a *agent) tell(c net.Conn, watch bool, from int64) bool {
+	a.mu.Lock()
+	slow, list := a.slow, discovery.List{}
+	if watch {
+		list = a.changes(from)
+	} else {
+		list = a.list()
+	}
+	a.mu.Unlock()
+	time.Sleep(slow)
+	text, err := json.Marshal(list)
+	if err != nil {
+		return false
+	}
+	n, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.calls++
+	a.bytes += int64(n)
+	return err == nil
+}
+
 // close closes the agent's listener.
 func (a *agent) close() {
 	a.mu.Lock()
