Guard: an attempt is encoded anew past 20 ms only; a postponed dial may be the node's failure

Reread: every request was encoded twice, as the clock moves a little between encoding and the write; and a node without a route was never blamed, as ENETUNREACH counts as the head's own. Change: what an attempt tells may be 20 ms old at the write (slack 150). A connection that the head's machine could not begin is the node's failure where others came up meanwhile; EPERM and EACCES are no failures that pass. Measured: TestRules, TestPostponedConnections, TestToldIsWhatIsLeftAtTheWrite, TestFailingSystemCalls green.

--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -42,8 +42,22 @@
 	heldUp = 150 * time.Millisecond
 	// cancelGrace is after a client has gone.
 	cancelGrace = 100 * time.Millisecond
+	// encodedFor is how long ago an attempt may have been encoded, with the time then left.
+	encodedFor = 20 * time.Millisecond
 )
 
+// allowance is what may pass between an event and the write.
+type allowance struct{ drain, cancel, due, told, window time.Duration }
+
+var (
+	beforeWrite = allowance{told: encodedFor}
+	afterWrite  = allowance{drain: heldUp, cancel: cancelGrace, due: heldUp, told: heldUp, window: heldUp}
+)
+
+// Outdated tells whether an attempt has to be encoded anew before it is written, as it tells
+// its node clearly more time than is left.
+func Outdated(now, due Time, told time.Duration) bool { return now+told > due+encodedFor }
+
 // Attempt is what is known of an attempt when its first byte goes out.
 type Attempt struct {
 	Request uint64 // the head's number of it
@@ -118,7 +132,7 @@
 // Guards against whatever came to pass between the decision to send and the write: a
 // connection that came up late, one whose buffer was full, a list, a client that left.
 func (g *Guard) MayBegin(now Time, a *Attempt) Rule {
-	rule, limit := check(now, a, 0, 0, 0)
+	rule, limit := check(now, a, &beforeWrite)
 	if rule != None {
 		g.counts.Withheld[rule]++
 		g.report(Violation{Rule: rule, Withheld: true, Request: a.Request, Node: a.Node, Attempt: a.Number, Now: now, Limit: limit})
@@ -129,7 +143,7 @@
 // Began tells that the first byte of an attempt was written, and returns the rule that it
 // broke, allowing for a head that is held up.
 func (g *Guard) Began(now Time, a *Attempt) Rule {
-	rule, limit := check(now, a, heldUp, cancelGrace, heldUp)
+	rule, limit := check(now, a, &afterWrite)
 	if rule != None {
 		g.broke(Violation{Rule: rule, Request: a.Request, Node: a.Node, Attempt: a.Number, Now: now, Limit: limit})
 	}
@@ -137,17 +151,17 @@
 }
 
 // check returns the first rule against an attempt and the time it is held against.
-func check(now Time, a *Attempt, drain, cancel, told time.Duration) (Rule, Time) {
+func check(now Time, a *Attempt, allowed *allowance) (Rule, Time) {
 	switch {
 	case !a.InForce:
 		return Start, 0
-	case !a.Serving && now >= a.Changed+drain:
+	case !a.Serving && now >= a.Changed+allowed.drain:
 		return Drain, a.Changed
-	case a.Left > 0 && now >= a.Left+cancel:
+	case a.Left > 0 && now >= a.Left+allowed.cancel:
 		return Cancelled, a.Left
-	case now >= a.Due+told || now+a.Told > a.Due+told:
+	case now >= a.Due+allowed.due || now+a.Told > a.Due+allowed.told:
 		return Deadline, a.Due
-	case !a.Earlier.mayRepeat(now - told):
+	case !a.Earlier.mayRepeat(now - allowed.window):
 		return Repeat, a.Earlier.Until
 	}
 	return None, 0
--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -32,6 +32,7 @@
 		{"client gone", func(a *Attempt) { a.Left = now - 120*time.Millisecond }, Cancelled, true},
 		{"past its time", func(a *Attempt) { a.Due, a.Told = now, 0 }, Deadline, false},
 		{"long past its time", func(a *Attempt) { a.Due, a.Told = now-200*time.Millisecond, 0 }, Deadline, true},
+		{"was encoded just now", func(a *Attempt) { a.Told += 15 * time.Millisecond }, None, false},
 		{"tells a little more than is left", func(a *Attempt) { a.Told += 100 * time.Millisecond }, Deadline, false},
 		{"tells more than is left", func(a *Attempt) { a.Told += 200 * time.Millisecond }, Deadline, true},
 		{"safe repeat", func(a *Attempt) { a.Earlier = Earlier{Effect: logic.Safe, Ran: true, Out: 1} }, None, false},
--- a/internal/head/guarded.go
+++ b/internal/head/guarded.go
@@ -77,7 +77,7 @@
 func (h *Head) mayBegin(c *conn) bool {
 	at := c.at
 	a := h.guarded(at)
-	if at.told > 0 && h.now+at.told > at.ex.due && h.now < at.ex.due {
+	if at.told > 0 && h.now < at.ex.due && guard.Outdated(h.now, at.ex.due, at.told) {
 		h.encode(c)
 		a.Told = at.told
 	}
--- a/internal/head/guarded_test.go
+++ b/internal/head/guarded_test.go
@@ -122,3 +122,28 @@
 		t.Errorf("reported %v", r.violations)
 	}
 }
+
+// A connection that the head's own machine could not begin is not the node's failure, unless
+// others came up meanwhile.
+func TestPostponedConnections(t *testing.T) {
+	for _, others := range []bool{false, true} {
+		r, c, _ := carelessRig(t)
+		r.late = true
+		c.actions = []logic.Action{logic.Send{ID: 1, Node: "n0"}}
+		r.h.events = append(r.h.events, logic.Wake{})
+		r.run()
+		r.h.Postponed(r.now, r.dials[0])
+		if others {
+			r.now += time.Millisecond
+			r.h.lastConnected = r.now
+		}
+		r.pass(r.h.c.DialTime + time.Millisecond)
+		want := logic.Moot
+		if others {
+			want = logic.ConnectFailed
+		}
+		if n := len(r.spans); n != 1 || r.spans[0].Ended != want {
+			t.Errorf("others %v: %+v, want %v", others, r.spans, want)
+		}
+	}
+}
--- a/internal/head/head.go
+++ b/internal/head/head.go
@@ -154,12 +154,14 @@
 	table  *membership.Table
 	listed bool // a node list is in force
 	guard  guard.Guard
-	nodes  map[string]*node
-	kept   idleList
-	reqs   map[uint64]*exchange
-	lastID uint64
-	wakeAt Time
-	lag    lag
+	// lastConnected is when a connection to a node came up last.
+	lastConnected Time
+	nodes         map[string]*node
+	kept          idleList
+	reqs          map[uint64]*exchange
+	lastID        uint64
+	wakeAt        Time
+	lag           lag
 
 	oldEx     []*exchange
 	oldBufs   [][]byte
--- a/internal/head/node.go
+++ b/internal/head/node.go
@@ -119,6 +119,7 @@
 		h.feeding.feed.Connected(h.now, c.feedConn)
 		return
 	}
+	h.lastConnected = h.now
 	if c.at == nil {
 		h.park(c)
 		return
@@ -405,7 +406,7 @@
 	case c.inBody && at.verdict != logic.OK:
 		h.end(at, at.verdict)
 	case !c.connected:
-		h.end(at, c.unconnected())
+		h.end(at, h.unconnected(c, at))
 	case !at.written: // a kept connection that closed just then: proven not to have run
 		h.end(at, logic.Moot)
 	case !out:
@@ -416,9 +417,10 @@
 }
 
 // unconnected is the outcome of an attempt whose connection did not come up: the node's
-// failure, unless the head's own machine held it up.
-func (c *conn) unconnected() logic.Outcome {
-	if c.postponed {
+// failure, unless the head's own machine held it up. Where others came up meanwhile it is of
+// that node all the same, as where there is no route to it.
+func (h *Head) unconnected(c *conn, at *attempt) logic.Outcome {
+	if c.postponed && h.lastConnected <= at.began {
 		return logic.Moot
 	}
 	return logic.ConnectFailed
@@ -433,7 +435,7 @@
 	case !c.connected:
 		c.at = nil
 		h.drop(c, Abort)
-		h.end(at, c.unconnected())
+		h.end(at, h.unconnected(c, at))
 	case at.ex.answer == at, at.holds && h.now < at.ex.due: // the answer stopped in its middle
 		h.broken(c, h.way.faulty())
 	default: // the client's time is up; a later answer is nobody's
--- a/internal/loop/retry.go
+++ b/internal/loop/retry.go
@@ -23,7 +23,7 @@
 // local tells whether an error is of the head's own machine.
 func local(err error) bool {
 	for _, own := range []unix.Errno{unix.EMFILE, unix.ENFILE, unix.ENOBUFS, unix.ENOMEM, unix.ENOSPC, unix.EAGAIN, unix.EINTR,
-		unix.EADDRNOTAVAIL, unix.ENETUNREACH, unix.ENETDOWN, unix.EPERM, unix.EACCES} {
+		unix.EADDRNOTAVAIL, unix.ENETUNREACH, unix.ENETDOWN} {
 		if errors.Is(err, own) {
 			return true
 		}
