Tests: storage nodes and discovery of the e2e rig by their usual names

Need: names of the earlier house style are withdrawn. Change: stubNode, stubDiscovery, endpointOf; no test or assertion changed (the list of test names is the same).

--- a/internal/e2e/crossing_test.go
+++ b/internal/e2e/crossing_test.go
@@ -42,8 +42,8 @@
 func TestCrossingGoneBehindRequestsSentAhead(t *testing.T) {
 	for _, how := range []string{"end", "reset", "end with the last byte", "much ahead"} {
 		t.Run(how, func(t *testing.T) {
-			one, two := newShelf(t, func(int, *http.Request) reply { return ok("one") }), newShelf(t, func(int, *http.Request) reply { return ok("two") })
-			d := newTeller(t, one)
+			one, two := newStubNode(t, func(int, *http.Request) reply { return ok("one") }), newStubNode(t, func(int, *http.Request) reply { return ok("two") })
+			d := newStubDiscovery(t, one)
 			s := serveOn(t, d)
 			c := s.dial(t)
 			text := ""
@@ -64,7 +64,7 @@
 			}
 			c.Close()
 			within(t, time.Second, func() bool { return s.counted("left") == "1" })
-			d.set(shelfEntry("s0", one, 0, "up"), shelfEntry("s1", two, 1, "up"))
+			d.set(endpointOf("s0", one, 0, "up"), endpointOf("s1", two, 1, "up"))
 			within(t, time.Second, func() bool {
 				status, _ := s.raw(second(s.request("GET", "read", 1, "1200m", "")))
 				return status == 200
@@ -128,8 +128,8 @@
 	for _, how := range []string{"client leaves", "node drains"} {
 		t.Run(how, func(t *testing.T) {
 			addr, goOn := slowToAccept(t)
-			other := newShelf(t, func(int, *http.Request) reply { return ok("other") })
-			d := newTeller(t)
+			other := newStubNode(t, func(int, *http.Request) reply { return ok("other") })
+			d := newStubDiscovery(t)
 			entry := func(status string) string {
 				return fmt.Sprintf(`{"name":"late","address":%q,"zone":"z0","group":0,"status":%q,"since_ms":0}`, addr, status)
 			}
@@ -143,7 +143,7 @@
 				within(t, time.Second, func() bool { return s.counted("left") == "1" })
 			} else {
 				version := s.counted("version")
-				d.set(entry("draining"), shelfEntry("other", other, 0, "up"))
+				d.set(entry("draining"), endpointOf("other", other, 0, "up"))
 				within(t, time.Second, func() bool { return s.counted("version") != version })
 			}
 			ln := goOn()
@@ -191,7 +191,7 @@
 			c.Close()
 		}
 	}()
-	d := newTeller(t)
+	d := newStubDiscovery(t)
 	d.set(fmt.Sprintf(`{"name":"n","address":%q,"zone":"z0","group":0,"status":"up","since_ms":0}`, ln.Addr()))
 	s := serveOn(t, d)
 	for i := range 40 {
@@ -205,8 +205,8 @@
 // that is half read is read on, and one on a resting connection that crosses the shutdown
 // is not sent on, while its client sees an end and no reset.
 func TestCrossingStop(t *testing.T) {
-	sh := newShelf(t, func(int, *http.Request) reply { return ok("fine") })
-	s := serveOn(t, newTeller(t, sh))
+	sh := newStubNode(t, func(int, *http.Request) reply { return ok("fine") })
+	s := serveOn(t, newStubDiscovery(t, sh))
 	answer := func(c net.Conn) string {
 		c.SetReadDeadline(time.Now().Add(3 * time.Second))
 		b, err := io.ReadAll(c)
@@ -255,8 +255,8 @@
 // Nodes hang as the head ends, and clients' times reach beyond its own: each has an answer
 // before the head is gone.
 func TestCrossingStopWithHungNodes(t *testing.T) {
-	sh := newShelf(t, func(int, *http.Request) reply { return reply{hang: true} })
-	s := serveOn(t, newTeller(t, sh))
+	sh := newStubNode(t, func(int, *http.Request) reply { return reply{hang: true} })
+	s := serveOn(t, newStubDiscovery(t, sh))
 	var conns []net.Conn
 	for i := range 6 {
 		c := s.dial(t)
@@ -299,10 +299,10 @@
 // A new process has an old list from its configuration. While discovery would answer
 // nothing goes out by it; when discovery is silent the head serves by it, a second later.
 func TestCrossingOldListAtTheStart(t *testing.T) {
-	old, now := newShelf(t, func(int, *http.Request) reply { return ok("old") }), newShelf(t, func(int, *http.Request) reply { return ok("now") })
-	known := strings.NewReplacer(`"settings":{`, fmt.Sprintf(`"known":{"index":1,"snapshot":true,"endpoints":[%s]},"settings":{`, shelfEntry("old", old, 0, "up")))
-	d := newTeller(t)
-	d.set(shelfEntry("old", old, 0, "draining"), shelfEntry("now", now, 0, "up"))
+	old, now := newStubNode(t, func(int, *http.Request) reply { return ok("old") }), newStubNode(t, func(int, *http.Request) reply { return ok("now") })
+	known := strings.NewReplacer(`"settings":{`, fmt.Sprintf(`"known":{"index":1,"snapshot":true,"endpoints":[%s]},"settings":{`, endpointOf("old", old, 0, "up")))
+	d := newStubDiscovery(t)
+	d.set(endpointOf("old", old, 0, "draining"), endpointOf("now", now, 0, "up"))
 	s := startWith(t, d.addr, known)
 	if status, body := s.raw(second(s.request("GET", "read", 0, "1200m", ""))); status != 200 || body != "now" || len(old.ids()) != 0 {
 		t.Errorf("%d %q, %d requests by the old list", status, body, len(old.ids()))
@@ -330,8 +330,8 @@
 		t.Errorf("before it was ready: %v after %v", err, time.Since(began))
 	}
 
-	sh := newShelf(t, func(int, *http.Request) reply { time.Sleep(300 * time.Millisecond); return ok("fine") })
-	d := newTeller(t, sh)
+	sh := newStubNode(t, func(int, *http.Request) reply { time.Sleep(300 * time.Millisecond); return ok("fine") })
+	d := newStubDiscovery(t, sh)
 	s = serveOn(t, d)
 	c := s.dial(t)
 	fmt.Fprint(c, second(s.request("GET", "read", 0, "1200m", "")))
--- a/internal/e2e/platform_test.go
+++ b/internal/e2e/platform_test.go
@@ -21,9 +21,9 @@
 	"maddergap/internal/syscalls"
 )
 
-// shelf is a storage node as the platform has them, scripted by a test: for each
+// stubNode is a storage node as the platform has them, scripted by a test: for each
 // request it writes the bytes it is told to, and may then close, reset or say nothing.
-type shelf struct {
+type stubNode struct {
 	ln     net.Listener
 	script func(n int, r *http.Request) reply
 	mu     sync.Mutex
@@ -43,13 +43,13 @@
 	return reply{text: fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\nX-Pressure: inflight=1\r\n\r\n%s", len(body), body)}
 }
 
-func newShelf(t *testing.T, script func(n int, r *http.Request) reply) *shelf {
+func newStubNode(t *testing.T, script func(n int, r *http.Request) reply) *stubNode {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &shelf{ln: ln, script: script}
+	s := &stubNode{ln: ln, script: script}
 	var open sync.WaitGroup
 	quit := make(chan struct{})
 	open.Add(1)
@@ -71,7 +71,7 @@
 	return s
 }
 
-func (s *shelf) serve(c net.Conn, quit chan struct{}) {
+func (s *stubNode) serve(c net.Conn, quit chan struct{}) {
 	stop := make(chan struct{})
 	defer close(stop)
 	go func() {
@@ -113,14 +113,14 @@
 	}
 }
 
-func (s *shelf) ids() []string {
+func (s *stubNode) ids() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return append([]string(nil), s.seen...)
 }
 
-// teller is discovery: it answers every call with what it has, and holds watches.
-type teller struct {
+// stubDiscovery is discovery: it answers every call with what it has, and holds watches.
+type stubDiscovery struct {
 	srv   *http.Server
 	addr  string
 	calls atomic.Int64
@@ -129,15 +129,15 @@
 	index int
 }
 
-func newTeller(t *testing.T, shelves ...*shelf) *teller {
+func newStubDiscovery(t *testing.T, nodes ...*stubNode) *stubDiscovery {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	d := &teller{addr: ln.Addr().String(), index: 1}
-	for i, s := range shelves {
-		d.list += "," + shelfEntry(fmt.Sprint("s", i), s, i, "up")
+	d := &stubDiscovery{addr: ln.Addr().String(), index: 1}
+	for i, s := range nodes {
+		d.list += "," + endpointOf(fmt.Sprint("s", i), s, i, "up")
 	}
 	d.list = strings.TrimPrefix(d.list, ",")
 	d.srv = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -160,12 +160,12 @@
 	return d
 }
 
-func shelfEntry(name string, s *shelf, group int, status string) string {
+func endpointOf(name string, s *stubNode, group int, status string) string {
 	return fmt.Sprintf(`{"name":%q,"address":%q,"zone":"z0","group":%d,"status":%q,"since_ms":0}`, name, s.ln.Addr(), group, status)
 }
 
 // set tells another list.
-func (d *teller) set(entries ...string) {
+func (d *stubDiscovery) set(entries ...string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.list, d.index = strings.Join(entries, ","), d.index+1
@@ -190,13 +190,13 @@
 "limits":{"maxAttempts":4,"maxRetryAfter":500000,"retryAfter":true,"connIdle":30000000,"connectTimeout":250000}}}`, discovery)
 }
 
-func serveOn(t *testing.T, d *teller) *service {
+func serveOn(t *testing.T, d *stubDiscovery) *service {
 	t.Helper()
 	return serveWith(t, d, strings.NewReplacer())
 }
 
 // serveWith is serveOn with another configuration.
-func serveWith(t *testing.T, d *teller, change *strings.Replacer) *service {
+func serveWith(t *testing.T, d *stubDiscovery, change *strings.Replacer) *service {
 	t.Helper()
 	s := startWith(t, d.addr, change)
 	t.Cleanup(func() {
@@ -335,7 +335,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			first := map[string]bool{}
-			sh := newShelf(t, nil)
+			sh := newStubNode(t, nil)
 			sh.script = func(n int, r *http.Request) reply {
 				sh.mu.Lock()
 				defer sh.mu.Unlock()
@@ -345,7 +345,7 @@
 				}
 				return ok("fine")
 			}
-			s := serveOn(t, newTeller(t, sh))
+			s := serveOn(t, newStubDiscovery(t, sh))
 			for _, k := range []struct {
 				method, class string
 				want          int
@@ -382,8 +382,8 @@
 // reaches no node.
 func TestPlatformBadClients(t *testing.T) {
 	hold := make(chan struct{})
-	sh := newShelf(t, func(n int, r *http.Request) reply { <-hold; return ok("fine") })
-	s := serveOn(t, newTeller(t, sh))
+	sh := newStubNode(t, func(n int, r *http.Request) reply { <-hold; return ok("fine") })
+	s := serveOn(t, newStubDiscovery(t, sh))
 	defer close(hold)
 	openID, open := s.request("GET", "read", 0, "5000m", "")
 	go s.raw(open)
@@ -420,8 +420,8 @@
 // A stop loses nothing: what comes while clients still come is answered, also on the
 // connections that they have.
 func TestPlatformStopLosesNothing(t *testing.T) {
-	sh := newShelf(t, func(n int, r *http.Request) reply { time.Sleep(20 * time.Millisecond); return ok("fine") })
-	s := serveOn(t, newTeller(t, sh))
+	sh := newStubNode(t, func(n int, r *http.Request) reply { time.Sleep(20 * time.Millisecond); return ok("fine") })
+	s := serveOn(t, newStubDiscovery(t, sh))
 	var lost, served atomic.Int64
 	var all sync.WaitGroup
 	until := time.Now().Add(800 * time.Millisecond)
@@ -454,9 +454,9 @@
 // The node list is followed where the configuration says, while requests go on; a file
 // that cannot be read changes nothing, and nothing ends the head.
 func TestPlatformReloadMovesDiscovery(t *testing.T) {
-	one := newShelf(t, func(int, *http.Request) reply { return ok("one") })
-	two := newShelf(t, func(int, *http.Request) reply { return ok("two") })
-	a, b := newTeller(t, one), newTeller(t, two)
+	one := newStubNode(t, func(int, *http.Request) reply { return ok("one") })
+	two := newStubNode(t, func(int, *http.Request) reply { return ok("two") })
+	a, b := newStubDiscovery(t, one), newStubDiscovery(t, two)
 	s := serveOn(t, a)
 	get := func() string {
 		_, body := s.raw(second(s.request("GET", "read", 0, "1200m", "")))
@@ -484,8 +484,8 @@
 
 // Silent connections hold nobody up: they give way, and end in time.
 func TestPlatformSilentConnectionsGiveWay(t *testing.T) {
-	sh := newShelf(t, func(int, *http.Request) reply { return ok("fine") })
-	s := serveOn(t, newTeller(t, sh))
+	sh := newStubNode(t, func(int, *http.Request) reply { return ok("fine") })
+	s := serveOn(t, newStubDiscovery(t, sh))
 	began := time.Now()
 	var silent []net.Conn
 	defer func() {
@@ -533,11 +533,11 @@
 // records none is sent to for longer than 500 ms after discovery told it, every request
 // is answered, and no write came twice.
 func TestPlatformDrainsAndReplacements(t *testing.T) {
-	var shelves []*shelf
+	var nodes []*stubNode
 	for range 4 {
-		shelves = append(shelves, newShelf(t, func(int, *http.Request) reply { time.Sleep(2 * time.Millisecond); return ok("fine") }))
+		nodes = append(nodes, newStubNode(t, func(int, *http.Request) reply { time.Sleep(2 * time.Millisecond); return ok("fine") }))
 	}
-	d := newTeller(t, shelves[0])
+	d := newStubDiscovery(t, nodes[0])
 	s := serveOn(t, d)
 	stop := make(chan struct{})
 	var all sync.WaitGroup
@@ -564,13 +564,13 @@
 			}
 		}()
 	}
-	for i := 1; i < len(shelves); i++ {
+	for i := 1; i < len(nodes); i++ {
 		time.Sleep(200 * time.Millisecond)
-		old, next := shelves[i-1], shelves[i]
-		d.set(shelfEntry(fmt.Sprint("s", i-1), old, 0, "draining"), shelfEntry(fmt.Sprint("s", i), next, 0, "up"))
+		old, next := nodes[i-1], nodes[i]
+		d.set(endpointOf(fmt.Sprint("s", i-1), old, 0, "draining"), endpointOf(fmt.Sprint("s", i), next, 0, "up"))
 		time.Sleep(500 * time.Millisecond)
 		before := len(old.ids())
-		d.set(shelfEntry(fmt.Sprint("s", i), next, 0, "up"))
+		d.set(endpointOf(fmt.Sprint("s", i), next, 0, "up"))
 		time.Sleep(300 * time.Millisecond)
 		if n := len(old.ids()); n != before {
 			t.Errorf("%d requests came to a node 500 ms and more after it was told to drain", n-before)
@@ -579,7 +579,7 @@
 	close(stop)
 	all.Wait()
 	seen := map[string]int{}
-	for _, sh := range shelves {
+	for _, sh := range nodes {
 		ids := sh.ids()
 		if len(ids) == 0 {
 			t.Error("a node was never sent to")
--- a/internal/e2e/stop_test.go
+++ b/internal/e2e/stop_test.go
@@ -14,8 +14,8 @@
 // answer, up to the very last.
 func TestStopAmongNewcomers(t *testing.T) {
 	for range 4 {
-		node := newShelf(t, func(int, *http.Request) reply { return ok("fine") })
-		s := startWith(t, newTeller(t, node).addr, strings.NewReplacer())
+		node := newStubNode(t, func(int, *http.Request) reply { return ok("fine") })
+		s := startWith(t, newStubDiscovery(t, node).addr, strings.NewReplacer())
 		within(t, 2*time.Second, s.ready)
 		end := make(chan struct{})
 		var clients sync.WaitGroup
--- a/internal/e2e/syscalls_test.go
+++ b/internal/e2e/syscalls_test.go
@@ -30,10 +30,10 @@
 		t.Run(faults, func(t *testing.T) {
 			t.Parallel()
 			// Each answer ends its connection, so that connections are made all the time.
-			node := newShelf(t, func(int, *http.Request) reply {
+			node := newStubNode(t, func(int, *http.Request) reply {
 				return reply{text: "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 4\r\n\r\nfine", close: true}
 			})
-			s := startInjected(t, newTeller(t, node).addr, strings.NewReplacer(), faults)
+			s := startInjected(t, newStubDiscovery(t, node).addr, strings.NewReplacer(), faults)
 			within(t, 2*time.Second, s.ready)
 			var clients sync.WaitGroup
 			end := time.Now().Add(900 * time.Millisecond)
@@ -73,8 +73,8 @@
 // Descriptors run out as the head stops: what stands in its listen queue is taken as soon as
 // there are some, and answered.
 func TestStopWithoutDescriptors(t *testing.T) {
-	node := newShelf(t, func(int, *http.Request) reply { return ok("fine") })
-	s := startInjected(t, newTeller(t, node).addr, strings.NewReplacer(), "accept EMFILE from 700ms for 600ms")
+	node := newStubNode(t, func(int, *http.Request) reply { return ok("fine") })
+	s := startInjected(t, newStubDiscovery(t, node).addr, strings.NewReplacer(), "accept EMFILE from 700ms for 600ms")
 	started := time.Now()
 	within(t, 600*time.Millisecond, s.ready)
 	time.Sleep(time.Until(started.Add(800 * time.Millisecond)))
