soak: nodes listen at addresses that no outgoing connection can take

Nodes now listen at addresses of 127.0.0.0/8 of the process's own, as heads did; internal/loopback hands them out, and claims its block, so that two processes of like number cannot draw the same one.

--- a/internal/badday/run.go
+++ b/internal/badday/run.go
@@ -22,6 +22,7 @@
 	"maddergap/internal/conf"
 	"maddergap/internal/daemon"
 	"maddergap/internal/flood"
+	"maddergap/internal/loopback"
 	"maddergap/internal/nodelist"
 	"maddergap/internal/route"
 	"maddergap/internal/standin"
@@ -67,7 +68,7 @@
 		o.Late = 50 * time.Millisecond
 	}
 	if o.Block == 0 {
-		o.Block = 1 + os.Getpid()%200
+		o.Block = loopback.Block()
 	}
 	// Addresses of their own in 127.0.0.0/8: no port is shared with anybody.
 	addr := func(kind, i, port int) string {
--- a/internal/soak/members.go
+++ b/internal/soak/members.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"maddergap/internal/discovery"
+	"maddergap/internal/loopback"
 )
 
 // What the measurement of lists plays.
@@ -44,7 +45,7 @@
 	}
 	defer log.Close()
 	o := &Options{Seed: 1, Heads: 1, Nodes: 4}
-	h := &head{listen: fmt.Sprintf("127.%d.250.1:18100", 1+os.Getpid()%200), agent: registry.agent(0), settings: drawSettings(o), dir: dir, exe: exe, log: log}
+	h := &head{listen: loopback.Addr(250, 1, headPort), agent: registry.agent(0), settings: drawSettings(o), dir: dir, exe: exe, log: log}
 	if err := h.start(); err != nil {
 		return err
 	}
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -46,11 +46,8 @@
 	return &node{name: name, shard: shard, rand: rand.New(rand.NewPCG(seed, uint64(len(name)))), conns: map[net.Conn]bool{}}
 }
 
-// open listens, at the address that it had if there is one.
+// open listens at an address.
 func (n *node) open(addr string) error {
-	if addr == "" {
-		addr = "127.0.0.1:0"
-	}
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		return err
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -13,6 +13,7 @@
 
 	"maddergap/internal/audit"
 	"maddergap/internal/discovery"
+	"maddergap/internal/loopback"
 )
 
 // What the audit allows.
@@ -70,10 +71,21 @@
 	return f.judge(script, dir, lag)
 }
 
+// Ports of heads and nodes, each of which has an address of its own.
+const (
+	headPort = 18100
+	nodePort = 18300
+)
+
+// address is where a head or a node listens, also after it has come back.
+func (f *fleet) address(number, port int) string {
+	return loopback.Addr(3+int(f.o.Seed%200), number+1, port)
+}
+
 func (f *fleet) openNodes() error {
 	for i := range f.o.Nodes {
 		n := newNode(fmt.Sprintf("s-%02d", i), i/2, f.o.Seed)
-		if err := n.open(""); err != nil {
+		if err := n.open(f.address(i, nodePort)); err != nil {
 			return err
 		}
 		f.nodes = append(f.nodes, n)
@@ -85,13 +97,12 @@
 }
 
 func (f *fleet) openHeads(script *Script, exe []string, dir string) error {
-	block := 1 + os.Getpid()%200
 	for i := range f.o.Heads {
 		log, err := os.Create(filepath.Join(dir, fmt.Sprintf("head%d.log", i)))
 		if err != nil {
 			return err
 		}
-		listen := fmt.Sprintf("127.%d.%d.%d:18100", block, 3+f.o.Seed%200, i+1)
+		listen := f.address(i, headPort)
 		h := &head{number: i, listen: listen, agent: f.registry.agent(i), settings: f.settings, dir: dir, exe: exe,
 			inject: script.Inject[i], log: log}
 		h.clients = &clients{head: i, addr: listen, config: f.settings, nextID: &f.ids}
