loop: connections that epoll cannot watch are asked for their events by poll

The class is a failure of the head's own machine that is taken for the other side's silence.

A row of a second without epoll is added to the table of faults.

--- a/internal/e2e/syscalls_test.go
+++ b/internal/e2e/syscalls_test.go
@@ -22,6 +22,7 @@
 		"accept EINVAL " + from,
 		"epoll_ctl ENOMEM chance 0.3 from 150ms",
 		"epoll_ctl ENOSPC " + from,
+		"epoll_ctl ENOSPC from 300ms for 1s",
 		"write ENOBUFS " + from + "; read ENOMEM " + from,
 		"read SHORT; write SHORT",
 		"read EINTR chance 0.3; write EINTR chance 0.3; accept EINTR chance 0.3; epoll_wait EINTR chance 0.3",
@@ -57,7 +58,7 @@
 			clients.Wait()
 			s.stop()
 			if log := s.log.String(); strings.Contains(log, "breaker=true") {
-				t.Error("the breaker of a node opened that was well")
+				t.Errorf("the breaker of a node opened that was well; the head's log:\n%s", log)
 			}
 			seen := map[string]bool{}
 			for _, id := range node.ids() {
@@ -70,6 +71,30 @@
 	}
 }
 
+// Epoll takes no connection for a second: requests are served all the same, a little later.
+func TestServesWithoutEpoll(t *testing.T) {
+	const least = 20
+	node := newStubNode(t, func(int, *http.Request) reply {
+		return reply{text: "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 4\r\n\r\nfine", close: true}
+	})
+	started := time.Now()
+	s := startInjected(t, newStubDiscovery(t, node).addr, strings.NewReplacer(), "epoll_ctl ENOSPC from 300ms for 1s")
+	within(t, 250*time.Millisecond, s.ready)
+	time.Sleep(time.Until(started.Add(350 * time.Millisecond)))
+	served := 0
+	for time.Since(started) < 1200*time.Millisecond {
+		_, text := s.request("GET", "read", 0, "800m", "")
+		if status, body := s.raw(text); status != 200 || body != "fine" {
+			t.Fatalf("after %d requests: %d %q", served, status, body)
+		}
+		served++
+	}
+	s.stop()
+	if log := s.log.String(); served < least || strings.Contains(log, "breaker=true") {
+		t.Errorf("%d requests served, want %d, with no breaker open; the head's log:\n%s", served, least, log)
+	}
+}
+
 // Descriptors run out as the head stops: what stands in its listen queue is taken as soon as
 // there are some, and answered.
 func TestStopWithoutDescriptors(t *testing.T) {
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -434,6 +434,9 @@
 	s.watched, s.events = true, events
 }
 
+// unwatched tells whether events that are wanted would not wake the loop.
+func (s *sock) unwatched() bool { return !s.watched || s.wanted&^s.events != 0 }
+
 // watchConn begins to watch a connection.
 func (l *Loop) watchConn(id head.ConnID) {
 	if s := l.sock(id); s != nil {
--- a/internal/loop/retry.go
+++ b/internal/loop/retry.go
@@ -113,7 +113,9 @@
 	}
 }
 
-// unstall goes on with the connections that were stalled.
+// unstall goes on with the connections that were stalled. Those that epoll still cannot watch
+// are asked for their events by poll. Guards against a connection that came up, or an answer
+// that arrived, but is taken for the other side's silence.
 func (l *Loop) unstall() {
 	if l.stalled.at == 0 || l.Now() < l.stalled.at {
 		return
@@ -133,6 +135,30 @@
 			l.write(s)
 		}
 	}
+	l.pollUnwatched()
+}
+
+// pollUnwatched serves the connections whose events epoll cannot tell now.
+func (l *Loop) pollUnwatched() {
+	var ids []head.ConnID
+	var fds []unix.PollFd
+	for _, id := range l.stalled.ids {
+		if s := l.sock(id); s != nil && s.unwatched() {
+			ids = append(ids, id)
+			fds = append(fds, unix.PollFd{Fd: int32(s.fd), Events: int16(s.wanted)})
+		}
+	}
+	if len(fds) == 0 {
+		return
+	}
+	if _, err := l.calls.Poll(fds); err != nil {
+		return // tried again with the next look at what is stalled
+	}
+	for i, id := range ids {
+		if s := l.sock(id); s != nil && fds[i].Revents != 0 {
+			l.ready(s, uint32(uint16(fds[i].Revents)))
+		}
+	}
 }
 
 // retryAt is when something that failed is tried again.
--- a/internal/syscalls/faulty.go
+++ b/internal/syscalls/faulty.go
@@ -32,7 +32,7 @@
 // short is the word for a read or write of one byte.
 const short = "SHORT"
 
-var callNames = []string{"epoll_wait", "epoll_ctl", "socket", "connect", "accept", "read", "write", "shutdown"}
+var callNames = []string{"epoll_wait", "epoll_ctl", "poll", "socket", "connect", "accept", "read", "write", "shutdown"}
 
 var errnos = map[string]unix.Errno{short: 0, "EINTR": unix.EINTR, "EAGAIN": unix.EAGAIN, "EMFILE": unix.EMFILE, "ENFILE": unix.ENFILE,
 	"ENOBUFS": unix.ENOBUFS, "ENOMEM": unix.ENOMEM, "ENOSPC": unix.ENOSPC, "ECONNABORTED": unix.ECONNABORTED,
@@ -165,6 +165,14 @@
 	return f.Calls.EpollCtl(epfd, op, fd, event)
 }
 
+// Poll tells the events of descriptors.
+func (f *Faulty) Poll(fds []unix.PollFd) (int, error) {
+	if errno, fails := f.fault("poll"); fails {
+		return -1, errno
+	}
+	return f.Calls.Poll(fds)
+}
+
 // Socket opens a socket.
 func (f *Faulty) Socket(family int) (int, error) {
 	if errno, fails := f.fault("socket"); fails {
--- a/internal/syscalls/syscalls.go
+++ b/internal/syscalls/syscalls.go
@@ -13,6 +13,8 @@
 type Calls interface {
 	EpollWait(epfd int, events []unix.EpollEvent, msec int) (int, error)
 	EpollCtl(epfd, op, fd int, event *unix.EpollEvent) error
+	// Poll tells the events of descriptors without waiting for any.
+	Poll(fds []unix.PollFd) (int, error)
 	Socket(family int) (int, error)
 	Connect(fd int, to unix.Sockaddr) error
 	Accept(fd int) (int, unix.Sockaddr, error)
@@ -38,6 +40,9 @@
 	return unix.EpollCtl(epfd, op, fd, event)
 }
 
+// Poll tells the events of descriptors without waiting for any.
+func (Linux) Poll(fds []unix.PollFd) (int, error) { return unix.Poll(fds, 0) }
+
 // Socket opens a TCP socket that does not block.
 func (Linux) Socket(family int) (int, error) {
 	return unix.Socket(family, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
