head: a request that must not run twice avoids connections that have not rested

Such a request now goes out on a connection that has rested 20 ms, or on a new one if one may be added; else on the one that has rested longest. Other requests reuse connections at once as before.

TestCrossingResetBehindAnswer has 0.3 and 2 ms between answer and reset besides none.

--- a/internal/e2e/crossing_test.go
+++ b/internal/e2e/crossing_test.go
@@ -167,8 +167,15 @@
 	}
 }
 
-// A reset that comes together with a whole answer takes nothing from it.
+// A reset that comes together with a whole answer, or a little later, takes nothing from it
+// nor from the next request.
 func TestCrossingResetBehindAnswer(t *testing.T) {
+	for _, pause := range []time.Duration{0, 300 * time.Microsecond, 2 * time.Millisecond} {
+		t.Run(pause.String(), func(t *testing.T) { resetBehindAnswer(t, pause) })
+	}
+}
+
+func resetBehindAnswer(t *testing.T, pause time.Duration) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -187,6 +194,7 @@
 			}
 			io.Copy(io.Discard, r.Body)
 			io.WriteString(c, ok("fine").text)
+			time.Sleep(pause)
 			c.(*net.TCPConn).SetLinger(0)
 			c.Close()
 		}
--- a/internal/head/crossing_test.go
+++ b/internal/head/crossing_test.go
@@ -292,6 +292,39 @@
 	r.want("on the last used", r.take(m), "GET /c ")
 }
 
+// A request that must not run twice is not sent on a connection whose answer has just come,
+// and is not touched by the reset that may be under way behind that answer. Where no connection
+// may be added it goes out all the same, and other requests reuse connections at once.
+func TestUnsafeRequestOnFreshConnection(t *testing.T) {
+	r := newRig(t, "")
+	c := r.client(get("/feed-a/s/x"))
+	n := r.node(0)
+	r.say(n, ok("x"))
+	r.take(n)
+	r.say(c, put("/feed-a/s/x", "segment"))
+	r.h.Closed(r.now, n)
+	r.run()
+	m := r.node(1)
+	r.want("on a new connection", r.take(m), "PUT /feed-a/s/x", "Maddergap-Attempt: 0")
+	r.say(m, ok("written"))
+	r.want("the answers", r.take(c), "x", "written")
+	r.say(c, get("/feed-a/s/y"))
+	r.want("a read at once", r.take(m), "GET /feed-a/s/y")
+	r.say(m, ok("y"))
+	r.take(c)
+
+	r = newRig(t, "")
+	r.h.c.NodeConns = 1
+	r.client(get("/feed-a/s/x"))
+	r.take(r.node(0))
+	r.say(r.node(0), ok("x"))
+	r.client(put("/feed-a/s/x", "segment"))
+	if len(r.dials) > 1 {
+		t.Errorf("%d connections, want 1", len(r.dials))
+	}
+	r.want("on the only connection", r.take(r.node(0)), "PUT /feed-a/s/x")
+}
+
 // An answer that comes before the request has gone out whole is of an earlier one: the
 // request never ran, and is sent on another connection.
 func TestAnswerBeforeTheRequestIsWhole(t *testing.T) {
@@ -300,6 +333,7 @@
 	n := r.node(0)
 	r.say(n, ok(""))
 	r.take(n)
+	r.pass(restTime) // the write goes out on the same connection
 	r.stuck[n] = true
 	c := r.client(put("/", "payload", "id: a"))
 	r.h.Wrote(r.now, n, 10)
--- a/internal/head/guarded.go
+++ b/internal/head/guarded.go
@@ -30,9 +30,12 @@
 	return a
 }
 
+// classOf is the class of a request, as it is configured.
+func (h *Head) classOf(ex *exchange) *logic.Class { return &h.c.Logic.Classes[ex.ask.Arrival.Class] }
+
 // earlier tells what became of a request's attempts before this one.
 func (h *Head) earlier(at *attempt) guard.Earlier {
-	ex, class := at.ex, &h.c.Logic.Classes[at.ex.ask.Arrival.Class]
+	ex, class := at.ex, h.classOf(at.ex)
 	e := guard.Earlier{Effect: class.Effect, Out: ex.live - 1, Ran: ex.ran.known}
 	if class.Effect != logic.Keyed || !e.Ran {
 		return e
--- a/internal/head/node.go
+++ b/internal/head/node.go
@@ -52,19 +52,19 @@
 	ex.live++
 	h.counts.Attempts++
 	n := h.nodes[name]
+	kept := h.keptFor(ex, n)
 	switch {
 	case ex.final: // it got its answer in this very turn
 		h.end(at, logic.Moot)
 	case !h.maySend(at):
 		h.end(at, logic.Moot)
-	case len(n.idle) == 0 && (n.conns >= h.c.NodeConns || !h.roomForNode()):
+	case kept == nil && (n.conns >= h.c.NodeConns || !h.roomForNode()):
 		h.end(at, logic.ConnectFailed) // nothing was sent
-	case len(n.idle) > 0:
-		c := h.rested(n)
-		h.unpark(c)
-		c.at, at.conn = at, c
-		h.by(c, ex.due)
-		h.writeRequest(c)
+	case kept != nil:
+		h.unpark(kept)
+		kept.at, at.conn = at, kept
+		h.by(kept, ex.due)
+		h.writeRequest(kept)
 	default:
 		c := h.newConn()
 		c.node, c.at, at.conn = n, at, c
@@ -81,17 +81,31 @@
 // answer would be taken for that of the next request.
 const restTime = 20 * time.Millisecond
 
-// rested returns the kept connection to use next: of those that have rested the last used,
-// so that what is not needed ages, or the one that has rested longest.
-func (h *Head) rested(n *node) *conn {
+// keptFor returns the kept connection that a request goes out on, nil where there is none for
+// it: of those that have rested the last used, so that what is not needed ages, or the one that
+// has rested longest. A request that must not run twice gets a new connection before one that
+// has not rested. Guards against a node that closes a connection right behind an answer: nobody
+// can tell whether a request that met the reset has run.
+func (h *Head) keptFor(ex *exchange, n *node) *conn {
+	if n == nil || len(n.idle) == 0 {
+		return nil
+	}
 	for _, c := range slices.Backward(n.idle) {
 		if h.now-c.parked >= restTime {
 			return c
 		}
 	}
+	if h.classOf(ex).Effect == logic.Unsafe && h.spareFor(n) {
+		return nil
+	}
 	return n.idle[0]
 }
 
+// spareFor tells whether a connection to a node may be added without closing another.
+func (h *Head) spareFor(n *node) bool {
+	return n.conns < h.c.NodeConns && (h.c.NodesConns == 0 || h.counts.NodeConns < h.c.NodesConns)
+}
+
 // roomForNode tells whether one more connection to a node may be opened, after the
 // one that was kept longest was closed for it where need be.
 func (h *Head) roomForNode() bool {
