logic: record the actions over drawn histories and fleets as golden digests

The decision module is about to be divided into files; its decisions are to stay. 280 drawn histories (seven kinds, forty seeds each) and 18 fleets of 4 to 140 heads are played, and the digests of all actions held against those on record. same_test.go shares the player.

--- a/logic/fleet_test.go
+++ b/logic/fleet_test.go
@@ -25,6 +25,7 @@
 	tries   map[attemptID]int
 	done    int
 	asked   int
+	digest  *Digest // of all actions, nil: not asked for
 }
 
 type sending struct {
@@ -99,7 +100,11 @@
 			e.ev = Arrival{ID: f.id, Key: "k", Volume: fmt.Sprint("v", f.id%7), Left: 1500 * ms, Units: f.s.MeanUnits, Hosts: 3}
 			next()
 		}
-		for _, a := range f.heads[e.head].Handle(f.now, []Event{e.ev}) {
+		acts := f.heads[e.head].Handle(f.now, []Event{e.ev})
+		if f.digest != nil {
+			f.digest.Add(f.now, e.head, acts)
+		}
+		for _, a := range acts {
 			switch a := a.(type) {
 			case Send:
 				if a.Node == f.node {
@@ -177,15 +182,20 @@
 	}
 }
 
-// coldFleet has a node of a shard replaced by one that is cold, and tells the most that
-// came to that within a window and the part of all that was served in its first 9 s.
-func coldFleet(seed uint64, heads int, units, load float64, restarts int) (chance, n, served float64) {
-	s := site(func(s *Settings) {
+// coldSite is a site with a rule on cold nodes, whose nodes do so many units a second.
+func coldSite(heads int, units float64) Settings {
+	return site(func(s *Settings) {
 		s.Heads, s.FallWindow, s.Cold, s.ColdFrom, s.FallMultiple = heads, 1500*ms, 10*time.Second, 0.25, 3
 		s.ColdUnits = 0.7 * 3 * 0.25 * units * 1.5 // the least of all nodes bears it
 		s.Plans[0].Reserve = 4 * units
 		s.ShareWorth, s.MaxRetryAfter = 0.3, 500*ms
 	})
+}
+
+// coldFleet has a node of a shard replaced by one that is cold, and tells the most that
+// came to that within a window and the part of all that was served in its first 9 s.
+func coldFleet(seed uint64, heads int, units, load float64, restarts int) (chance, n, served float64) {
+	s := coldSite(heads, units)
 	f := newFleet(s, seed)
 	f.list("A", 0)
 	f.run(40*time.Second, min(load, 0.95)*units/s.MeanUnits) // more it could not have done
--- /dev/null
+++ b/logic/golden_test.go
@@ -0,0 +1,94 @@
+package logic
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"flag"
+	"fmt"
+	"hash"
+	"maps"
+	"os"
+	"path/filepath"
+	"runtime"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+var update = flag.Bool("update", false, "record the digests of the module's actions anew")
+
+// Digest sums up the actions of a history.
+type Digest struct{ hash hash.Hash }
+
+// NewDigest returns the digest of no actions.
+func NewDigest() *Digest { return &Digest{sha256.New()} }
+
+// Add takes the actions of one moment.
+func (d *Digest) Add(now Time, place int, acts []Action) {
+	for _, a := range acts {
+		fmt.Fprintf(d.hash, "%d %d %T%+v\n", now, place, a, a)
+	}
+}
+
+// Sum is the digest as text, as short as differs for sure.
+func (d *Digest) Sum() string { return hex.EncodeToString(d.hash.Sum(nil)[:12]) }
+
+// CheckGolden holds digests against those on record under a name.
+func CheckGolden(t *testing.T, name string, sums map[string]string) {
+	t.Helper()
+	if runtime.GOARCH != "amd64" {
+		t.Skip("recorded where a multiplication and an addition are rounded each")
+	}
+	file := filepath.Join("testdata", name+".golden")
+	var text strings.Builder
+	for _, key := range slices.Sorted(maps.Keys(sums)) {
+		fmt.Fprintf(&text, "%s  %s\n", sums[key], key)
+	}
+	if *update {
+		if err := os.WriteFile(file, []byte(text.String()), 0o644); err != nil {
+			t.Fatal(err)
+		}
+		return
+	}
+	want, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if text.String() == string(want) {
+		return
+	}
+	on := map[string]bool{}
+	for line := range strings.Lines(string(want)) {
+		on[line] = true
+	}
+	differs := 0
+	for line := range strings.Lines(text.String()) {
+		if !on[line] {
+			differs++
+		}
+	}
+	t.Errorf("%d of %d histories bring other actions than those on record in %s", differs, len(sums), file)
+}
+
+// The actions of whole fleets are those on record.
+func TestGoldenFleets(t *testing.T) {
+	sums := map[string]string{}
+	for _, heads := range []int{4, 30, 140} {
+		for _, load := range []float64{0.6, 1.3} {
+			for seed := range uint64(3) {
+				s := coldSite(heads, 120)
+				f := newFleet(s, seed)
+				f.digest = NewDigest()
+				f.list("A", 0)
+				f.run(10*time.Second, load*120/s.MeanUnits)
+				started := f.now - 300*ms
+				f.again = 0.1
+				f.list("B", started)
+				f.run(5*time.Second, load*120/s.MeanUnits)
+				sums[fmt.Sprintf("%d heads/%v/%d", heads, load, seed)] = f.digest.Sum()
+			}
+		}
+	}
+	CheckGolden(t, "fleets", sums)
+}
--- a/logic/same_test.go
+++ b/logic/same_test.go
@@ -144,18 +144,20 @@
 	}
 }
 
+// shapes are the kinds of histories that are drawn.
+var shapes = map[string]shape{
+	"few":                 {volumes: 5, nodes: 3, steps: 400, burst: 3, keys: 4, faults: 0.2},
+	"surge":               {volumes: 8, nodes: 2, steps: 250, burst: 30, keys: 6, faults: 0.1, crowded: true},
+	"varied":              {volumes: 6, nodes: 3, steps: 300, burst: 8, keys: 5, faults: 0.3, varied: true},
+	"varied surge":        {volumes: 6, nodes: 1, steps: 200, burst: 25, keys: 5, faults: 0.1, varied: true, crowded: true},
+	"many volumes":        {volumes: 300, nodes: 3, steps: 200, burst: 20, keys: 50, faults: 0.1, crowded: true},
+	"one volume":          {volumes: 1, nodes: 1, steps: 200, burst: 25, keys: 2, faults: 0.1, crowded: true},
+	"nodes that are sick": {volumes: 4, nodes: 4, steps: 400, burst: 4, keys: 3, faults: 0.8},
+}
+
 // The same events bring the same actions, in the same order, as from the module that
 // read every request that waits.
 func TestSameAsReference(t *testing.T) {
-	shapes := map[string]shape{
-		"few":                 {volumes: 5, nodes: 3, steps: 400, burst: 3, keys: 4, faults: 0.2},
-		"surge":               {volumes: 8, nodes: 2, steps: 250, burst: 30, keys: 6, faults: 0.1, crowded: true},
-		"varied":              {volumes: 6, nodes: 3, steps: 300, burst: 8, keys: 5, faults: 0.3, varied: true},
-		"varied surge":        {volumes: 6, nodes: 1, steps: 200, burst: 25, keys: 5, faults: 0.1, varied: true, crowded: true},
-		"many volumes":        {volumes: 300, nodes: 3, steps: 200, burst: 20, keys: 50, faults: 0.1, crowded: true},
-		"one volume":          {volumes: 1, nodes: 1, steps: 200, burst: 25, keys: 2, faults: 0.1, crowded: true},
-		"nodes that are sick": {volumes: 4, nodes: 4, steps: 400, burst: 4, keys: 3, faults: 0.8},
-	}
 	for name, shape := range shapes {
 		t.Run(name, func(t *testing.T) {
 			rapid.Check(t, func(t *rapid.T) {
@@ -166,31 +168,66 @@
 	}
 }
 
-func same(t interface {
-	Fatalf(string, ...any)
-}, seed uint64, shape shape) {
+// The actions are those on record, for every kind of history at a number of seeds.
+func TestGoldenHistories(t *testing.T) {
+	const seeds = 40
+	sums := map[string]string{}
+	for name, shape := range shapes {
+		for seed := range uint64(seeds) {
+			digest := NewDigest()
+			w := newWorld(seed, shape)
+			head, err := New(w.s, seed, w.now)
+			if err != nil {
+				t.Fatal(err)
+			}
+			w.play(func(step int, events []Event) []Action {
+				acts := head.Handle(w.now, events)
+				digest.Add(w.now, step, acts)
+				return acts
+			})
+			sums[fmt.Sprintf("%s/%d", name, seed)] = digest.Sum()
+		}
+	}
+	CheckGolden(t, "histories", sums)
+}
+
+func newWorld(seed uint64, shape shape) *world {
 	w := &world{r: rand.New(rand.NewPCG(seed, 1)), now: time.Hour, shape: shape}
 	w.s = settings(w.r)
 	for i := range shape.nodes {
 		w.nodes = append(w.nodes, Entry{Node: fmt.Sprint("n", i), Zone: i % 2, Shard: i})
 	}
+	return w
+}
+
+// play draws a history and carries out what is answered to it.
+func (w *world) play(handle func(step int, events []Event) []Action) {
+	attempts := map[uint64]int{}
+	events := []Event{w.list()}
+	for step := range w.shape.steps {
+		w.told(handle(step, events), attempts)
+		w.now += time.Duration(w.r.IntN(20000)) * time.Microsecond
+		if w.wake > 0 && w.r.IntN(3) > 0 {
+			w.now = max(w.now, min(w.wake, w.now+30*time.Millisecond))
+		}
+		events = w.events()
+	}
+}
+
+func same(t interface {
+	Fatalf(string, ...any)
+}, seed uint64, shape shape) {
+	w := newWorld(seed, shape)
 	one, err := New(w.s, seed, w.now)
 	if err != nil {
 		t.Fatalf("%v", err)
 	}
 	two, _ := newReference(w.s, seed, w.now)
-	attempts := map[uint64]int{}
-	events := []Event{w.list()}
-	for step := range shape.steps {
+	w.play(func(step int, events []Event) []Action {
 		got, want := one.Handle(w.now, events), two.Handle(w.now, events)
 		if len(got)+len(want) > 0 && !reflect.DeepEqual(got, want) {
 			t.Fatalf("seed %d, step %d at %v, after %+v:\n%+v\nwant\n%+v", seed, step, w.now-time.Hour, events, got, want)
 		}
-		w.told(got, attempts)
-		w.now += time.Duration(w.r.IntN(20000)) * time.Microsecond
-		if w.wake > 0 && w.r.IntN(3) > 0 {
-			w.now = max(w.now, min(w.wake, w.now+30*time.Millisecond))
-		}
-		events = w.events()
-	}
+		return got
+	})
 }
