logic: one file for each job, guards with typed reasons, the field's names

logic/logic.go held ten concerns in 1,080 lines; to follow one decision a reader opened seven places and learned a private vocabulary. The module is now a scheduler in files of one job each (fair queuing beside the paper's formulas, limits, retries, window, estimates, health, slow start, membership, placement, key order, deadlines, dispatch, timers). What can refuse a send is three lists of named guards with typed reasons (guards.go); WaitReason tells why a request still waits, and the log of nodes says it of the next to expire (refusal=...). internal/lanes is internal/waitqueue, internal/rank is internal/orderedset; head.View is head.Status. No decision changes.

--- a/cmd/benchlink/main.go
+++ b/cmd/benchlink/main.go
@@ -24,7 +24,7 @@
 // run answers batches from in until it ends.
 func run(in io.Reader, out io.Writer) error {
 	r, w := wire.NewReader(in), bufio.NewWriterSize(out, 1<<20)
-	heads := map[string]*logic.Head{}
+	heads := map[string]*logic.Scheduler{}
 	for {
 		b, err := r.Read()
 		if err == io.EOF {
@@ -43,7 +43,7 @@
 
 // answer hands each instance its events of the batch, split where it is stopped
 // or started, and writes what it does.
-func answer(w io.Writer, heads map[string]*logic.Head, b wire.Batch) {
+func answer(w io.Writer, heads map[string]*logic.Scheduler, b wire.Batch) {
 	var order []string
 	events := map[string][]wire.Event{}
 	for _, e := range b.Events {
@@ -61,7 +61,7 @@
 }
 
 // serve runs one instance over its events; it returns the text of a fault.
-func serve(w io.Writer, heads map[string]*logic.Head, id string, now logic.Time, evs []wire.Event) (fault string) {
+func serve(w io.Writer, heads map[string]*logic.Scheduler, id string, now logic.Time, evs []wire.Event) (fault string) {
 	defer func() {
 		if p := recover(); p != nil {
 			fault = fmt.Sprint("panic: ", p)
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -158,12 +158,12 @@
 	n := d.head.Counts()
 	d.log.Info("belief", "version", s.feed.Status().Version, "lists", s.feed.Status().Lists, "lag", n.Lag, "clients", n.Clients,
 		"node_connections", n.NodeConns, "taken", n.Taken, "served", n.Served, "refused", n.Refused, "failed", n.Failed, "left", n.Left)
-	for i, v := range d.head.View() {
+	for i, v := range d.head.Status() {
 		if i == comparedMost {
 			break
 		}
 		d.log.Info("node", "node", v.Node, "state", int(v.State), "out", v.Out, "counted", v.Counted, "on_sockets", v.Sockets.Open, "unsent", v.Unsent,
-			"idle", v.Idle, "held", v.Held, "window", math.Round(v.Window*100)/100, "answer", v.Answer, "pressure", math.Round(v.Pressure*100)/100,
-			"breaker", v.View.Open, "cold", v.Cold, "differs", v.Out != v.Sockets.Open)
+			"idle", v.Idle, "held", v.Held, "refusal", v.Refusal.String(), "window", math.Round(v.Window*100)/100, "answer", v.Answer, "pressure", math.Round(v.Pressure*100)/100,
+			"breaker", v.NodeStatus.Open, "cold", v.Cold, "differs", v.Out != v.Sockets.Open)
 	}
 }
--- a/internal/rank/rank.go
+++ b/internal/orderedset/orderedset.go
@@ -1,8 +1,8 @@
-// Package rank holds an ordered set that also tells the best of its upper end: a
+// Package orderedset holds an ordered set that also tells the best of its upper end: a
 // treap by key whose every subtree knows its best by each of some orders. All
 // operations take time in proportion to the logarithm of its size. It is pure, and
 // deterministic: the same calls give the same tree.
-package rank
+package orderedset
 
 // Set is a set of items by key; equal keys are told apart by a tie, which must be
 // unique among them. The zero value has no orders; use New.
@@ -29,7 +29,7 @@
 // them must not change while it is in the set.
 func New[T any](better ...func(a, b T) bool) *Set[T] {
 	if len(better) > Orders {
-		panic("rank: too many orders")
+		panic("orderedset: too many orders")
 	}
 	return &Set[T]{better: better, chance: 0x9e3779b97f4a7c15}
 }
--- a/internal/rank/rank_test.go
+++ b/internal/orderedset/orderedset_test.go
@@ -1,4 +1,4 @@
-package rank
+package orderedset
 
 import (
 	"cmp"
--- a/internal/lanes/seed_test.go
+++ b/internal/orderedset/seed_test.go
@@ -1,4 +1,4 @@
-package lanes
+package orderedset
 
 import "flag"
 
--- a/internal/rank/seed_test.go
+++ b/internal/waitqueue/seed_test.go
@@ -1,4 +1,4 @@
-package rank
+package waitqueue
 
 import "flag"
 
--- /dev/null
+++ b/logic/deadlines.go
@@ -0,0 +1,53 @@
+package logic
+
+import (
+	"math"
+	"time"
+)
+
+// Deadlines and shedding: what is out of time is answered while its client still listens.
+
+const (
+	// expiryMargin is how long before its deadline a request is answered.
+	expiryMargin = 10 * time.Millisecond
+	// firstAttemptPart is the part of its time that a request is held for its first attempt. One
+	// that others went before hardly goes in time: its client is told while it can come back.
+	firstAttemptPart = 0.5
+	// sendsThatOvertake is how many other requests a node was sent meanwhile, if a request that
+	// waits for its first attempt is not to be held for all of its time.
+	sendsThatOvertake = 2
+)
+
+// setDeadlines sets a request's times at its arrival.
+func (s *Scheduler) setDeadlines(r *request) {
+	class := r.class
+	r.Deadline = s.now + r.Left
+	r.Aim = min(s.now+class.Aim, r.Deadline) // one whose client leaves before its aim aims at that
+	if r.Again && class.Deadline > r.Left {  // its aim counts from its client's first try
+		r.Aim = min(r.Aim, s.now+class.Aim-(class.Deadline-r.Left))
+	}
+	r.HoldUntil = max(s.now+Time(firstAttemptPart*float64(r.Left)), r.Aim)
+}
+
+// holdLonger is until when a request is held that no node has had for half of its time.
+func holdLonger(r *request) Time {
+	if r.node != nil && r.node.sends-r.sendsBefore < sendsThatOvertake {
+		return r.Deadline
+	}
+	return 0
+}
+
+// expire answers what is out of time.
+func (s *Scheduler) expire(queue *requestQueue) {
+	for _, r := range queue.RemoveExpired(s.now+expiryMargin+1, holdLonger) {
+		s.finish(r)
+	}
+}
+
+// nextExpiry returns when the first of those held must be answered.
+func nextExpiry(queue *requestQueue) Time {
+	if queue.Len() == 0 {
+		return math.MaxInt64
+	}
+	return queue.NextExpiry() - expiryMargin
+}
--- a/logic/fleet_test.go
+++ b/logic/fleet_test.go
@@ -12,7 +12,7 @@
 // fleet is many heads on one virtual clock in front of nodes that answer all they get.
 type fleet struct {
 	s       Settings
-	heads   []*Head
+	heads   []*Scheduler
 	share   []float64 // of the arrivals, added up
 	now     Time
 	queue   happenings
--- /dev/null
+++ b/logic/guards_test.go
@@ -0,0 +1,93 @@
+package logic
+
+import (
+	"testing"
+	"time"
+)
+
+// Every guard is named, and its reason is the one that a request which it keeps is given.
+func TestWaitReason(t *testing.T) {
+	for _, c := range []struct {
+		want  Reason
+		setUp func(r *rig) (id uint64)
+	}{
+		{Allowed, func(r *rig) uint64 { return 99 }},
+		{Allowed, func(r *rig) uint64 { r.at(0, req(1)); return 1 }}, // it is out
+		{NoNode, func(r *rig) uint64 { r.at(0, req(1, shard(7))); return 1 }},
+		{KeyOrder, func(r *rig) uint64 { r.at(0, req(1, key("k")), req(2, key("k"))); return 2 }},
+		{KeyOrder, func(r *rig) uint64 {
+			r.at(0, req(1, key("k")), req(2, key("k")))
+			r.end(1, Reset)
+			return 2
+		}},
+		{RetryBackoff, func(r *rig) uint64 { r.at(0, req(1)); r.end(1, Full); return 1 }},
+		{BreakerOpen, func(r *rig) uint64 {
+			n := r.h.members.nodes[0]
+			n.breaker.open, n.breaker.trialAt = true, r.now+time.Hour
+			r.at(0, req(1))
+			return 1
+		}},
+		{WindowFull, func(r *rig) uint64 {
+			r.h.members.nodes[0].window = 1
+			r.at(0, req(1), req(2))
+			return 2
+		}},
+		{Backpressure, func(r *rig) uint64 {
+			n := r.h.members.nodes[0]
+			n.observed.add(r.now, 100, 0, 100)
+			n.heardAt = r.now
+			r.at(0, req(1, class(1)))
+			return 1
+		}},
+		{RetryBudget, func(r *rig) uint64 {
+			r.at(0, req(1))
+			r.end(1, Reset)
+			r.wait(50 * ms)
+			return 1
+		}},
+		{SlowStart, func(r *rig) uint64 {
+			r.at(0, List{Entries: []Entry{{Node: "A", Started: r.now}}})
+			r.h.members.nodes[0].coldBudget.at, r.h.members.nodes[0].coldBudget.level = r.now, 0
+			r.at(0, req(1))
+			return 1
+		}},
+		{TenantLimit, func(r *rig) uint64 {
+			r.at(0, req(1, units(8)), req(2, units(8)))
+			return 2
+		}},
+		{TooLate, func(r *rig) uint64 {
+			n := r.h.members.nodes[0]
+			n.observed.add(r.now, 1e6, 1e6*10, 0)
+			n.sentAt = r.now
+			r.at(0, req(1))
+			return 1
+		}},
+	} {
+		r := start(t, site(func(s *Settings) {
+			s.ShareWorth, s.Classes[0].InOrder, s.OrderRest = 0.3, true, time.Second
+			s.Budget, s.BudgetOver = true, time.Second
+			s.Plans[0].Limit, s.Plans[0].LimitBurst, s.Plans[0].Reserve, s.Classes[1].Worth = 10, 10, 100, 1
+			s.Cold, s.ColdFrom, s.ColdUnits, s.FallWindow, s.FallMultiple = 10*time.Second, 0.25, 1, time.Second, 1
+		}), nodeA)
+		r.wait(2 * time.Second) // the limit's bucket fills
+		id := c.setUp(r)
+		if got := r.h.WaitReason(id); got != c.want {
+			t.Errorf("request %d waits for %v, want %v", id, got, c.want)
+		}
+	}
+	seen := map[string]bool{}
+	for reason := Allowed; reason < reasonsCount; reason++ {
+		if name := reason.String(); name == "" || name == "unknown" || seen[name] {
+			t.Errorf("reason %d is called %q", reason, name)
+		} else {
+			seen[name] = true
+		}
+	}
+	for _, list := range [][]guard{nodeGuards, profileGuards, requestGuards} {
+		for _, g := range list {
+			if g.reason == Allowed || g.refuses == nil {
+				t.Errorf("a guard without a reason or a rule: %+v", g.reason)
+			}
+		}
+	}
+}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -31,7 +31,7 @@
 // rig drives a head in the way the bench does and keeps what it did.
 type rig struct {
 	t     *testing.T
-	h     *Head
+	h     *Scheduler
 	now   Time
 	acts  []Action
 	sends []Send
@@ -148,12 +148,12 @@
 			r := start(t, c.s, nodeA, nodeB)
 			for i, s := range c.steps {
 				q := &request{Arrival: req(uint64(i), ofVolume(s.vol, s.plan), units(s.units))}
-				q.vol = r.h.volume(q.Arrival)
-				q.vol.reserve = bucket{level: -1, at: r.now} // all of it beyond the reserve
-				r.h.tag(q, r.h.nodes[s.node])
-				e := q.vol.at[r.h.nodes[s.node]]
-				if math.Abs(q.start-s.start) > 1e-9 || math.Abs(e.finish-s.finish) > 1e-9 {
-					t.Errorf("step %d: S %v F %v, want %v %v", i, q.start, e.finish, s.start, s.finish)
+				q.volume = r.h.volumeOf(q.Arrival)
+				q.volume.reserve = tokenBucket{level: -1, at: r.now} // all of it beyond the reserve
+				r.h.tag(q, r.h.members.nodes[s.node])
+				e := q.volume.streams[r.h.members.nodes[s.node]]
+				if math.Abs(q.startTag-s.start) > 1e-9 || math.Abs(e.finishTag-s.finish) > 1e-9 {
+					t.Errorf("step %d: S %v F %v, want %v %v", i, q.startTag, e.finishTag, s.start, s.finish)
 				}
 			}
 		})
@@ -162,17 +162,17 @@
 
 func TestVolumeBackFromIdleStartsAtVirtualTime(t *testing.T) {
 	r := start(t, site(), nodeA)
-	r.h.nodes[0].v = 50
+	r.h.members.nodes[0].virtualTime = 50
 	r.at(0, req(1, units(6)), req(2, units(6)), req(3, units(6)))
-	e := r.h.vols["v"].at[r.h.nodes[0]]
-	if e.finish < 50 {
-		t.Errorf("finish tag %v lies before virtual time 50", e.finish)
+	e := r.h.volumes["v"].streams[r.h.members.nodes[0]]
+	if e.finishTag < 50 {
+		t.Errorf("finish tag %v lies before virtual time 50", e.finishTag)
 	}
 	for id := uint64(1); id <= 3; id++ {
 		r.end(id, OK)
 	}
-	r.wait(idleFor * 2)
-	want(t, "idle volumes", len(r.h.vols), 0)
+	r.wait(idleVolume * 2)
+	want(t, "idle volumes", len(r.h.volumes), 0)
 }
 
 func TestWithinReserveLeavesBeforeExcess(t *testing.T) {
@@ -180,7 +180,7 @@
 		s.Plans = []Plan{{Weight: 1, Price: 1}, {Weight: 1, Price: 1, Reserve: 10}}
 	})
 	r := start(t, s, nodeA)
-	r.h.nodes[0].window = 1
+	r.h.members.nodes[0].window = 1
 	r.at(0, req(1, ofVolume("heavy", 0)), req(2, ofVolume("heavy", 0)), req(3, ofVolume("reserved", 1)))
 	r.at(90*ms, Wake{})
 	r.end(1, OK)
@@ -195,7 +195,7 @@
 		s.Plans[0].Reserve = 100
 	})
 	r := start(t, s, nodeA)
-	r.h.nodes[0].window = 1
+	r.h.members.nodes[0].window = 1
 	r.at(0, req(1), req(2, class(1)), req(3, ofVolume("w", 0)))
 	r.at(90*ms, Wake{})
 	r.end(1, OK)
@@ -211,7 +211,7 @@
 	r.at(0, evs...)
 	want(t, "out at once", len(r.sends), int(windowStart))
 	r.at(180*ms, Ended{ID: r.sends[0].ID, Outcome: OK, Closed: true}) // slow for its aim
-	if w := r.h.nodes[0].window; w >= windowStart {
+	if w := r.h.members.nodes[0].window; w >= windowStart {
 		t.Errorf("window %v did not shrink", w)
 	}
 }
@@ -226,8 +226,8 @@
 		{"no node at all", nil, func(r *rig) []Action { return append(r.at(0, req(1)), r.wait(time.Second)...) },
 			map[uint64]string{1: "r"}},
 		{"held to the end", []Entry{nodeA}, func(r *rig) []Action {
-			r.h.nodes[0].window, r.h.nodes[0].sentAt = 0, r.now
-			r.h.nodes[0].open, r.h.nodes[0].trialAt = true, r.now+time.Hour
+			r.h.members.nodes[0].window, r.h.members.nodes[0].sentAt = 0, r.now
+			r.h.members.nodes[0].breaker.open, r.h.members.nodes[0].breaker.trialAt = true, r.now+time.Hour
 			return append(r.at(0, req(1, class(1))), r.wait(time.Second)...)
 		}, map[uint64]string{1: "r"}},
 		{"unsafe timed out", []Entry{nodeA}, func(r *rig) []Action {
@@ -319,7 +319,7 @@
 
 func TestDrainStopsAtOnceAndTheNextNodeTakesOver(t *testing.T) {
 	r := start(t, site(), nodeA)
-	r.h.nodes[0].window = 1
+	r.h.members.nodes[0].window = 1
 	r.at(0, req(1), req(2))
 	r.at(10*ms, List{Entries: []Entry{{Node: "A", Shard: 0, State: Draining}}})
 	r.end(1, OK)
@@ -380,7 +380,7 @@
 		r.end(id, OK)
 	}
 	r.at(0, List{Entries: []Entry{{Node: "A", Shard: 0, Started: r.now}, {Node: "B", Shard: 1, Started: r.now}}})
-	a, b := r.h.nodes[0].cold.rate, r.h.nodes[1].cold.rate
+	a, b := r.h.members.nodes[0].coldBudget.rate, r.h.members.nodes[1].coldBudget.rate
 	if want := 3.0 * 0.25 * 20; math.Abs(a-want) > want/5 {
 		t.Errorf("rate at A %.2f, want about %.2f", a, want)
 	}
@@ -401,7 +401,7 @@
 		r.end(id, OK)
 	}
 	r.at(0, List{Entries: []Entry{{Node: "A", Shard: 0, Started: r.now}}})
-	if a, want := r.h.nodes[0].cold.rate, 3.0*0.25*20/2; math.Abs(a-want) > want/5 {
+	if a, want := r.h.members.nodes[0].coldBudget.rate, 3.0*0.25*20/2; math.Abs(a-want) > want/5 {
 		t.Errorf("rate at A %.2f, want about %.2f", a, want)
 	}
 }
@@ -421,7 +421,7 @@
 func TestOrderByKey(t *testing.T) {
 	s := site(func(s *Settings) { s.Classes[0].InOrder, s.Classes[0].LateWorth, s.OrderRest = true, 1, 300*ms })
 	r := start(t, s, nodeA)
-	r.h.nodes[0].window = 8
+	r.h.members.nodes[0].window = 8
 	r.at(0, req(1, key("k")), req(2, key("k")), req(3, key("other")))
 	want(t, "one at a time", r.sent(), []uint64{1, 3})
 	r.end(3, OK)
@@ -441,7 +441,7 @@
 		s.MaxAttempts = 0
 	})
 	r := start(t, s, nodeA)
-	r.h.nodes[0].window = 8
+	r.h.members.nodes[0].window = 8
 	long := func(a *Arrival) { a.Left = time.Minute }
 	r.at(0, req(1, long), req(2, long))
 	for range 20 { // two taken: 1 + 0.5*2 further attempts in five seconds
@@ -456,7 +456,7 @@
 func TestLimitIsSplitAndEmptyAtBoot(t *testing.T) {
 	s := site(func(s *Settings) { s.Heads, s.Plans[0].Limit, s.Plans[0].LimitBurst = 2, 20, 24 })
 	r := start(t, s, nodeA)
-	r.h.nodes[0].window = 8
+	r.h.members.nodes[0].window = 8
 	long := func(a *Arrival) { a.Left, a.Hosts = time.Minute, 2 }
 	r.at(0, req(1, long), req(2, long), req(3, long))
 	want(t, "sent from an empty bucket", len(r.sends), 0)
@@ -479,7 +479,7 @@
 	r := start(t, site(), nodeA, nodeB)
 	r.at(0, req(1), req(2))
 	r.wait(450 * ms) // silence of more than two aims
-	if !r.h.nodes[0].open {
+	if !r.h.members.nodes[0].breaker.open {
 		t.Fatal("breaker closed after silence")
 	}
 	r.at(0, req(3), req(4), req(5), req(6, shard(1)))
@@ -491,7 +491,7 @@
 	}
 	last := r.sends[len(r.sends)-1].ID
 	r.end(last, OK)
-	want(t, "open after an answer", r.h.nodes[0].open, false)
+	want(t, "open after an answer", r.h.members.nodes[0].breaker.open, false)
 }
 
 func TestSomeResetsDoNotOpenTheBreaker(t *testing.T) {
@@ -500,14 +500,14 @@
 		r.at(10*ms, req(id, class(1)))
 		r.end(id, []Outcome{Reset, Reset, OK}[id%3])
 	}
-	want(t, "open", r.h.nodes[0].open, false)
+	want(t, "open", r.h.members.nodes[0].breaker.open, false)
 	for id := uint64(10); id <= 13; id++ {
 		r.at(10*ms, req(id, class(1)))
 		if r.tries[id] > 0 {
 			r.end(id, Reset)
 		}
 	}
-	want(t, "open after resets in a row", r.h.nodes[0].open, true)
+	want(t, "open after resets in a row", r.h.members.nodes[0].breaker.open, true)
 }
 
 // ic23155, ifb7f1d: what earns little must stand back at a crowded node.
@@ -516,7 +516,7 @@
 		s.ShareWorth, s.Classes[0].LateWorth, s.Classes[1].Worth = 0.3, 0.1, 1
 	})
 	r := start(t, s, nodeA)
-	n := r.h.nodes[0]
+	n := r.h.members.nodes[0]
 	for _, c := range []struct {
 		name     string
 		pressure float64
@@ -534,10 +534,10 @@
 		{"late at a quick node", 0.05, 0, 0, false, true, false},
 		{"late, nothing heard for long", 0.9, 3 * time.Second, 0, false, true, false},
 	} {
-		v := r.h.volume(req(1))
-		q := &kind{class: &r.h.s.Classes[c.class], plan: v.plan, hosts: v.hosts, excess: c.excess}
-		n.pressure, n.heard = c.pressure, r.now-c.silent
-		want(t, c.name, r.h.yields(q, n, c.late), c.want)
+		v := r.h.volumeOf(req(1))
+		q := &profile{class: &r.h.settings.Classes[c.class], plan: v.plan, hosts: v.hosts, excess: c.excess}
+		n.pressure, n.heardAt = c.pressure, r.now-c.silent
+		want(t, c.name, r.h.standsBack(candidate{node: n, profile: q, late: c.late}), c.want)
 	}
 }
 
@@ -545,7 +545,7 @@
 // others stands in, old answers count less, and what has no answer counts too.
 func TestSparseSightLeansOnAllNodes(t *testing.T) {
 	slow := func(n *node) *attempt {
-		return &attempt{r: &request{Arrival: req(1), class: &Class{Aim: 200 * ms}}, node: n}
+		return &attempt{request: &request{Arrival: req(1), class: &Class{Aim: 200 * ms}}, node: n}
 	}
 	for _, c := range []struct {
 		name    string
@@ -558,24 +558,24 @@
 		{"a slow answer", OK, 300 * ms, 0, 1},
 		{"turned away at once", Full, 2 * ms, 0, 1},
 		{"no answer", TimedOut, time.Second, 0, 1},
-		{"a slow answer long ago, others quick since", OK, 300 * ms, 10 * memory, 0.05},
+		{"a slow answer long ago, others quick since", OK, 300 * ms, 10 * observationHalfLife, 0.05},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			r := start(t, site(), nodeA, nodeB)
-			r.h.unit = 0.005 // ten milliseconds of two units are work, not waiting
-			n, other := r.h.nodes[0], r.h.nodes[1]
+			r.h.estimates.unitTime = 0.005 // ten milliseconds of two units are work, not waiting
+			n, other := r.h.members.nodes[0], r.h.members.nodes[1]
 			a := slow(n)
-			a.sent = r.now - c.took
-			r.h.health(n, a, Ended{Outcome: c.outcome})
+			a.sentAt = r.now - c.took
+			r.h.observe(n, a, Ended{Outcome: c.outcome})
 			if c.age > 0 {
 				r.wait(c.age)
 				b := slow(other)
-				b.sent = r.now - 20*ms
+				b.sentAt = r.now - 20*ms
 				for range 10 {
-					r.h.health(other, b, Ended{Outcome: OK})
+					r.h.observe(other, b, Ended{Outcome: OK})
 				}
 			}
-			r.h.look(n)
+			r.h.estimate(n)
 			if math.Abs(n.pressure-c.want) > 0.05 {
 				t.Errorf("pressure %.2f, want about %.2f", n.pressure, c.want)
 			}
@@ -643,7 +643,7 @@
 // no other was set, and a held request was never answered.
 func TestHeldRequestIsAnsweredThoughTimersAreCoarse(t *testing.T) {
 	r := start(t, site(), nodeA)
-	n := r.h.nodes[0]
+	n := r.h.members.nodes[0]
 	var timers []Time
 	do := func(acts []Action) {
 		for _, a := range acts {
@@ -655,8 +655,8 @@
 	}
 	do(r.at(0, req(1, func(a *Arrival) { a.Left = 100 * ms })))
 	do(r.end(1, OK))
-	n.window, n.jitter, n.sentAt = 0.1, 1, r.now
-	n.seen.lat.sum = 0.1 + 1e-7/3 // a gap that ends between microseconds
+	n.window, n.paceJitter, n.sentAt = 0.1, 1, r.now
+	n.observed.latency.sum = 0.1 + 1e-7/3 // a gap that ends between microseconds
 	do(r.at(0, req(2, func(a *Arrival) { a.Left = 3 * time.Second })))
 	for len(timers) > 0 {
 		next := timers[0]
@@ -706,12 +706,12 @@
 	r := start(t, s)
 	r.wait(2 * time.Second)
 	r.at(0, List{Entries: []Entry{{Node: "A", Shard: 0, Started: r.now}}})
-	n := r.h.nodes[0]
+	n := r.h.members.nodes[0]
 	n.window = 8
-	n.cold.level = n.cold.cap / 2
+	n.coldBudget.level = n.coldBudget.capacity / 2
 	r.at(0, req(1, ofVolume("excess", 0), units(1)), req(10, ofVolume("reserved", 1), units(1)))
 	want(t, "sent at half of the budget", r.sent(), []uint64{10})
-	n.cold.level = n.cold.cap
+	n.coldBudget.level = n.coldBudget.capacity
 	r.at(20*ms, Wake{})
 	want(t, "sent at all of it", r.sent(), []uint64{10, 1})
 }
@@ -730,14 +730,14 @@
 	}{
 		{"a lone head keeps one out", 1, 1, TimedOut, 1},
 		{"more hosts told than heads", 4, 99, TimedOut, 1.0 / 4},
-		{"time-out before many", 100, 10, TimedOut, 1 / (sharers * 10)},
-		{"full before many", 100, 10, Full, 1 / (sharers * 10)},
+		{"time-out before many", 100, 10, TimedOut, 1 / (headsPerVolumeHost * 10)},
+		{"full before many", 100, 10, Full, 1 / (headsPerVolumeHost * 10)},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			r := start(t, site(func(s *Settings) { s.Heads = c.heads }), nodeA)
 			r.at(0, req(1, hosts(c.hosts)))
 			r.end(1, c.outcome)
-			want(t, "window", r.h.nodes[0].window, c.want)
+			want(t, "window", r.h.members.nodes[0].window, c.want)
 		})
 	}
 }
@@ -747,7 +747,7 @@
 	long := func(a *Arrival) { a.Left = 10 * time.Second }
 	r.at(0, req(1, long))
 	r.at(100*ms, Ended{ID: 1, Outcome: OK, Closed: true})
-	r.h.nodes[0].window = 0.2 // with answers of 100 ms a gap of 250 to 750 ms
+	r.h.members.nodes[0].window = 0.2 // with answers of 100 ms a gap of 250 to 750 ms
 	r.at(0, req(2, long))
 	r.wait(140 * ms) // 240 ms after the first was sent
 	want(t, "sent before the gap is over", r.sent(), []uint64{1})
@@ -759,12 +759,12 @@
 	for _, c := range []struct {
 		heads, hosts int
 		want         float64
-	}{{1, 1, windowMax}, {4, 2, windowMax}, {100, 8, windowSum / 16}, {100, 50, 1}} {
+	}{{1, 1, windowMax}, {4, 2, windowMax}, {100, 8, windowOfAllHeads / 16}, {100, 50, 1}} {
 		r := start(t, site(func(s *Settings) { s.Heads = c.heads }), nodeA)
 		r.at(0, req(1, hosts(c.hosts)))
-		n := r.h.nodes[0]
+		n := r.h.members.nodes[0]
 		n.window = 100
-		r.h.look(n)
+		r.h.boundWindow(n)
 		if n.window != c.want {
 			t.Errorf("%d heads, %d hosts: window %v, want %v", c.heads, c.hosts, n.window, c.want)
 		}
@@ -775,10 +775,10 @@
 	for _, c := range []struct {
 		hosts int
 		rate  float64
-	}{{1, 8}, {2, 8}, {4, 4}, {16, 1}, {0, 8.0 * reserveHosts / 50}, {99, 8.0 * reserveHosts / 50}} {
+	}{{1, 8}, {2, 8}, {4, 4}, {16, 1}, {0, 8.0 * reserveShareFactor / 50}, {99, 8.0 * reserveShareFactor / 50}} {
 		r := start(t, site(func(s *Settings) { s.Heads, s.Plans[0].Reserve = 50, 8 }), nodeA)
-		v := r.h.volume(req(1, hosts(c.hosts)))
-		if math.Abs(v.reserve.rate-c.rate) > 1e-9 || v.reserve.level < r.h.s.MostUnits {
+		v := r.h.volumeOf(req(1, hosts(c.hosts)))
+		if math.Abs(v.reserve.rate-c.rate) > 1e-9 || v.reserve.level < r.h.settings.MostUnits {
 			t.Errorf("%d hosts: rate %v level %v, want rate %v and one largest request", c.hosts, v.reserve.rate,
 				v.reserve.level, c.rate)
 		}
@@ -812,11 +812,11 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			r := start(t, site(), nodeA)
-			r.h.unit = 0.005
-			n := r.h.nodes[0]
-			a := &attempt{r: &request{Arrival: req(1), class: &r.h.s.Classes[0]}, node: n, sent: r.now - c.took}
-			r.h.health(n, a, Ended{Outcome: OK, Reports: c.says, Reported: c.reported})
-			r.h.look(n)
+			r.h.estimates.unitTime = 0.005
+			n := r.h.members.nodes[0]
+			a := &attempt{request: &request{Arrival: req(1), class: &r.h.settings.Classes[0]}, node: n, sentAt: r.now - c.took}
+			r.h.observe(n, a, Ended{Outcome: OK, Reports: c.says, Reported: c.reported})
+			r.h.estimate(n)
 			if n.pressure < c.lo-0.01 || n.pressure > c.hi+0.01 {
 				t.Errorf("pressure %.3f, want %.2f to %.2f", n.pressure, c.lo, c.hi)
 			}
@@ -833,9 +833,9 @@
 			r.end(id, TimedOut)
 		}
 	}
-	r.h.look(r.h.nodes[0])
-	r.h.look(r.h.nodes[1])
-	if a, b := r.h.nodes[0].pressure, r.h.nodes[1].pressure; a < 0.9 || b > 0.1 {
+	r.h.estimate(r.h.members.nodes[0])
+	r.h.estimate(r.h.members.nodes[1])
+	if a, b := r.h.members.nodes[0].pressure, r.h.members.nodes[1].pressure; a < 0.9 || b > 0.1 {
 		t.Errorf("pressure %.2f at the sick node, %.2f at the other", a, b)
 	}
 }
@@ -843,16 +843,16 @@
 // All heads of a volume together try a crowded node at the pace of one.
 func TestPressureFadesSlowerWithMoreHosts(t *testing.T) {
 	r := start(t, site(func(s *Settings) { s.Heads, s.ShareWorth = 100, 0.3 }), nodeA)
-	n := r.h.nodes[0]
+	n := r.h.members.nodes[0]
 	for _, c := range []struct {
 		hosts int
 		after time.Duration
 		want  bool // still stands back
 	}{{1, 200 * ms, true}, {1, time.Second, false}, {20, time.Second, true}, {20, 25 * time.Second, false}} {
-		v := r.h.volume(req(1, hosts(c.hosts)))
-		q := &kind{class: &r.h.s.Classes[0], plan: v.plan, hosts: v.hosts, excess: true}
-		n.pressure, n.heard = 0.9, r.now-c.after
-		if got := r.h.yields(q, n, false); got != c.want {
+		v := r.h.volumeOf(req(1, hosts(c.hosts)))
+		q := &profile{class: &r.h.settings.Classes[0], plan: v.plan, hosts: v.hosts, excess: true}
+		n.pressure, n.heardAt = 0.9, r.now-c.after
+		if got := r.h.standsBack(candidate{node: n, profile: q}); got != c.want {
 			t.Errorf("%d hosts after %v: stands back %v, want %v", c.hosts, c.after, got, c.want)
 		}
 	}
@@ -1005,11 +1005,11 @@
 		r.end(uint64(i+1), OK)
 		r.at(0, List{Entries: []Entry{{Node: name, State: Gone}}})
 	}
-	if n := len(r.h.nodes); n > 1 {
+	if n := len(r.h.members.nodes); n > 1 {
 		t.Errorf("%d nodes are held, want those of the list alone", n)
 	}
 	r.wait(20 * time.Second)
-	if n := len(r.h.vols) + len(r.h.attempts) + len(r.h.reqs); n > 0 {
+	if n := len(r.h.volumes) + len(r.h.attempts) + len(r.h.requests); n > 0 {
 		t.Errorf("%d volumes, attempts and requests are held", n)
 	}
 }
--- /dev/null
+++ b/logic/requests.go
@@ -0,0 +1,213 @@
+package logic
+
+import (
+	"math"
+	"slices"
+
+	"maddergap/internal/waitqueue"
+)
+
+// requestQueue holds the requests that wait for one node.
+type requestQueue = waitqueue.Queue[*request, profile, *volume]
+
+// subqueue holds ready requests of one profile.
+type subqueue = waitqueue.Subqueue[*request, profile]
+
+// queueItem is the queue's part of a request.
+type queueItem = waitqueue.Item[*request, profile, *volume]
+
+// request is what the scheduler knows of a request until it has its final answer.
+type request struct {
+	Arrival
+	queueItem // with its deadline, its aim, and until when it is held
+
+	class  *Class
+	volume *volume
+	node   *node // whose queue it waits in, nil: none
+
+	startTag float64
+	excess   bool // the tag is beyond the volume's reserve
+
+	attempts  int // made so far
+	inFlight  int // without an outcome
+	notBefore Time
+	// mayHaveRunAt is the node where an attempt may have run, firstRunAt when that was sent.
+	mayHaveRunAt *node
+	firstRunAt   Time
+
+	sendsBefore     int // of its node when it was queued there
+	done, streaming bool
+}
+
+// profile is what requests have in common that differ in their times and tags alone.
+type profile struct {
+	class  *Class
+	plan   *Plan
+	hosts  float64
+	units  float64
+	excess bool // beyond the reserve
+	retry  bool // an attempt past the first
+}
+
+// worth is what a unit earns in time and within the reserve.
+func (p *profile) worth() float64 { return p.class.Worth * p.plan.Price }
+
+// Orders of requests of a profile.
+const (
+	orderByTag = iota
+	orderByAim
+)
+
+func newRequestQueue() *requestQueue { return waitqueue.New(tagBefore, aimBefore) }
+
+func tagBefore(a, b *request) bool {
+	return a.startTag < b.startTag || (a.startTag == b.startTag && aimBefore(a, b))
+}
+
+func aimBefore(a, b *request) bool {
+	return a.Aim < b.Aim || (a.Aim == b.Aim && a.Sequence < b.Sequence)
+}
+
+// attempt is one sending of a request.
+type attempt struct {
+	request    *request
+	node       *node
+	sentAt     Time
+	windowFull bool // the node's window was full with it
+}
+
+type attemptID struct{ request, number uint64 }
+
+// arrive takes a request from a client.
+func (s *Scheduler) arrive(a Arrival) {
+	if s.requests[a.ID] != nil {
+		return // told twice; the first is being dealt with
+	}
+	if a.Class < 0 || a.Class >= len(s.settings.Classes) || math.IsNaN(a.Units) {
+		s.do(Refuse{ID: a.ID}) // nothing known may be promised of it but that it never ran
+		return
+	}
+	s.budgetFor(a)
+	s.sequence++
+	a.Units = max(a.Units, 0)
+	r := &request{Arrival: a, class: &s.settings.Classes[a.Class], volume: s.volumeOf(a)}
+	r.Sequence = s.sequence
+	s.setDeadlines(r)
+	s.requests[a.ID] = r
+	if r.volume.neverAllows(a.Units) {
+		s.finish(r)
+		return
+	}
+	s.joinKeyOrder(r)
+	s.queue(r)
+}
+
+// queue places a request in the queue of the node that may take it.
+func (s *Scheduler) queue(r *request) {
+	n := s.chooseNode(r)
+	s.positions++
+	if n == nil {
+		r.node = nil
+		s.unassigned.Add(r, s.positions)
+		return
+	}
+	if r.node != n || r.attempts == 0 {
+		s.tag(r, n)
+	}
+	r.node, r.sendsBefore = n, n.sends
+	n.queue.Add(r, s.positions)
+	s.makeReady(r)
+	s.markDirty(n)
+}
+
+// makeReady makes a held request ready at its node, or defers it until it may be. One that
+// waits for its key's turn is neither.
+func (s *Scheduler) makeReady(r *request) {
+	readyAt, isNext := s.readyAt(r)
+	if !isNext {
+		return
+	}
+	if readyAt > s.now {
+		r.node.queue.Defer(r, readyAt)
+		return
+	}
+	r.node.queue.MakeReady(r, r.volume, profile{
+		class:  r.class,
+		plan:   r.volume.plan,
+		hosts:  r.volume.hosts,
+		units:  r.Units,
+		excess: r.excess,
+		retry:  r.attempts > 0,
+	})
+}
+
+// answerBegun notes that part of an answer is with the client: there is no second one.
+func (s *Scheduler) answerBegun(e Begun) {
+	if r := s.requests[e.ID]; r != nil {
+		r.streaming = true
+	}
+}
+
+func (s *Scheduler) clientLeft(e Dropped) {
+	if r := s.requests[e.ID]; r != nil {
+		s.forget(r)
+	}
+}
+
+// attemptEnded takes an attempt's outcome, and has the request sent again or answered.
+func (s *Scheduler) attemptEnded(e Ended) {
+	id := attemptID{e.ID, uint64(e.Attempt)}
+	a := s.attempts[id]
+	if a == nil {
+		return
+	}
+	delete(s.attempts, id)
+	r, n := a.request, a.node
+	r.inFlight--
+	n.inFlight = slices.DeleteFunc(n.inFlight, func(other *attempt) bool { return other == a })
+	s.markDirty(n)
+	s.observe(n, a, e)
+	s.noteMayHaveRun(r, a, e.Outcome)
+	s.restKey(r, e.Outcome)
+	switch {
+	case r.done:
+		s.leaveKeyOrder(r)
+	case e.Closed:
+		s.forget(r)
+	case r.inFlight > 0:
+	case s.isFinal(r, e):
+		s.finish(r)
+	default:
+		r.notBefore = s.now + s.shortestAim/retryBackoffPart
+		s.queue(r)
+	}
+}
+
+// finish gives the final answer: a refusal where it is true that trying again does no harm,
+// else a failure.
+func (s *Scheduler) finish(r *request) {
+	switch {
+	case r.done:
+	case s.repeatsAreHarmless(r):
+		s.do(Refuse{ID: r.ID, RetryAfter: s.settings.MaxRetryAfter})
+	default:
+		s.do(Fail{ID: r.ID})
+	}
+	s.forget(r)
+}
+
+// forget lets go of a request that has its final answer; its key stays taken while an attempt
+// is without an outcome.
+func (s *Scheduler) forget(r *request) {
+	r.done = true
+	delete(s.requests, r.ID)
+	s.markDirty(r.node)
+	switch {
+	case !r.Held():
+	case r.node != nil:
+		r.node.queue.RemoveLater(r)
+	default:
+		s.unassigned.RemoveLater(r)
+	}
+	s.leaveKeyOrder(r)
+}
--- /dev/null
+++ b/logic/retries.go
@@ -0,0 +1,112 @@
+package logic
+
+// Retry policy and retry budget.
+
+const (
+	// retryBackoffPart is the pause before another attempt, as a part of the shortest aim.
+	retryBackoffPart = 10
+)
+
+// provenNotRun tells whether an outcome proves that the attempt did not run.
+func provenNotRun(o Outcome) bool { return o == Full || o == ConnectFailed || o == Moot }
+
+// noteMayHaveRun books what an attempt's outcome says of where the request has been.
+func (s *Scheduler) noteMayHaveRun(r *request, a *attempt, o Outcome) {
+	if o != ConnectFailed && o != Moot {
+		r.HoldUntil = r.Deadline // a node had it
+	}
+	if !provenNotRun(o) && o != OK && r.mayHaveRunAt == nil {
+		r.mayHaveRunAt, r.firstRunAt = a.node, a.sentAt
+	}
+}
+
+// isFinal tells whether a request whose attempt ended gets its final answer now.
+func (s *Scheduler) isFinal(r *request, e Ended) bool {
+	most := s.settings.MaxAttempts
+	switch {
+	case r.streaming, e.Spent:
+		return true
+	case s.now+expiryMargin >= r.Deadline:
+		return true
+	case most > 0 && r.attempts >= most:
+		return true
+	case provenNotRun(e.Outcome):
+		return false
+	default:
+		return r.class.Effect == Unsafe || s.chooseNode(r) == nil
+	}
+}
+
+// repeatsAreHarmless tells whether a client that tries again does no harm.
+func (s *Scheduler) repeatsAreHarmless(r *request) bool {
+	class := r.class
+	return r.mayHaveRunAt == nil || class.Effect == Safe || (class.Effect == Keyed && class.Group == GroupAll)
+}
+
+// mayRepeat tells whether another attempt may go to a node, given where an earlier one may
+// have run.
+func (s *Scheduler) mayRepeat(r *request, n *node) bool {
+	class := r.class
+	switch {
+	case r.mayHaveRunAt == nil || class.Effect == Safe:
+		return true
+	case class.Effect == Unsafe || s.now >= r.firstRunAt+class.Window:
+		return false
+	}
+	switch class.Group {
+	case GroupAll:
+		return true
+	case GroupZone:
+		return n.Zone == r.mayHaveRunAt.Zone
+	case GroupCell:
+		return n.Shard == r.mayHaveRunAt.Shard
+	}
+	return false
+}
+
+// repeatBy is when an attempt must have begun, 0: at any time. It keeps the window of repeats
+// also where a connection comes up late.
+func (r *request) repeatBy() Time {
+	if r.mayHaveRunAt == nil || r.class.Effect != Keyed {
+		return 0
+	}
+	return r.firstRunAt + r.class.Window
+}
+
+// retryBudget bounds attempts past the first by the requests taken in a window of time.
+type retryBudget struct {
+	arrivals []Time
+	retries  []Time
+}
+
+// budgetFor books an arrival, which earns a part of an attempt.
+func (s *Scheduler) budgetFor(Arrival) {
+	if s.settings.Budget {
+		s.retryBudget.arrivals = append(s.retryBudget.arrivals, s.now)
+	}
+}
+
+// spendRetry books an attempt past the first.
+func (s *Scheduler) spendRetry() {
+	if s.settings.Budget {
+		s.retryBudget.retries = append(s.retryBudget.retries, s.now)
+	}
+}
+
+// mayRetry tells whether the budget has room for an attempt past the first.
+func (s *Scheduler) mayRetry() bool {
+	if !s.settings.Budget {
+		return true
+	}
+	budget := &s.retryBudget
+	s.trimArrivals()
+	// An attempt just at the edge still counts, an arrival there does not.
+	budget.retries = since(budget.retries, s.now-s.settings.BudgetOver)
+	most := s.settings.BudgetFree + s.settings.BudgetShare*float64(len(budget.arrivals))
+	return float64(len(budget.retries)+1) <= most
+}
+
+// trimArrivals forgets arrivals that are out of the budget's window.
+func (s *Scheduler) trimArrivals() {
+	s.retryBudget.arrivals = since(s.retryBudget.arrivals, s.now-s.settings.BudgetOver+1)
+}
--- a/logic/same_test.go
+++ b/logic/same_test.go
@@ -191,6 +191,33 @@
 	CheckGolden(t, "histories", sums)
 }
 
+// Whoever asks why requests wait changes no decision by it.
+func TestWaitReasonDecidesNothing(t *testing.T) {
+	reasons := map[Reason]int{}
+	for _, shape := range shapes {
+		for seed := range uint64(5) {
+			w := newWorld(seed, shape)
+			asked, _ := New(w.s, seed, w.now)
+			left, _ := New(w.s, seed, w.now)
+			w.play(func(step int, events []Event) []Action {
+				for _, id := range w.live {
+					reasons[asked.WaitReason(id)]++
+				}
+				asked.Status()
+				got, want := asked.Handle(w.now, events), left.Handle(w.now, events)
+				if len(got)+len(want) > 0 && !reflect.DeepEqual(got, want) {
+					t.Fatalf("seed %d, step %d: %+v, want %+v", seed, step, got, want)
+				}
+				return got
+			})
+		}
+	}
+	t.Log(reasons)
+	if len(reasons) < 10 {
+		t.Errorf("only %d reasons were met: %v", len(reasons), reasons)
+	}
+}
+
 func newWorld(seed uint64, shape shape) *world {
 	w := &world{r: rand.New(rand.NewPCG(seed, 1)), now: time.Hour, shape: shape}
 	w.s = settings(w.r)
--- /dev/null
+++ b/logic/slow_start.go
@@ -0,0 +1,110 @@
+package logic
+
+import (
+	"cmp"
+	"math"
+	"time"
+)
+
+// Slow start of nodes that have just started: a token bucket for each. Its rate is this head's
+// even part of what is always borne or, where that is more, a part in proportion to what it was
+// served by a node of the shard before, which over all heads adds up to what such a node really
+// bore: its capacity is not told, and is no less than that.
+
+const (
+	// coldRatePart is the part of the budget that the bucket fills at; it holds the rest.
+	coldRatePart = 0.67
+	// servedHalfLife is after what time the units served on a shard count half.
+	servedHalfLife = 30 * time.Second
+	// minColdWindow and minColdCapacity keep divisions defined.
+	minColdWindow   = 1e-3
+	minColdCapacity = 1e-9
+)
+
+func (s *Scheduler) isCold(n *node) bool {
+	return n.Started > 0 && s.settings.Cold > 0 && s.now < n.Started+s.settings.Cold
+}
+
+// beginSlowStart sets a node's bucket for the time that it is cold. At many heads the rate is
+// less than one request in a window: it accrues, and each head starts at a level by chance, so
+// that their turns are spread. After the head's own start a window passes first, as its life
+// before may have spent it.
+func (s *Scheduler) beginSlowStart(n *node) {
+	if !s.isCold(n) {
+		return
+	}
+	settings := &s.settings
+	window := max(settings.FallWindow.Seconds(), minColdWindow)
+	units := cmp.Or(settings.ColdUnits, settings.MeanUnits)
+	evenPart := coldRatePart * units / float64(settings.Heads) / window
+	servedPart := settings.FallMultiple * settings.ColdFrom * s.servedOnShard(n.Shard, n.Started, 0) / s.sharedAmong(n)
+	rate := max(evenPart, servedPart)
+	n.coldBudget = tokenBucket{rate: rate, capacity: rate * window * (1 - coldRatePart) / coldRatePart}
+	n.coldBudget.at = max(s.now, s.startedAt+settings.FallWindow)
+	n.coldBudget.level = n.coldBudget.capacity - s.random.Float64()*settings.MeanUnits
+}
+
+// sharedAmong is how many nodes a shard's requests were shared among before one of them
+// started. Guards against a cold node that is held to bear what several bore together.
+func (s *Scheduler) sharedAmong(started *node) (nodes float64) {
+	for _, n := range s.members.byShard[started.Shard] {
+		if n.State != Gone {
+			nodes++
+		}
+	}
+	return max(nodes, 1)
+}
+
+// servedOnShard counts units served on a shard and returns the mean rate up to a time.
+func (s *Scheduler) servedOnShard(shard int, until Time, units float64) float64 {
+	served := s.estimates.served[shard]
+	if served == nil {
+		served = &decayingSum{}
+		s.estimates.served[shard] = served
+	}
+	halfLives := float64(until-s.startedAt) / float64(servedHalfLife)
+	sum := served.add(until, units, servedHalfLife)
+	if halfLives <= 0 {
+		return 0
+	}
+	return sum * math.Ln2 / servedHalfLife.Seconds() / (1 - math.Exp2(-halfLives))
+}
+
+// fillColdBudget fills a cold node's bucket, which grows as its capacity must, and returns it
+// as it is by now.
+func (s *Scheduler) fillColdBudget(n *node) tokenBucket {
+	grown := 1.0
+	if from := s.settings.ColdFrom; from > 0 && from < 1 {
+		age := float64(s.now-n.Started-s.settings.FallWindow) / float64(s.settings.Cold)
+		grown += max(0, age) * (1 - from) / from
+	}
+	bucket := n.coldBudget
+	bucket.rate, bucket.capacity = bucket.rate*grown, bucket.capacity*grown
+	if s.now > bucket.at {
+		bucket.fill(s.now)
+		n.coldBudget.level, n.coldBudget.at = bucket.level, bucket.at
+	}
+	return bucket
+}
+
+// coldBudgetAllows tells whether a node may be sent so many units as far as it is cold.
+func (s *Scheduler) coldBudgetAllows(n *node, units float64) bool {
+	if !s.isCold(n) {
+		return true
+	}
+	bucket := s.fillColdBudget(n)
+	return s.now >= bucket.at && bucket.level >= min(units, bucket.capacity)
+}
+
+// coldBudgetUsed is the part of a cold node's bucket that is used.
+func (s *Scheduler) coldBudgetUsed(n *node) float64 {
+	bucket := s.fillColdBudget(n)
+	return 1 - bucket.level/max(bucket.capacity, minColdCapacity)
+}
+
+// drawColdBudget books a send on a cold node's bucket.
+func (s *Scheduler) drawColdBudget(n *node, units float64) {
+	if s.isCold(n) {
+		n.coldBudget.level -= units
+	}
+}
--- /dev/null
+++ b/logic/timers.go
@@ -0,0 +1,165 @@
+package logic
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+// Timers: which nodes are looked at, and when the scheduler is to be woken. Only nodes that
+// something happened to, or whose time has come, are looked at.
+
+const (
+	never = Time(math.MaxInt64)
+	// idleVolume is after what time an idle volume is forgotten.
+	idleVolume = 10 * time.Second
+	// looksPerAim is how often held requests are looked at within a shortest aim.
+	looksPerAim = 12
+	// silenceLooksPerAim is the same for a node that owes an answer.
+	silenceLooksPerAim = 4
+	// timerStep is the unit of timers: one that came a fraction early would be taken for another.
+	timerStep = time.Millisecond
+)
+
+type timers struct {
+	dirty      []*node // something happened to them in this moment
+	dirtySpare []*node // those of the last, for use again
+	waiting    []*node // those that have a time to be looked at, in any order
+	nextWake   Time    // first of their times, or before it
+	listAt     Time    // when to ask for the list, before 0: not
+	armedAt    Time    // when the timer asked for last goes off
+	sweptAt    Time
+}
+
+func newTimers(now Time) timers { return timers{listAt: -1, armedAt: now, sweptAt: now} }
+
+// markDirty has a node looked at when the events of the moment are taken.
+func (s *Scheduler) markDirty(n *node) {
+	if n != nil && !n.dirty {
+		n.dirty = true
+		s.timers.dirty = append(s.timers.dirty, n)
+	}
+}
+
+// dispatch lets every node that something happened to send, and sets the timer.
+func (s *Scheduler) dispatch() {
+	wake := s.watchList()
+	if s.now >= s.timers.nextWake { // else only nodes that something happened to
+		s.timers.nextWake = never
+		s.wakeNodes()
+	}
+	s.dispatchDirty()
+	wake = min(wake, s.timers.nextWake)
+	if len(s.timers.dirty) > 0 { // by what came of it, as a key's next turn
+		wake = s.now
+	}
+	s.expire(s.unassigned)
+	wake = min(wake, nextExpiry(s.unassigned))
+	if s.now >= s.timers.sweptAt+idleVolume/2 {
+		s.sweep()
+	}
+	s.arm(wake)
+}
+
+// watchList asks for the node list when it is time, and returns when that is.
+func (s *Scheduler) watchList() (wake Time) {
+	switch at := s.timers.listAt; {
+	case at < 0:
+		return never
+	case s.now < at:
+		return at
+	}
+	s.do(Watch{})
+	s.timers.listAt = -1
+	return never
+}
+
+// dispatchDirty lets the nodes send that something happened to until now.
+func (s *Scheduler) dispatchDirty() {
+	t := &s.timers
+	dirty := t.dirty
+	t.dirty, t.dirtySpare = t.dirtySpare[:0], dirty
+	for _, n := range dirty {
+		s.dispatchNode(n)
+		t.nextWake = min(t.nextWake, n.wakeAt)
+		if n.wakeAt < never && !n.waiting {
+			n.waiting = true
+			t.waiting = append(t.waiting, n)
+		}
+	}
+}
+
+// setWakeTime sets when a node is to be looked at again though nothing happens to it.
+func (s *Scheduler) setWakeTime(n *node) {
+	n.wakeAt = never
+	if len(n.inFlight) > 0 {
+		n.wakeAt = s.now + s.shortestAim/silenceLooksPerAim
+	}
+	if n.queue.Len() > 0 { // held for a slot, or by what time alone changes
+		slot := max(n.nextSlot(), s.now+s.shortestAim/looksPerAim)
+		n.wakeAt = min(n.wakeAt, nextExpiry(n.queue), slot)
+	}
+}
+
+// wakeNodes has nodes looked at whose time has come, in the order in which they joined. Only
+// nodes with work have one, however many are on the list.
+func (s *Scheduler) wakeNodes() {
+	t := &s.timers
+	var due []*node
+	kept := t.waiting[:0]
+	for _, n := range t.waiting {
+		switch {
+		case s.now >= n.wakeAt:
+			due = append(due, n)
+			n.waiting = false
+		case n.wakeAt < never:
+			kept = append(kept, n)
+			t.nextWake = min(t.nextWake, n.wakeAt)
+		default:
+			n.waiting = false
+		}
+	}
+	clear(t.waiting[len(kept):])
+	t.waiting = kept
+	slices.SortFunc(due, func(a, b *node) int { return cmp.Compare(a.joined, b.joined) })
+	for _, n := range due {
+		s.markDirty(n)
+	}
+}
+
+// arm asks for a timer, if the one that was asked for goes off later or has gone off.
+func (s *Scheduler) arm(wake Time) {
+	if wake == never || (s.timers.armedAt > s.now && wake >= s.timers.armedAt) {
+		return
+	}
+	in := max(wake-s.now+timerStep-1, timerStep).Truncate(timerStep)
+	s.timers.armedAt = s.now + in
+	s.do(WakeIn{In: in})
+}
+
+// sweep forgets idle volumes and keys. A volume whose limit's bucket is not full yet is kept:
+// forgotten, it would come back with more than it has.
+func (s *Scheduler) sweep() {
+	s.timers.sweptAt = s.now
+	for _, n := range s.members.nodes {
+		n.queue.Sweep()
+	}
+	for name, v := range s.volumes {
+		s.sweepStreams(v)
+		v.limit.fill(s.now)
+		if s.now-v.usedAt > idleVolume && len(v.streams) == 0 && v.limit.level >= v.limit.capacity {
+			delete(s.volumes, name)
+		}
+	}
+	s.sweepKeyOrders()
+	s.trimArrivals()
+}
+
+func (s *Scheduler) sweepStreams(v *volume) {
+	for n, at := range v.streams {
+		if s.now-at.usedAt > idleVolume {
+			delete(v.streams, n)
+		}
+	}
+}
