--- a/internal/syscalls/clocks_test.go
+++ b/internal/syscalls/clocks_test.go
@@ -23,8 +23,8 @@
 
 // headPackages are those that a head runs.
 var headPackages = []string{"logic", "internal/admit", "internal/conf", "internal/daemon", "internal/dav", "internal/discovery",
-	"internal/facts", "internal/guard", "internal/head", "internal/http1", "internal/lanes", "internal/loop", "internal/membership",
-	"internal/nodelist", "internal/platform", "internal/rank", "internal/route", "internal/syscalls", "internal/workers"}
+	"internal/facts", "internal/guard", "internal/head", "internal/http1", "internal/loop", "internal/membership",
+	"internal/nodelist", "internal/orderedset", "internal/platform", "internal/route", "internal/syscalls", "internal/waitqueue", "internal/workers"}
 
 // wallReaders are the files that may turn a wall-clock time into a number, or the reverse.
 var wallReaders = map[string]string{
