--- a/internal/badday/clients.go
+++ b/internal/badday/clients.go
@@ -30,7 +30,6 @@
 	net.Conn
 	r    *bufio.Reader
 	last int // place in done
-	era  int
 }
 
 func newClients(c *conf.Config, addrs []string) *clients {
--- a/internal/daemon/turns.go
+++ b/internal/daemon/turns.go
@@ -15,7 +15,7 @@
 // go unnoticed, one line a second at most.
 const (
 	turnLong   = 50 * time.Millisecond
-	turnMinute = time.Minute
+	turnWindow = time.Minute
 )
 
 // turns watches how long the loop's turns take, and what takes it: all that wait,
@@ -37,7 +37,7 @@
 
 // took is told of each turn.
 func (t *turns) took(now time.Duration, turn *loop.Turn) {
-	if now >= t.began+turnMinute {
+	if now >= t.began+turnWindow {
 		t.longest[1], t.longest[0], t.began = t.longest[0], [loop.Parts + 1]time.Duration{}, now
 	}
 	sum := turn.Sum()
--- a/internal/e2e/e2e_test.go
+++ b/internal/e2e/e2e_test.go
@@ -480,11 +480,11 @@
 	}
 	for until := time.Now().Add(8 * time.Second); ; {
 		_, r := s.dial(put("/feed-a/t", "segment"))
-		if status, _, _ := s.answer(r, "PUT"); status == 201 || status == 204 { // an earlier try may have run unheard
+		status, _, _ := s.answer(r, "PUT")
+		if status == 201 || status == 204 { // an earlier try may have run unheard
 			break
-		} else {
-			t.Log(time.Since(began), status)
 		}
+		t.Log(time.Since(began), status)
 		if time.Now().After(until) {
 			t.Fatal("the node, well again, is not used")
 		}
--- a/internal/e2e/platform_test.go
+++ b/internal/e2e/platform_test.go
@@ -389,7 +389,7 @@
 	go s.raw(open)
 	within(t, time.Second, func() bool { return len(sh.ids()) == 1 })
 	_, good := s.request("PUT", "write", 0, "1200m", "")
-	change := func(old, new string) string { return strings.Replace(good, old, new, 1) }
+	change := func(old, replacement string) string { return strings.Replace(good, old, replacement, 1) }
 	for name, text := range map[string]string{
 		"id of an open request": strings.Replace(good, "X-Txn: ", "X-Txn: "+openID+"\r\nX-Old: ", 1),
 		"both lengths":          change("Content-Length: 7\r\n\r\npayload", "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"+open),
--- a/internal/e2e/wire_test.go
+++ b/internal/e2e/wire_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -214,7 +213,7 @@
 	if status != 503 || strings.Contains(body, "multistatus") || time.Since(began) > 4*time.Second {
 		t.Errorf("%d %q after %v", status, body, time.Since(began))
 	}
-	_, r = s.dial(fmt.Sprintf("PROPFIND /feed-b/ HTTP/1.1\r\nHost: h\r\nDepth: infinity\r\nContent-Length: 0\r\n\r\n"))
+	_, r = s.dial("PROPFIND /feed-b/ HTTP/1.1\r\nHost: h\r\nDepth: infinity\r\nContent-Length: 0\r\n\r\n")
 	if status, body, _ := s.answer(r, "PROPFIND"); status != 403 || !strings.Contains(body, "propfind-finite-depth") {
 		t.Errorf("%d %q", status, body)
 	}
--- a/internal/head/head.go
+++ b/internal/head/head.go
@@ -165,7 +165,6 @@
 
 	oldEx     []*exchange
 	oldBufs   [][]byte
-	scratch   []byte
 	span      Span
 	held      int64 // bytes of all client connections
 	turnTexts [admit.Reasons]turnText
--- a/internal/loop/retry.go
+++ b/internal/loop/retry.go
@@ -14,8 +14,8 @@
 // with a pause of the loop's own, which grows while they last. Guards against a machine short
 // of descriptors, ports or memory that is taken for nodes that are down.
 const (
-	retryMin = 5 * time.Millisecond
-	retryMax = 100 * time.Millisecond
+	retryFirst   = 5 * time.Millisecond
+	retryLongest = 100 * time.Millisecond
 	// interruptedMost is how often a call is made anew at once after a signal.
 	interruptedMost = 8
 )
@@ -38,7 +38,7 @@
 }
 
 func (b *backoff) fail(now time.Duration) {
-	b.pause = min(max(2*b.pause, retryMin), retryMax)
+	b.pause = min(max(2*b.pause, retryFirst), retryLongest)
 	b.at = now + b.pause
 }
 
@@ -109,7 +109,7 @@
 		l.stalled.ids = append(l.stalled.ids, s.id)
 	}
 	if l.stalled.at == 0 {
-		l.stalled.at = l.Now() + retryMin
+		l.stalled.at = l.Now() + retryFirst
 	}
 }
 
--- a/internal/loopback/loopback.go
+++ b/internal/loopback/loopback.go
@@ -17,28 +17,29 @@
 	claimPort = 17999
 )
 
-var (
-	claimOnce sync.Once
-	claimed   int
-	claim     net.Listener // held until the process ends
-)
+// claim is the block of this process, and what holds it until the process ends.
+var claim struct {
+	once     sync.Once
+	block    int
+	listener net.Listener
+}
 
 // Block is the second byte of the addresses that are this process's own. Guards against two
 // processes that run at once and draw the same addresses.
 func Block() int {
-	claimOnce.Do(func() {
+	claim.once.Do(func() {
 		first := os.Getpid() % blocks
-		claimed = 1 + first
+		claim.block = 1 + first
 		for i := range blocks {
 			block := 1 + (first+i)%blocks
 			listener, err := net.Listen("tcp", fmt.Sprintf("127.%d.255.254:%d", block, claimPort))
 			if err == nil {
-				claimed, claim = block, listener
+				claim.block, claim.listener = block, listener
 				return
 			}
 		}
 	})
-	return claimed
+	return claim.block
 }
 
 // Addr is an address of this process: network is the third byte, host the fourth.
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -15,7 +15,7 @@
 )
 
 // text is a configuration as the platform writes it, with a part replaced.
-func text(old, new string) []byte {
+func text(old, replacement string) []byte {
 	return []byte(strings.Replace(`{"name":"h1","listen":"127.0.0.1:0","discovery":"127.0.0.1:9","seed":"00000000000000a1",
 "limits":{"cores":0.5,"memory_mb":48,"sockets":256},
 "known":{"index":3,"snapshot":true,"endpoints":[{"name":"a","address":"127.0.0.1:7","zone":"z1","group":0,"status":"up","since_ms":0}]},
@@ -24,7 +24,7 @@
 {"name":"write","target":200000,"deadline":900000,"effect":"fragile","group":"all","gain":2,"lateWorth":0.1}],
 "grades":[{"name":"low","shares":1,"valueFactor":1,"ceilingRate":0},{"name":"high","shares":2,"valueFactor":1}],
 "familyInfo":{"unitsTop":6,"usualUnits":2,"fairWorth":0.3,"nShards":4,"writes":[false,true]},
-"limits":{"maxAttempts":3,"maxRetryAfter":500000,"retryAfter":true,"connIdle":30000000,"connectTimeout":250000}}}`, old, new, 1))
+"limits":{"maxAttempts":3,"maxRetryAfter":500000,"retryAfter":true,"connIdle":30000000,"connectTimeout":250000}}}`, old, replacement, 1))
 }
 
 func none(string) string { return "" }
--- a/internal/standin/locks.go
+++ b/internal/standin/locks.go
@@ -202,34 +202,34 @@
 				}
 			}
 		}
-		http.Error(w, "no lock of this resource is named", 412)
+		http.Error(w, "no lock of this resource is named", http.StatusPreconditionFailed)
 		return
 	}
 	var info lockInfo
 	if err := xml.Unmarshal(body, &info); err != nil || info.Write == nil || (info.Exclusive == nil) == (info.Shared == nil) {
-		http.Error(w, "the lockinfo is malformed", 400)
+		http.Error(w, "the lockinfo is malformed", http.StatusBadRequest)
 		return
 	}
 	depth := strings.ToLower(r.Header.Get("Depth"))
 	if depth != "" && depth != "0" && depth != "infinity" {
-		http.Error(w, "Depth of a LOCK is 0 or infinity", 400)
+		http.Error(w, "Depth of a LOCK is 0 or infinity", http.StatusBadRequest)
 		return
 	}
 	k := &lock{root: p, infinite: depth != "0", shared: info.Shared != nil, owner: info.Owner.Inner, timeout: timeout(r.Header.Get("Timeout"))}
 	for _, other := range l.over(p, false, k.infinite) {
 		if !k.shared || !other.shared { // 6.2: only shared ones stand beside each other
-			http.Error(w, "locked", 423)
+			http.Error(w, "locked", http.StatusLocked)
 			return
 		}
 	}
 	if len(l.by) >= locksMost {
-		http.Error(w, "too many locks", 507)
+		http.Error(w, "too many locks", http.StatusInsufficientStorage)
 		return
 	}
 	status := 200
 	if !there {
 		if err := create(); err != nil {
-			http.Error(w, err.Error(), 409)
+			http.Error(w, err.Error(), http.StatusConflict)
 			return
 		}
 		status = 201
