--- a/cmd/benchlink/main.go
+++ b/cmd/benchlink/main.go
@@ -9,7 +9,7 @@
 	"os"
 	"strings"
 
-	"maddergap/internal/facts"
+	"maddergap/internal/sitesettings"
 	"maddergap/internal/wire"
 	"maddergap/logic"
 )
@@ -53,7 +53,7 @@
 		events[e.Head] = append(events[e.Head], e)
 	}
 	for _, id := range order {
-		if text := serve(w, heads, id, facts.Micros(b.Clock), events[id]); text != "" {
+		if text := serve(w, heads, id, sitesettings.Micros(b.Clock), events[id]); text != "" {
 			delete(heads, id)
 			fmt.Fprintf(w, "broken %s %s\n", id, strings.ReplaceAll(text, "\n", " "))
 		}
@@ -80,7 +80,7 @@
 		switch e.Kind {
 		case "boot":
 			pending = nil // meant for the life before
-			h, err := logic.New(e.Facts.Settings(), e.Entropy, now)
+			h, err := logic.New(e.Site.Settings(), e.Entropy, now)
 			if err != nil {
 				return err.Error()
 			}
@@ -104,12 +104,12 @@
 		l := logic.List{Full: e.How == "F" || e.How == "C", Failed: e.How == "X"}
 		for _, it := range e.Items {
 			l.Entries = append(l.Entries, logic.Entry{Node: it.Shelf, Zone: it.Zone, Shard: it.Cluster,
-				State: states[it.Condition], Started: facts.Micros(it.UpSince)})
+				State: states[it.Condition], Started: sitesettings.Micros(it.UpSince)})
 		}
 		return l
 	case "job_in":
 		return logic.Arrival{ID: e.Job, Shard: e.Cell, Plan: e.Plan, Class: e.Service, Key: e.Key,
-			Volume: e.User, Left: facts.Micros(e.Grace), Units: e.Weight, Hosts: e.Writers, Again: e.Again}
+			Volume: e.User, Left: sitesettings.Micros(e.Grace), Units: e.Weight, Hosts: e.Writers, Again: e.Again}
 	case "ended":
 		o, known := outcomes[e.How]
 		if !known {
@@ -117,7 +117,7 @@
 		}
 		held, says := e.Telemetry["concurrent"]
 		waiting, saysWaiting := e.Telemetry["depth"]
-		return logic.Ended{ID: e.Job, Attempt: e.N, Node: e.Shelf, Outcome: o, Took: facts.Micros(e.Took),
+		return logic.Ended{ID: e.Job, Attempt: e.N, Node: e.Shelf, Outcome: o, Took: sitesettings.Micros(e.Took),
 			Closed:   e.Terminal,
 			Reported: max(held, waiting), Reports: says || saysWaiting}
 	case "begun":
--- a/cmd/benchlink/main_test.go
+++ b/cmd/benchlink/main_test.go
@@ -5,7 +5,7 @@
 	"testing"
 )
 
-const bootFacts = `{"fleetSize":1,"classes":[{"target":150000,"effect":"retryable","gain":2}],` +
+const bootSite = `{"fleetSize":1,"classes":[{"target":150000,"effect":"retryable","gain":2}],` +
 	`"grades":[{"shares":1,"valueFactor":1}],"unknown":{"x":1}}`
 
 func play(t *testing.T, in string) string {
@@ -18,7 +18,7 @@
 }
 
 func TestRun(t *testing.T) {
-	const boot = "boot head_0 5 " + bootFacts + "\nregistry head_0 C 1 1\nitem s 0 0 0 SERVING 1 -\n"
+	const boot = "boot head_0 5 " + bootSite + "\nregistry head_0 C 1 1\nitem s 0 0 0 SERVING 1 -\n"
 	const job = " 0 0 k 0 vol 1000000 2 1 0\n"
 	for _, c := range []struct{ name, in, want string }{
 		{"empty batch", "clock 5 1\nover_to_you\n", "next 1\n"},
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -351,7 +351,7 @@
 	}
 	n := d.head.Counts()
 	d.log.Info("stopped", "taken", n.Taken, "served", n.Served, "refused", n.Refused, "failed", n.Failed, "left", n.Left,
-		"attempts", n.Attempts, "turned", sum(n.Turned[:]), "gave_way", n.GaveWay, "bad", n.Bad, "own", n.Own,
+		"attempts", n.Attempts, "turned", sum(n.Turned[:]), "preempted", n.Preempted, "bad", n.Bad, "own", n.Own,
 		"withheld", sum(n.Guard.Withheld[:]), "invariants_broken", sum(n.Guard.Broken[:]), "took", time.Since(d.stopped))
 	if d.cut > 0 {
 		return fmt.Errorf("%d requests were cut off after the stop time of %v", d.cut, d.c.StopTime)
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -55,22 +55,22 @@
 type collector struct{ d *Daemon }
 
 var (
-	requestsDesc = prometheus.NewDesc("maddergap_requests_total", "Requests taken, by final answer; left: the client went before.", []string{"outcome"}, nil)
-	attemptsDesc = prometheus.NewDesc("maddergap_attempts_total", "Sends to nodes.", nil, nil)
-	badDesc      = prometheus.NewDesc("maddergap_malformed_total", "Requests answered as malformed or too slow.", nil, nil)
-	turnedDesc   = prometheus.NewDesc("maddergap_turned_away_total", "Connections and requests not admitted, by what kept them out.", []string{"reason"}, nil)
-	gaveWayDesc  = prometheus.NewDesc("maddergap_gave_way_total", "Idle connections closed to make room.", nil, nil)
-	connsDesc    = prometheus.NewDesc("maddergap_connections", "Connections now, by kind: client, known (of clients), node.", []string{"kind"}, nil)
-	turnDesc     = prometheus.NewDesc("maddergap_turn_longest_seconds", "The longest turn of the loop within this minute and the last, and the longest of each part.", []string{"part"}, nil)
-	heldDesc     = prometheus.NewDesc("maddergap_client_buffers_bytes", "Bytes held for all client connections.", nil, nil)
-	lagDesc      = prometheus.NewDesc("maddergap_lag_seconds", "How much later than asked the head was woken lately; taken twice from its clients' time.", nil, nil)
-	withheldDesc = prometheus.NewDesc("maddergap_attempts_withheld_total", "Attempts that were not begun, by the invariant that was against it.", []string{"rule"}, nil)
-	brokenDesc   = prometheus.NewDesc("maddergap_invariants_broken_total", "Invariants found broken after the fact, by rule.", []string{"rule"}, nil)
-	tableDesc    = prometheus.NewDesc("maddergap_admission_entries", "Entries of admission's tables in use.", []string{"table"}, nil)
+	requestsDesc  = prometheus.NewDesc("maddergap_requests_total", "Requests taken, by final answer; left: the client went before.", []string{"outcome"}, nil)
+	attemptsDesc  = prometheus.NewDesc("maddergap_attempts_total", "Sends to nodes.", nil, nil)
+	badDesc       = prometheus.NewDesc("maddergap_malformed_total", "Requests answered as malformed or too slow.", nil, nil)
+	turnedDesc    = prometheus.NewDesc("maddergap_turned_away_total", "Connections and requests not admitted, by what kept them out.", []string{"reason"}, nil)
+	preemptedDesc = prometheus.NewDesc("maddergap_connections_preempted_total", "Idle connections closed to make room.", nil, nil)
+	connsDesc     = prometheus.NewDesc("maddergap_connections", "Connections now, by kind: client, known (of clients), node.", []string{"kind"}, nil)
+	turnDesc      = prometheus.NewDesc("maddergap_turn_longest_seconds", "The longest turn of the loop within this minute and the last, and the longest of each part.", []string{"part"}, nil)
+	heldDesc      = prometheus.NewDesc("maddergap_client_buffers_bytes", "Bytes held for all client connections.", nil, nil)
+	lagDesc       = prometheus.NewDesc("maddergap_lag_seconds", "How much later than asked the head was woken lately; taken twice from its clients' time.", nil, nil)
+	withheldDesc  = prometheus.NewDesc("maddergap_attempts_withheld_total", "Attempts that were not begun, by the invariant that was against it.", []string{"rule"}, nil)
+	brokenDesc    = prometheus.NewDesc("maddergap_invariants_broken_total", "Invariants found broken after the fact, by rule.", []string{"rule"}, nil)
+	tableDesc     = prometheus.NewDesc("maddergap_admission_entries", "Entries of admission's tables in use.", []string{"table"}, nil)
 )
 
 func (collector) Describe(ch chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{requestsDesc, attemptsDesc, badDesc, turnedDesc, gaveWayDesc, connsDesc, tableDesc, turnDesc, heldDesc, lagDesc, withheldDesc, brokenDesc} {
+	for _, d := range []*prometheus.Desc{requestsDesc, attemptsDesc, badDesc, turnedDesc, preemptedDesc, connsDesc, tableDesc, turnDesc, heldDesc, lagDesc, withheldDesc, brokenDesc} {
 		ch <- d
 	}
 }
@@ -98,7 +98,7 @@
 	}
 	count(attemptsDesc, c.Attempts)
 	count(badDesc, c.Bad)
-	count(gaveWayDesc, c.GaveWay)
+	count(preemptedDesc, c.Preempted)
 	for r := admit.None + 1; r < admit.Reasons; r++ {
 		count(turnedDesc, c.Turned[r], r.String())
 	}
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -59,7 +59,7 @@
 		return err
 	}
 	s.began = d.loop.Now()
-	s.feed = discovery.New(s.c.Discovery, s.c.Facts.Zones, c.Logic.AskDiscovery, c.Seed)
+	s.feed = discovery.New(s.c.Discovery, s.c.Site.Zones, c.Logic.AskDiscovery, c.Seed)
 	p := s.c.Protocol()
 	if s.c.Known != nil {
 		nodes, err := s.feed.Nodes(s.c.Known)
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -47,16 +47,16 @@
 )
 
 // allowance is what may pass between an event and the write.
-type allowance struct{ drain, cancel, due, told, window time.Duration }
+type allowance struct{ drain, cancel, due, timeout, window time.Duration }
 
 var (
-	beforeWrite = allowance{told: encodedFor}
-	afterWrite  = allowance{drain: heldUp, cancel: cancelGrace, due: heldUp, told: heldUp, window: heldUp}
+	beforeWrite = allowance{timeout: encodedFor}
+	afterWrite  = allowance{drain: heldUp, cancel: cancelGrace, due: heldUp, timeout: heldUp, window: heldUp}
 )
 
 // Outdated tells whether an attempt has to be encoded anew before it is written, as it tells
 // its node clearly more time than is left.
-func Outdated(now, due Time, told time.Duration) bool { return now+told > due+encodedFor }
+func Outdated(now, due Time, timeout time.Duration) bool { return now+timeout > due+encodedFor }
 
 // Attempt is what is known of an attempt when its first byte goes out.
 type Attempt struct {
@@ -65,13 +65,13 @@
 	Number  int // from 0
 	// InForce: a node list was had. Serving: the node serves by it, and the connection leads to
 	// its present address and life; Changed is when the head was notified of its state.
-	InForce bool
-	Serving bool
-	Changed Time
-	Left    Time // when the client was seen to go, 0: it is there
-	Due     Time // when the client's time is over
-	Told    time.Duration
-	Earlier Earlier
+	InForce    bool
+	Serving    bool
+	Changed    Time
+	ClientLeft Time // when the client was seen to go, 0: it is there
+	Deadline   Time // when the client's time is over
+	Timeout    time.Duration
+	Earlier    Earlier
 }
 
 // Earlier is what became of the attempts before it.
@@ -157,10 +157,10 @@
 		return Start, 0
 	case !a.Serving && now >= a.Changed+allowed.drain:
 		return Drain, a.Changed
-	case a.Left > 0 && now >= a.Left+allowed.cancel:
-		return Cancelled, a.Left
-	case now >= a.Due+allowed.due || now+a.Told > a.Due+allowed.told:
-		return Deadline, a.Due
+	case a.ClientLeft > 0 && now >= a.ClientLeft+allowed.cancel:
+		return Cancelled, a.ClientLeft
+	case now >= a.Deadline+allowed.due || now+a.Timeout > a.Deadline+allowed.timeout:
+		return Deadline, a.Deadline
 	case !a.Earlier.mayRepeat(now - allowed.window):
 		return Repeat, a.Earlier.Until
 	}
--- a/internal/guard/guard_test.go
+++ b/internal/guard/guard_test.go
@@ -10,7 +10,7 @@
 const now = 24 * time.Hour
 
 func good() Attempt {
-	return Attempt{Request: 7, Node: "n", InForce: true, Serving: true, Changed: now - time.Hour, Due: now + time.Second, Told: time.Second}
+	return Attempt{Request: 7, Node: "n", InForce: true, Serving: true, Changed: now - time.Hour, Deadline: now + time.Second, Timeout: time.Second}
 }
 
 // Each rule, broken on purpose: at once it is withheld; once written it counts as broken past
@@ -28,13 +28,13 @@
 		{"no list", func(a *Attempt) { a.InForce = false }, Start, true},
 		{"drains, just notified", func(a *Attempt) { a.Serving, a.Changed = false, now-100*time.Millisecond }, Drain, false},
 		{"drains", func(a *Attempt) { a.Serving, a.Changed = false, now-200*time.Millisecond }, Drain, true},
-		{"client gone just now", func(a *Attempt) { a.Left = now - 50*time.Millisecond }, Cancelled, false},
-		{"client gone", func(a *Attempt) { a.Left = now - 120*time.Millisecond }, Cancelled, true},
-		{"past its time", func(a *Attempt) { a.Due, a.Told = now, 0 }, Deadline, false},
-		{"long past its time", func(a *Attempt) { a.Due, a.Told = now-200*time.Millisecond, 0 }, Deadline, true},
-		{"was encoded just now", func(a *Attempt) { a.Told += 15 * time.Millisecond }, None, false},
-		{"tells a little more than is left", func(a *Attempt) { a.Told += 100 * time.Millisecond }, Deadline, false},
-		{"tells more than is left", func(a *Attempt) { a.Told += 200 * time.Millisecond }, Deadline, true},
+		{"client gone just now", func(a *Attempt) { a.ClientLeft = now - 50*time.Millisecond }, Cancelled, false},
+		{"client gone", func(a *Attempt) { a.ClientLeft = now - 120*time.Millisecond }, Cancelled, true},
+		{"past its time", func(a *Attempt) { a.Deadline, a.Timeout = now, 0 }, Deadline, false},
+		{"long past its time", func(a *Attempt) { a.Deadline, a.Timeout = now-200*time.Millisecond, 0 }, Deadline, true},
+		{"was encoded just now", func(a *Attempt) { a.Timeout += 15 * time.Millisecond }, None, false},
+		{"tells a little more than is left", func(a *Attempt) { a.Timeout += 100 * time.Millisecond }, Deadline, false},
+		{"tells more than is left", func(a *Attempt) { a.Timeout += 200 * time.Millisecond }, Deadline, true},
 		{"safe repeat", func(a *Attempt) { a.Earlier = Earlier{Effect: logic.Safe, Ran: true, Out: 1} }, None, false},
 		{"unsafe, none ran", func(a *Attempt) { a.Earlier = Earlier{Effect: logic.Unsafe} }, None, false},
 		{"unsafe, may have run", func(a *Attempt) { a.Earlier = Earlier{Effect: logic.Unsafe, Ran: true} }, Repeat, true},
--- /dev/null
+++ b/internal/head/accept.go
@@ -0,0 +1,111 @@
+package head
+
+import (
+	"net/netip"
+	"time"
+
+	"maddergap/internal/admit"
+	"maddergap/internal/http1"
+)
+
+// Welcome says what becomes of a new connection.
+type Welcome struct {
+	ID       ConnID // of one that is admitted
+	Admitted bool
+	// Answer is written to one that is not, as far as it goes at once; then its
+	// sending side is shut, and it is closed after Linger, read or not. It is good
+	// until the next call. With none the connection is closed without a word.
+	Answer []byte
+	Linger time.Duration
+}
+
+// Accept tells a new client connection of a listener. One that is not admitted
+// gets no slot, no timer and no event more: turning it away is cheap.
+func (h *Head) Accept(now Time, remote netip.AddrPort, listener int) Welcome {
+	h.tick(now)
+	id := h.nextID()
+	v := h.admission.Arrive(h.now, uint64(id), listener, remote.Addr())
+	if v.Way {
+		if idle := h.conn(ConnID(v.Close)); idle != nil {
+			idle.admitted = false
+			h.preempt(idle)
+		}
+	}
+	if !v.Accept {
+		h.turned(remote, v.Reason, v.Tell)
+		if !v.Tell {
+			return Welcome{}
+		}
+		return Welcome{Answer: h.turnAnswer(v.Reason), Linger: linger}
+	}
+	c := h.newConn()
+	c.remote, c.admitted = remote, true
+	h.counts.Clients++
+	h.setDeadline(c, h.now+h.config.HeaderTime)
+	if h.stopping {
+		h.setDeadline(c, h.now+firstTime)
+	}
+	for id, ok := h.admission.Pressed(h.now); ok; id, ok = h.admission.Pressed(h.now) {
+		h.preempt(h.conn(ConnID(id)))
+	}
+	return Welcome{ID: c.id, Admitted: true}
+}
+
+// Waited tells that a new connection, and the request on it, may have waited so long to be
+// accepted: its client's time runs since then.
+func (h *Head) Waited(id ConnID, d time.Duration) {
+	if c := h.conn(id); c != nil {
+		c.waited = d
+	}
+}
+
+// preempt closes a connection for room: idle, or with a request that was not taken.
+func (h *Head) preempt(c *conn) {
+	h.counts.Preempted++
+	if c.ex != nil {
+		h.do(Close, c)
+		h.clientGone(c, true)
+		return
+	}
+	h.drop(c, Close)
+}
+
+// turned counts what was not admitted.
+func (h *Head) turned(client netip.AddrPort, why admit.Reason, told bool) {
+	h.counts.Turned[why]++
+	if h.observer != nil {
+		h.observer.Turned(client, why, told)
+	}
+}
+
+// turnAnswer is the whole answer to a connection that is turned away (RFC 9110
+// 15.6.4). It is made anew for each reason once a second, for its date.
+func (h *Head) turnAnswer(why admit.Reason) []byte {
+	t := &h.turnTexts[why]
+	if s := h.origin.Add(h.now).Unix(); t.text == nil || t.of != s {
+		text := notAdmitted(why) + "\n"
+		b := h.appendDate(http1.AppendStatus(t.text[:0], 503))
+		b = http1.AppendField(b, "Content-Type", []byte("text/plain; charset=utf-8"))
+		b = appendRetryAfter(http1.AppendInt(b, "Content-Length", int64(len(text))), time.Second)
+		t.text, t.of = append(append(b, "Connection: close\r\n\r\n"...), text...), s
+	}
+	return t.text
+}
+
+type turnText struct {
+	text []byte
+	of   int64 // second
+}
+
+func notAdmitted(why admit.Reason) string {
+	return "too many connections (" + why.String() + "); trying again does no harm"
+}
+
+// endAdmitted tells admission that a request's answer went out, or that the next
+// request has come. Not before: what is still to be written must not be closed for room.
+func (h *Head) endAdmitted(c *conn) {
+	if c.owed {
+		c.owed = false
+		h.admission.End(h.now, uint64(c.id), c.good)
+	}
+}
--- a/internal/head/answer.go
+++ b/internal/head/answer.go
@@ -19,17 +19,17 @@
 func (h *Head) answerHead(at *attempt) bool {
 	r := &at.conn.resp
 	at.status = r.Status
-	v := h.way.verdict(r)
+	v := h.protocol.verdict(r)
 	at.verdict, at.report, at.reports = v.Outcome, v.Report, v.Reports
 	if v.Outcome != logic.OK {
 		return true // for the module alone; the body is swallowed
 	}
-	return h.way.answerHead(h, at)
+	return h.protocol.answerHead(h, at)
 }
 
 // endHeader ends a client's answer header, saying whether it is the last.
 func (h *Head) endHeader(b []byte, cl *conn, ex *exchange) []byte {
-	cl.closing = cl.closing || h.leaving || !ex.whole
+	cl.closing = cl.closing || h.leaving || !ex.body.whole
 	if cl.closing {
 		b = append(b, "Connection: close\r\n"...)
 	} else if ex.req.Minor == 0 {
@@ -43,39 +43,39 @@
 	ex := at.ex
 	switch {
 	case len(data) == 0:
-	case !at.holds && (ex.answer != at || ex.listing == nil && ex.client == nil):
-		if at.swallow += int64(len(data)); at.swallow > swallowMost {
+	case !at.buffered && (ex.answer.from != at || ex.listing == nil && ex.client == nil):
+		if at.discarded += int64(len(data)); at.discarded > discardMost {
 			h.broken(at.conn, at.verdict)
 		}
-	case !h.way.answerData(h, at, data):
-		h.broken(at.conn, h.way.faulty())
+	case !h.protocol.answerData(h, at, data):
+		h.broken(at.conn, h.protocol.malformed())
 	}
 }
 
 // refuse and fail give the final answers that the module decided.
 func (h *Head) refuse(ex *exchange, after time.Duration) {
-	if ex == nil || ex.final {
+	if ex == nil || ex.answer.final {
 		return
 	}
-	ex.final, ex.status, ex.reason = true, 503, "not now; trying again does no harm"
+	ex.answer.final, ex.answer.status, ex.answer.reason = true, 503, "not now; trying again does no harm"
 	h.counts.Refused++
 	h.finish(ex, Refused, after)
 }
 
 func (h *Head) fail(ex *exchange) {
-	if ex == nil || ex.final {
+	if ex == nil || ex.answer.final {
 		return
 	}
-	ex.final, ex.status, ex.reason = true, 502, "the storage node failed; whether the request took effect is not known"
-	if ex.timedOut {
-		ex.status, ex.reason = 504, "no answer in time; whether the request took effect is not known"
+	ex.answer.final, ex.answer.status, ex.answer.reason = true, 502, "the storage node failed; whether the request took effect is not known"
+	if ex.attempts.timedOut {
+		ex.answer.status, ex.answer.reason = 504, "no answer in time; whether the request took effect is not known"
 	}
 	h.counts.Failed++
 	h.finish(ex, Failed, 0)
 }
 
 func (h *Head) finish(ex *exchange, o Outcome, after time.Duration) {
-	h.tell(ex, o)
+	h.reportEnd(ex, o)
 	switch {
 	case ex.listing != nil:
 		ex.listing.after = max(ex.listing.after, after)
@@ -83,10 +83,10 @@
 		h.recycle(ex)
 	case ex.client == nil:
 		h.recycle(ex)
-	case ex.answer != nil: // its header is out: all that is left is to cut it short
+	case ex.answer.from != nil: // its header is out: all that is left is to cut it short
 		h.clientDrop(ex.client)
 	default:
-		h.respond(ex, ex.status, []byte(ex.reason+"\n"), func(b []byte) []byte { return h.way.retryAfter(b, after) })
+		h.respond(ex, ex.answer.status, []byte(ex.answer.reason+"\n"), func(b []byte) []byte { return h.protocol.retryAfter(b, after) })
 	}
 }
 
@@ -99,9 +99,9 @@
 }
 
 // own answers a request that the module is not asked about.
-func (h *Head) own(ex *exchange, status int, reason string) {
+func (h *Head) answerOwn(ex *exchange, status int, reason string) {
 	h.counts.Own++
-	ex.reason = reason
+	ex.answer.reason = reason
 	h.respond(ex, status, []byte(reason+"\n"), func(b []byte) []byte {
 		if status == 405 {
 			b = http1.AppendField(b, "Allow", []byte(dav.Allow))
@@ -113,9 +113,9 @@
 // respond writes a whole answer of the head's own; ex must not be used after it.
 func (h *Head) respond(ex *exchange, status int, text []byte, extra func([]byte) []byte) {
 	c := ex.client
-	ex.status, ex.final = status, true
+	ex.answer.status, ex.answer.final = status, true
 	if ex.id == 0 {
-		h.tell(ex, Served)
+		h.reportEnd(ex, Served)
 	}
 	if c == nil {
 		h.recycle(ex)
@@ -194,12 +194,12 @@
 	if id == 0 {
 		return ""
 	}
-	return fmt.Sprintf("%08x-%x", h.tag, id)
+	return fmt.Sprintf("%08x-%x", h.idPrefix, id)
 }
 
 func (h *Head) appendRequestID(b []byte, id uint64) []byte {
 	for shift := 28; shift >= 0; shift -= 4 {
-		b = append(b, "0123456789abcdef"[h.tag>>shift&15])
+		b = append(b, "0123456789abcdef"[h.idPrefix>>shift&15])
 	}
 	return strconv.AppendUint(append(b, '-'), id, 16)
 }
--- /dev/null
+++ b/internal/head/attempt.go
@@ -0,0 +1,96 @@
+package head
+
+import (
+	"time"
+
+	"maddergap/logic"
+)
+
+// attempt is one sending of a request to a node.
+type attempt struct {
+	ex        *exchange
+	number    int
+	node      string
+	conn      *conn
+	began     Time
+	beginBy   Time // it must begin before that, 0: at any time
+	written   bool // something of it went out
+	sent      bool // all of it was handed to the connection
+	ended     bool
+	chunked   bool // its body goes out in chunks
+	begun     bool // the module was told that its answer streams
+	verdict   logic.Outcome
+	discarded int64 // bytes of an answer that nobody is given
+	report    float64
+	reports   bool
+	status    int
+	timeout   time.Duration // for how long it tells the node that it is waited for, 0: it does not
+	span      [8]byte
+	buffered  bool   // its answer is held whole before any of it is passed on
+	body      []byte // so much of it
+	stall     Time   // for which it may stand still
+}
+
+// out tells whether all of it was written.
+func (at *attempt) out() bool { return at.sent && len(at.conn.pending()) == 0 }
+
+// end tells the module how an attempt ended.
+func (h *Head) end(at *attempt, o logic.Outcome) {
+	if at.ended {
+		return
+	}
+	at.ended = true
+	ex := at.ex
+	h.mayRun(at, o)
+	h.answerBytes -= int64(len(at.body))
+	h.release(at.body)
+	at.body = nil
+	ex.attempts.inFlight--
+	if ex.attempts.upload == at {
+		ex.attempts.upload = nil
+	}
+	h.events = append(h.events, logic.Ended{ID: ex.id, Attempt: at.number, Node: at.node, Outcome: o, Took: h.now - at.began,
+		Closed: ex.answer.final, Spent: ex.body.spent, Reported: at.report, Reports: at.reports})
+	if h.observer != nil {
+		h.span = Span{Request: h.requestID(ex.id), Trace: ex.trace.id, ID: at.span, Parent: ex.trace.span, Sampled: ex.trace.sampled,
+			Start: at.began, End: h.now, Method: ex.method, Path: ex.place.Path, Volume: ex.ask.Arrival.Volume,
+			Class: h.config.Logic.Classes[ex.ask.Arrival.Class].Name, Status: at.status, Attempt: at.number, Node: at.node, Ended: o}
+		h.observer.Attempt(&h.span)
+	}
+	h.recycle(ex)
+}
+
+// broken ends a connection that cannot be used further, and its attempt.
+func (h *Head) broken(c *conn, o logic.Outcome) {
+	at := c.at
+	c.at = nil
+	h.drop(c, Abort)
+	if at != nil {
+		if at.verdict != logic.OK && c.inBody {
+			o = at.verdict // its status was read
+		}
+		h.end(at, o)
+	}
+}
+
+// breakOff ends an attempt that is of no use any more.
+func (h *Head) breakOff(at *attempt) {
+	if !at.ended {
+		h.broken(at.conn, logic.Cancelled)
+	}
+}
+
+// cancel ends an attempt of which nothing, or not all, has gone out: it never ran, and
+// begins for nobody. One that is out goes on to its outcome. A connection that is still
+// coming up is kept for the next request.
+func (h *Head) cancel(at *attempt) {
+	c := at.conn
+	switch {
+	case at.ended || c == nil || at.out():
+	case c.connected:
+		h.broken(c, logic.Cancelled)
+	default:
+		c.at = nil
+		h.end(at, logic.Moot)
+	}
+}
--- /dev/null
+++ b/internal/head/buffered.go
@@ -0,0 +1,99 @@
+package head
+
+import (
+	"time"
+
+	"maddergap/internal/http1"
+	"maddergap/logic"
+)
+
+// Speak has clients and nodes spoken to in another protocol than WebDAV. It is
+// called before anything is told.
+func (h *Head) Speak(p Protocol) { h.protocol = buffered{p} }
+
+// buffered carries a Protocol whose messages are held whole.
+type buffered struct{ p Protocol }
+
+func (w buffered) begin(h *Head, c *conn, ex *exchange) {
+	a := w.p.Ask(&ex.req)
+	if a.Status != 0 {
+		c.closing = c.closing || a.Close
+		h.answerOwn(ex, a.Status, a.Reason)
+		return
+	}
+	ex.ask, ex.body.buffered = a, true
+	if ex.req.Length > int64(h.config.BodyHold) {
+		h.tooLong(c, ex)
+		return
+	}
+	h.invite(c, ex)
+	if ex.body.whole {
+		h.take(ex)
+	}
+}
+
+func (w buffered) arrival(h *Head, ex *exchange) *http1.Error { return w.p.Open(&ex.ask) }
+
+func (w buffered) appendRequest(h *Head, b []byte, at *attempt) []byte {
+	at.timeout = at.ex.timeLeft(h.now)
+	return w.p.AppendRequest(b, &at.ex.req, at.timeout)
+}
+
+func (w buffered) verdict(r *http1.Response) Verdict { return w.p.Verdict(r) }
+
+// answerHead begins to hold an answer. One without a length of its own is whole when its
+// node ends the connection in order; a reset, or silence, is no end.
+func (w buffered) answerHead(h *Head, at *attempt) bool {
+	r := &at.conn.resp
+	if one, _ := w.p.MostAnswer(); r.Length > one {
+		return false
+	}
+	at.buffered, at.stall, at.body = true, w.p.Stall(), h.buffer()
+	return true
+}
+
+func (w buffered) answerData(h *Head, at *attempt, data []byte) bool {
+	one, all := w.p.MostAnswer()
+	h.answerBytes += int64(len(data)) // given back when the attempt ends
+	at.body = append(at.body, data...)
+	return int64(len(at.body)) <= one && h.answerBytes <= all
+}
+
+func (w buffered) answerDone(h *Head, at *attempt) {
+	ex := at.ex
+	if ex.answer.final { // its client has left: the node did its part
+		h.end(at, logic.OK)
+		return
+	}
+	ex.answer.final, ex.answer.from, ex.answer.status = true, at, at.conn.resp.Status
+	h.counts.Served++
+	if cl := ex.client; cl != nil {
+		if cl.out == nil {
+			cl.out = h.buffer()
+		}
+		b := http1.AppendInt(http1.AppendStatus(cl.out, ex.answer.status), "Content-Length", int64(len(at.body)))
+		cl.out = append(h.endHeader(b, cl, ex), at.body...)
+	}
+	h.end(at, logic.OK)
+	h.reportEnd(ex, Served)
+	h.answered(ex)
+}
+
+// truncated: what did not come whole was not run.
+func (w buffered) truncated() logic.Outcome { return logic.ConnectFailed }
+
+func (w buffered) allowsEarlyAnswer() bool { return false }
+
+func (w buffered) malformed() logic.Outcome { return logic.Failed }
+
+func (w buffered) retryAfter(b []byte, after time.Duration) []byte {
+	return w.p.AppendRetryAfter(b, after)
+}
+
+func (w buffered) endMeansGone() bool { return true }
+
+func (w buffered) finished(ex *exchange, o Outcome) {
+	if ex.id != 0 {
+		w.p.Closed(ex.ask.ID, o)
+	}
+}
--- a/internal/head/conn.go
+++ b/internal/head/conn.go
@@ -23,9 +23,15 @@
 	deadline Time // when expired is called
 	armed    Time // its place in the heap, not later than the deadline
 	index    int  // in the heap, -1: none
-	ready    bool // stands among Head.ready
+	ready    bool // stands among Head.readyClients
 
-	// of a client
+	clientSide
+	nodeSide
+	feedSide
+}
+
+// clientSide is what a connection of a client has beside.
+type clientSide struct {
 	ex       *exchange // the request under way
 	admitted bool
 	closing  bool // after what is to be written
@@ -41,9 +47,11 @@
 	waited   Time // for which it may have waited to be accepted
 	body     pace // of what it sends
 	answer   pace // of what it takes
-	weight   int  // bytes booked on Head.held
+	weight   int  // bytes booked on Head.heldBytes
+}
 
-	// of a node
+// nodeSide is what a connection to a node has beside.
+type nodeSide struct {
 	node      *node
 	addr      string // where it leads, and to which life of the node
 	started   Time
@@ -56,9 +64,13 @@
 	resp      http1.Response
 	content   http1.Body
 	inBody    bool
-	interim   int  // 1xx answers that came
-	feed      bool // a connection to whoever tells the node list
-	feedConn  int  // as the feed numbers it
+	interim   int // 1xx answers that came
+}
+
+// feedSide is what a connection to whoever tells the node list has beside.
+type feedSide struct {
+	feed     bool // a connection to whoever tells the node list
+	feedConn int  // as the feed numbers it
 }
 
 // pace is how a body or an answer moves.
@@ -81,12 +93,12 @@
 func (h *Head) weigh(c *conn) {
 	n := len(c.in) + len(c.out)
 	if c.ex != nil {
-		n += len(c.ex.held)
+		n += len(c.ex.body.held)
 		if c.ex.listing != nil {
 			n += c.ex.listing.size
 		}
 	}
-	h.held += int64(n - c.weight)
+	h.heldBytes += int64(n - c.weight)
 	c.weight = n
 }
 
@@ -96,23 +108,23 @@
 
 // nextID is the id that newConn will give.
 func (h *Head) nextID() ConnID {
-	if n := len(h.free); n > 0 {
-		slot := h.free[n-1]
-		return ConnID(h.gens[slot])<<32 | ConnID(slot)
+	if n := len(h.freeSlots); n > 0 {
+		slot := h.freeSlots[n-1]
+		return ConnID(h.generations[slot])<<32 | ConnID(slot)
 	}
 	return ConnID(len(h.slots))
 }
 
 func (h *Head) newConn() *conn {
 	var slot uint32
-	if n := len(h.free); n > 0 {
-		slot = h.free[n-1]
-		h.free = h.free[:n-1]
+	if n := len(h.freeSlots); n > 0 {
+		slot = h.freeSlots[n-1]
+		h.freeSlots = h.freeSlots[:n-1]
 	} else {
 		slot = uint32(len(h.slots))
-		h.slots, h.gens = append(h.slots, nil), append(h.gens, 0)
+		h.slots, h.generations = append(h.slots, nil), append(h.generations, 0)
 	}
-	c := &conn{id: ConnID(h.gens[slot])<<32 | ConnID(slot), deadline: never, armed: never, index: -1}
+	c := &conn{id: ConnID(h.generations[slot])<<32 | ConnID(slot), deadline: never, armed: never, index: -1}
 	h.slots[slot] = c
 	return c
 }
@@ -146,11 +158,11 @@
 	c.gone = true
 	s := c.id.Slot()
 	h.slots[s] = nil
-	h.gens[s]++
+	h.generations[s]++
 	if open {
-		h.closing = append(h.closing, uint32(s))
+		h.closingSlots = append(h.closingSlots, uint32(s))
 	} else {
-		h.free = append(h.free, uint32(s))
+		h.freeSlots = append(h.freeSlots, uint32(s))
 	}
 	if c.index >= 0 {
 		heap.Remove(&h.timers, c.index)
@@ -158,7 +170,7 @@
 	h.release(c.in)
 	h.release(c.out)
 	c.in, c.out, c.wrote = nil, nil, 0
-	h.held -= int64(c.weight)
+	h.heldBytes -= int64(c.weight)
 	c.weight = 0
 	switch {
 	case c.feed:
@@ -171,7 +183,7 @@
 	default:
 		h.counts.Clients--
 		if c.admitted {
-			h.adm.Closed(h.now, uint64(c.id))
+			h.admission.Closed(h.now, uint64(c.id))
 		}
 	}
 }
@@ -186,7 +198,7 @@
 			c.answer = pace{from: h.now}
 		}
 		if c.client() && c.deadline == never {
-			h.by(c, h.answerBy(c)) // to take it
+			h.setDeadline(c, h.answerBy(c)) // to take it
 		}
 		c.flushing = true
 		h.do(Flush, c)
@@ -207,21 +219,6 @@
 	}
 }
 
-// by sets when expired is called of a connection. An earlier heap entry stays
-// where it is and is looked at then, so moving a deadline on costs nothing.
-func (h *Head) by(c *conn, at Time) {
-	c.deadline = at
-	switch {
-	case c.gone || at == never:
-	case c.index < 0:
-		c.armed = at
-		heap.Push(&h.timers, c)
-	case at < c.armed:
-		c.armed = at
-		heap.Fix(&h.timers, c.index)
-	}
-}
-
 // keep stores what was not used of the bytes told: rest is the end of buf.
 func (h *Head) keep(c *conn, rest []byte) {
 	switch {
@@ -261,7 +258,7 @@
 	if c.wrote += n; c.wrote == len(c.out) {
 		h.release(c.out)
 		c.out, c.wrote = nil, 0
-	} else if c.wrote > h.c.Buffer {
+	} else if c.wrote > h.config.Buffer {
 		c.out = append(c.out[:0], c.out[c.wrote:]...)
 		c.wrote = 0
 	}
@@ -341,33 +338,3 @@
 		h.clientGone(c, false)
 	}
 }
-
-func (h *Head) expired(c *conn) {
-	if c.node != nil {
-		h.nodeExpired(c)
-	} else {
-		h.clientExpired(c)
-	}
-}
-
-// timers is a heap of connections by armed time.
-type timers []*conn
-
-func (t timers) Len() int           { return len(t) }
-func (t timers) Less(i, j int) bool { return t[i].armed < t[j].armed }
-func (t timers) Swap(i, j int) {
-	t[i], t[j] = t[j], t[i]
-	t[i].index, t[j].index = i, j
-}
-func (t *timers) Push(x any) {
-	c := x.(*conn)
-	c.index = len(*t)
-	*t = append(*t, c)
-}
-func (t *timers) Pop() any {
-	last := len(*t) - 1
-	c := (*t)[last]
-	(*t)[last] = nil
-	*t, c.index = (*t)[:last], -1
-	return c
-}
--- a/internal/head/crossing_random_test.go
+++ b/internal/head/crossing_random_test.go
@@ -188,8 +188,8 @@
 		}
 		x.pass(5 * time.Second)
 		x.judge()
-		if len(x.h.reqs) != 0 {
-			rt.Fatalf("%d requests are held for good", len(x.h.reqs))
+		if len(x.h.requests) != 0 {
+			rt.Fatalf("%d requests are held for good", len(x.h.requests))
 		}
 		for _, s := range x.order {
 			if s.answers == 0 && !s.gone {
--- a/internal/head/crossing_test.go
+++ b/internal/head/crossing_test.go
@@ -212,11 +212,11 @@
 		r.client(ask("a"))
 		n := r.node(0)
 		ex := r.h.conn(n).at.ex
-		r.h.conn(n).at.by = r.now + 100*time.Millisecond
+		r.h.conn(n).at.beginBy = r.now + 100*time.Millisecond
 		r.now += 100*time.Millisecond + late
 		r.h.Connected(r.now, n)
-		if r.run(); ex.live == 0 && late < 0 || r.take(n) != "" && late > 0 {
-			t.Errorf("%v from the end of its window: %d under way", late, ex.live)
+		if r.run(); ex.attempts.inFlight == 0 && late < 0 || r.take(n) != "" && late > 0 {
+			t.Errorf("%v from the end of its window: %d under way", late, ex.attempts.inFlight)
 		}
 	}
 }
@@ -314,7 +314,7 @@
 	r.take(c)
 
 	r = newRig(t, "")
-	r.h.c.NodeConns = 1
+	r.h.config.NodeConns = 1
 	r.client(get("/feed-a/s/x"))
 	r.take(r.node(0))
 	r.say(r.node(0), ok("x"))
--- a/internal/head/feed.go
+++ b/internal/head/feed.go
@@ -65,7 +65,7 @@
 	c := h.newConn()
 	c.feed, c.feedConn = true, op.Conn
 	h.feeding.conns[op.Conn] = c
-	h.acts = append(h.acts, Action{Op: Dial, Conn: c.id, Addr: op.Dial})
+	h.actions = append(h.actions, Action{Op: Dial, Conn: c.id, Addr: op.Dial})
 }
 
 func (h *Head) writeFeed(c *conn, p []byte) {
--- a/internal/head/head_test.go
+++ b/internal/head/head_test.go
@@ -139,8 +139,8 @@
 	if _, gone := r.ended[n]; gone {
 		t.Fatal("the attempt was broken off, though the node has it whole")
 	}
-	if len(r.h.reqs) != 1 {
-		t.Fatalf("%d requests with an attempt out, want 1", len(r.h.reqs))
+	if len(r.h.requests) != 1 {
+		t.Fatalf("%d requests with an attempt out, want 1", len(r.h.requests))
 	}
 	r.pass(50 * time.Millisecond)
 	r.say(n, ok("x"))
@@ -593,7 +593,7 @@
 // A warm connection's request costs few allocations, and an idle one little memory.
 func TestCosts(t *testing.T) {
 	r := newRig(t, "")
-	r.h.obs = nil
+	r.h.observer = nil
 	c := r.client(get("/feed-a/s/x"))
 	n := r.node(0)
 	answer, ask := []byte(ok("hello")), []byte(get("/feed-a/s/x"))
@@ -669,7 +669,7 @@
 		r.pass(time.Duration(i) * time.Second)
 	}
 	seen := map[*exchange]bool{}
-	for _, ex := range r.h.oldEx {
+	for _, ex := range r.h.exchangePool {
 		if seen[ex] {
 			t.Fatal("an exchange is kept twice")
 		}
@@ -744,8 +744,8 @@
 		r.h.Closed(r.now, c)
 		r.pass(time.Millisecond)
 	}
-	if len(r.h.nodes) > 3 || len(r.h.slots) > 16 || len(r.h.reqs) > 0 || r.h.Counts().NodeConns > 2 {
-		t.Errorf("%d nodes, %d slots, %d requests, %d connections are held", len(r.h.nodes), len(r.h.slots), len(r.h.reqs), r.h.Counts().NodeConns)
+	if len(r.h.nodes) > 3 || len(r.h.slots) > 16 || len(r.h.requests) > 0 || r.h.Counts().NodeConns > 2 {
+		t.Errorf("%d nodes, %d slots, %d requests, %d connections are held", len(r.h.nodes), len(r.h.slots), len(r.h.requests), r.h.Counts().NodeConns)
 	}
 }
 
--- a/internal/head/guarded.go
+++ b/internal/head/invariants.go
@@ -1,24 +1,15 @@
 package head
 
 import (
-	"time"
-
 	"maddergap/internal/guard"
 	"maddergap/logic"
 )
 
-// ranAt is where and when an attempt of a request began that may have run.
-type ranAt struct {
-	known       bool
-	zone, shard int
-	began       Time
-}
-
 // guarded describes an attempt to the guard.
 func (h *Head) guarded(at *attempt) guard.Attempt {
 	ex := at.ex
-	a := guard.Attempt{Request: ex.id, Node: at.node, Number: at.n, InForce: h.listed, Left: ex.left, Due: ex.due,
-		Told: at.told, Earlier: h.earlier(at)}
+	a := guard.Attempt{Request: ex.id, Node: at.node, Number: at.number, InForce: h.listInForce, ClientLeft: ex.clientLeftAt, Deadline: ex.deadline,
+		Timeout: at.timeout, Earlier: h.earlier(at)}
 	n := h.nodes[at.node]
 	if n == nil {
 		return a
@@ -31,22 +22,24 @@
 }
 
 // classOf is the class of a request, as it is configured.
-func (h *Head) classOf(ex *exchange) *logic.Class { return &h.c.Logic.Classes[ex.ask.Arrival.Class] }
+func (h *Head) classOf(ex *exchange) *logic.Class {
+	return &h.config.Logic.Classes[ex.ask.Arrival.Class]
+}
 
 // earlier tells what became of a request's attempts before this one.
 func (h *Head) earlier(at *attempt) guard.Earlier {
 	ex, class := at.ex, h.classOf(at.ex)
-	e := guard.Earlier{Effect: class.Effect, Out: ex.live - 1, Ran: ex.ran.known}
+	e := guard.Earlier{Effect: class.Effect, Out: ex.attempts.inFlight - 1, Ran: ex.attempts.mayHaveRun.known}
 	if class.Effect != logic.Keyed || !e.Ran {
 		return e
 	}
-	e.Until = ex.ran.began + class.Window
+	e.Until = ex.attempts.mayHaveRun.began + class.Window
 	n := h.nodes[at.node]
 	switch class.Group {
 	case logic.GroupZone:
-		e.Grouped = n != nil && n.zone == ex.ran.zone
+		e.Grouped = n != nil && n.zone == ex.attempts.mayHaveRun.zone
 	case logic.GroupCell:
-		e.Grouped = n != nil && n.shard == ex.ran.shard
+		e.Grouped = n != nil && n.shard == ex.attempts.mayHaveRun.shard
 	default:
 		e.Grouped = true
 	}
@@ -55,10 +48,10 @@
 
 // violated reports what the guard found, with the client's name for the request.
 func (h *Head) violated(v guard.Violation) {
-	if ex := h.reqs[v.Request]; ex != nil {
+	if ex := h.requests[v.Request]; ex != nil {
 		v.Name = h.nameOf(ex)
 	}
-	h.obs.Violation(v)
+	h.observer.Violation(v)
 }
 
 // nameOf is the client's name for a request, or the head's own.
@@ -80,9 +73,9 @@
 func (h *Head) mayBegin(c *conn) bool {
 	at := c.at
 	a := h.guarded(at)
-	if at.told > 0 && h.now < at.ex.due && guard.Outdated(h.now, at.ex.due, at.told) {
+	if at.timeout > 0 && h.now < at.ex.deadline && guard.Outdated(h.now, at.ex.deadline, at.timeout) {
 		h.encode(c)
-		a.Told = at.told
+		a.Timeout = at.timeout
 	}
 	if h.guard.MayBegin(h.now, &a) == guard.None {
 		return true
@@ -111,19 +104,16 @@
 // mayRun notes that an attempt may have run, by how it ended.
 func (h *Head) mayRun(at *attempt, o logic.Outcome) {
 	ex := at.ex
-	if ex.ran.known || o == logic.Full || o == logic.ConnectFailed || o == logic.Moot {
+	if ex.attempts.mayHaveRun.known || o == logic.Full || o == logic.ConnectFailed || o == logic.Moot {
 		return
 	}
-	ex.ran = ranAt{known: true, began: at.began}
+	ex.attempts.mayHaveRun = attemptRun{known: true, began: at.began}
 	if n := h.nodes[at.node]; n != nil {
-		ex.ran.zone, ex.ran.shard = n.zone, n.shard
+		ex.attempts.mayHaveRun.zone, ex.attempts.mayHaveRun.shard = n.zone, n.shard
 	}
 }
 
 // owes tells whether a client's connection has a request that is owed its final answer.
 func (c *conn) owes() bool {
-	return c.client() && c.ex != nil && c.ex.id != 0 && !c.ex.final && !c.left
+	return c.client() && c.ex != nil && c.ex.id != 0 && !c.ex.answer.final && !c.left
 }
-
-// told is what an attempt tells its node of the time that is left.
-func (h *Head) told(ex *exchange) time.Duration { return max(ex.due-h.now, time.Millisecond) }
--- a/internal/head/guarded_test.go
+++ b/internal/head/invariants_test.go
@@ -110,8 +110,8 @@
 	r.now += 200 * time.Millisecond
 	r.h.Wrote(r.now, r.dials[0], len(out))
 	r.h.drop(r.h.conn(client), Close)
-	r.h.tell(r.h.reqs[1], Refused)
-	r.h.tell(r.h.reqs[1], Refused)
+	r.h.reportEnd(r.h.requests[1], Refused)
+	r.h.reportEnd(r.h.requests[1], Refused)
 	broken := r.h.Counts().Guard.Broken
 	for _, rule := range []guard.Rule{guard.Drain, guard.Close, guard.Answer} {
 		if broken[rule] != 1 {
@@ -137,7 +137,7 @@
 			r.now += time.Millisecond
 			r.h.lastConnected = r.now
 		}
-		r.pass(r.h.c.DialTime + time.Millisecond)
+		r.pass(r.h.config.DialTime + time.Millisecond)
 		want := logic.Moot
 		if others {
 			want = logic.ConnectFailed
--- a/internal/head/listing.go
+++ b/internal/head/listing.go
@@ -31,23 +31,23 @@
 	l, depth := ex.listing, string(ex.req.Get("depth"))
 	l.parent = ex
 	if l.volumes {
-		find, err := dav.ParsePropfind(ex.held)
+		find, err := dav.ParsePropfind(ex.body.held)
 		if err != nil {
-			h.own(ex, 400, err.Error())
+			h.answerOwn(ex, 400, err.Error())
 			return
 		}
 		var names []string
-		for _, v := range h.c.Volumes {
+		for _, v := range h.config.Volumes {
 			names = append(names, v.Name)
 		}
-		ex.reason = "list of volumes"
+		ex.answer.reason = "list of volumes"
 		h.counts.Own++
 		h.respond(ex, 207, dav.ListVolumes(find, names, depth), nil)
 		return
 	}
-	h.adm.Taken(h.now, uint64(ex.client.id))
-	ex.vol = &h.c.Volumes[ex.place.Volume]
-	shards := ex.vol.Shards
+	h.admission.Taken(h.now, uint64(ex.client.id))
+	ex.volume = &h.config.Volumes[ex.place.Volume]
+	shards := ex.volume.Shards
 	if depth == "0" {
 		shards = shards[:1] // each has the volume's root
 	}
@@ -56,14 +56,14 @@
 	for i, shard := range shards {
 		p := h.newExchange()
 		p.method, p.place, p.listing, p.part = ex.method, ex.place, l, i
-		p.place.Shard, p.vol = shard, ex.vol
-		p.hdr = append(h.buffer(), ex.hdr...)
-		http1.ParseRequest(p.hdr, &p.req, h.c.Header) // parsed well before
-		p.held = append(h.buffer(), ex.held...)
-		p.whole, p.invited, p.got = true, true, int64(len(p.held))
-		p.trace, p.parent, p.sampled = ex.trace, ex.span, ex.sampled
-		h.randomID(p.span[:])
-		p.job = h.t.Job(route.Ask{Method: p.method, Place: p.place, Length: p.got, Prefer: string(p.req.Get("prefer"))})
+		p.place.Shard, p.volume = shard, ex.volume
+		p.headerBytes = append(h.buffer(), ex.headerBytes...)
+		http1.ParseRequest(p.headerBytes, &p.req, h.config.Header) // parsed well before
+		p.body.held = append(h.buffer(), ex.body.held...)
+		p.body.whole, p.body.invited, p.body.received = true, true, int64(len(p.body.held))
+		p.trace.id, p.trace.parent, p.trace.sampled = ex.trace.id, ex.trace.span, ex.trace.sampled
+		h.randomID(p.trace.span[:])
+		p.job = h.routes.Job(route.Ask{Method: p.method, Place: p.place, Length: p.body.received, Prefer: string(p.req.Get("prefer"))})
 		l.parts = append(l.parts, p)
 		h.take(p)
 	}
@@ -72,7 +72,7 @@
 // partData keeps a piece of a part's answer; false where it is too much.
 func (h *Head) partData(p *exchange, data []byte) bool {
 	l := p.listing
-	if l.size += len(data); l.size > h.c.ListingMax {
+	if l.size += len(data); l.size > h.config.ListingMax {
 		l.bad, l.reason = 507, dav.ErrTooLarge.Error()
 		return false
 	}
@@ -90,13 +90,13 @@
 		l.parts[p.part] = nil
 	}
 	switch {
-	case p.status == 207:
-	case p.status == 503 && p.answer == nil:
+	case p.answer.status == 207:
+	case p.answer.status == 503 && p.answer.from == nil:
 		l.refused++
 	case l.bad == 0:
-		l.bad, l.reason = p.status, "a storage node gave "+http1.Text(p.status)+" for its part of the listing"
-		if p.answer == nil {
-			l.reason = "a part of the listing failed: " + p.reason
+		l.bad, l.reason = p.answer.status, "a storage node gave "+http1.Text(p.answer.status)+" for its part of the listing"
+		if p.answer.from == nil {
+			l.reason = "a part of the listing failed: " + p.answer.reason
 		}
 	}
 	if l.waiting--; l.waiting > 0 || l.parent == nil {
@@ -105,20 +105,20 @@
 	ex := l.parent
 	switch {
 	case l.bad != 0:
-		h.own(ex, l.bad, l.reason)
+		h.answerOwn(ex, l.bad, l.reason)
 	case l.refused > 0:
-		ex.reason = "a part of the listing was refused; trying again does no harm"
+		ex.answer.reason = "a part of the listing was refused; trying again does no harm"
 		h.counts.Own++
-		h.respond(ex, 503, []byte(ex.reason+"\n"), func(b []byte) []byte { return appendRetryAfter(b, l.after) })
+		h.respond(ex, 503, []byte(ex.answer.reason+"\n"), func(b []byte) []byte { return appendRetryAfter(b, l.after) })
 	default:
-		body, err := dav.Merge(l.bodies, h.c.ListingMax)
+		body, err := dav.Merge(l.bodies, h.config.ListingMax)
 		switch {
 		case errors.Is(err, dav.ErrTooLarge):
-			h.own(ex, 507, err.Error())
+			h.answerOwn(ex, 507, err.Error())
 		case err != nil:
-			h.own(ex, 502, err.Error())
+			h.answerOwn(ex, 502, err.Error())
 		default:
-			ex.reason = "merged listing"
+			ex.answer.reason = "merged listing"
 			h.counts.Own++
 			h.respond(ex, 207, bytes.TrimSpace(body), nil)
 		}
--- a/internal/head/members_bench_test.go
+++ b/internal/head/members_bench_test.go
@@ -31,7 +31,7 @@
 			if err != nil {
 				b.Fatal(err)
 			}
-			return &Head{core: core, table: membership.New(time.Time{}), nodes: map[string]*node{}, wakeAt: never}
+			return &Head{core: core, memberTable: membership.New(time.Time{}), nodes: map[string]*node{}, wakeAt: never}
 		}
 		b.Run(fmt.Sprint("first/", size), func(b *testing.B) {
 			for range b.N {
--- /dev/null
+++ b/internal/head/pool.go
@@ -0,0 +1,100 @@
+package head
+
+import (
+	"container/list"
+	"slices"
+	"time"
+
+	"maddergap/logic"
+)
+
+// restTime is how long a kept connection rests before it is used again, if another can be.
+// Guards against nodes that answer twice, the second time some milliseconds late: such an
+// answer would be taken for that of the next request.
+const restTime = 20 * time.Millisecond
+
+// keptFor returns the kept connection that a request goes out on, nil where there is none for
+// it: of those that have rested the last used, so that what is not needed ages, or the one that
+// has rested longest. A request that must not run twice gets a new connection before one that
+// has not rested. Guards against a node that closes a connection right behind an answer: nobody
+// can tell whether a request that met the reset has run.
+func (h *Head) keptFor(ex *exchange, n *node) *conn {
+	if n == nil || len(n.idle) == 0 {
+		return nil
+	}
+	for _, c := range slices.Backward(n.idle) {
+		if h.now-c.parked >= restTime {
+			return c
+		}
+	}
+	if h.classOf(ex).Effect == logic.Unsafe && h.spareFor(n) {
+		return nil
+	}
+	return n.idle[0]
+}
+
+// spareFor tells whether a connection to a node may be added without closing another.
+func (h *Head) spareFor(n *node) bool {
+	return n.conns < h.config.NodeConns && (h.config.NodesConns == 0 || h.counts.NodeConns < h.config.NodesConns)
+}
+
+// roomForNode tells whether one more connection to a node may be opened, after the
+// one that was kept longest was closed for it where need be.
+func (h *Head) roomForNode() bool {
+	if h.config.NodesConns == 0 || h.counts.NodeConns < h.config.NodesConns {
+		return true
+	}
+	oldest := h.kept.oldest()
+	if oldest == nil {
+		return false
+	}
+	h.unpark(oldest)
+	h.drop(oldest, Close)
+	return true
+}
+
+// park keeps a connection for the next request, unless it leads to where its node was
+// before, or to a life of it that is over: a request was under way when that changed.
+func (h *Head) park(c *conn) {
+	if n := c.node; !n.listed || c.gone || c.addr != n.addr || c.started != n.started {
+		h.drop(c, Close)
+		return
+	}
+	h.resume(c)
+	c.parked = h.now
+	c.node.idle = append(c.node.idle, c)
+	h.kept.add(c)
+	h.setDeadline(c, h.now+h.config.NodeIdle)
+}
+
+func (h *Head) unpark(c *conn) {
+	h.kept.remove(c)
+	idle := c.node.idle
+	for i, o := range idle {
+		if o == c {
+			c.node.idle = append(idle[:i], idle[i+1:]...)
+			return
+		}
+	}
+}
+
+// idleList has the kept connections of all nodes in the order in which they were kept, so
+// that the oldest is found at once, however many nodes there are.
+type idleList struct{ conns list.List }
+
+func (l *idleList) add(c *conn) { c.idle = l.conns.PushBack(c) }
+
+func (l *idleList) remove(c *conn) {
+	if c.idle != nil {
+		l.conns.Remove(c.idle)
+		c.idle = nil
+	}
+}
+
+// oldest is the connection that was kept first, nil: there is none.
+func (l *idleList) oldest() *conn {
+	if e := l.conns.Front(); e != nil {
+		return e.Value.(*conn)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/head/protocol.go
@@ -0,0 +1,76 @@
+package head
+
+import (
+	"time"
+
+	"maddergap/internal/http1"
+	"maddergap/logic"
+)
+
+// protocol is what a protocol has of its own between clients, head and nodes: reading a
+// request, writing an attempt, reading and passing on its answer. Connections,
+// bounds, timers and the module's part are the same for all.
+type protocol interface {
+	// begin says what becomes of a request whose header was read and that was admitted.
+	begin(h *Head, c *conn, ex *exchange)
+	// arrival fills in what the module is told of a request; a fault is answered instead.
+	arrival(h *Head, ex *exchange) *http1.Error
+	// appendRequest writes an attempt's start line and fields, without its length.
+	appendRequest(h *Head, b []byte, at *attempt) []byte
+	// verdict reads the header of a node's answer.
+	verdict(r *http1.Response) Verdict
+	// answerHead and answerData take the answer that is to go to the client, and
+	// answerDone brings it to its end. A false ends the attempt as broken.
+	answerHead(h *Head, at *attempt) bool
+	answerData(h *Head, at *attempt, data []byte) bool
+	answerDone(h *Head, at *attempt)
+	// truncated is the outcome of an attempt whose connection broke when it had gone out in part.
+	truncated() logic.Outcome
+	// allowsEarlyAnswer tells whether a node may answer before the request has come whole.
+	allowsEarlyAnswer() bool
+	// malformed is the outcome of one whose answer's body cannot be read.
+	malformed() logic.Outcome
+	retryAfter(b []byte, after time.Duration) []byte
+	// endMeansGone tells whether a client that sends no more has left.
+	endMeansGone() bool
+	// finished tells of a final answer, or of a client that left.
+	finished(ex *exchange, o Outcome)
+}
+
+// Verdict is what an answer's header says of its attempt.
+type Verdict struct {
+	Outcome logic.Outcome
+	Report  float64 // requests that the node said it held or had waiting
+	Reports bool    // it said so
+}
+
+// Ask is what a protocol reads out of a request's header.
+type Ask struct {
+	// Status and Reason are the head's own answer, 0: the request is the module's.
+	Status int
+	Reason string
+	Close  bool   // no more is read of this client
+	ID     string // the client's name for the request
+	// Arrival is what the module is told, but for its ID. Left counts from the
+	// request's last byte.
+	Arrival logic.Arrival
+}
+
+// Protocol is one whose messages are small: requests and answers are held whole, and
+// checked, before anything of them is passed on. It does no I/O and reads no clock.
+type Protocol interface {
+	Ask(r *http1.Request) Ask
+	// Open takes a whole request's id; one that is taken already is answered with the fault.
+	Open(a *Ask) *http1.Error
+	// Closed tells how it ended.
+	Closed(id string, o Outcome)
+	// AppendRequest writes an attempt's start line and fields, without its length;
+	// left is for how long the head will wait.
+	AppendRequest(b []byte, r *http1.Request, left time.Duration) []byte
+	Verdict(r *http1.Response) Verdict
+	AppendRetryAfter(b []byte, after time.Duration) []byte
+	// MostAnswer is how large an answer may be, and all answers that are held, and Stall
+	// for how long an answer that has begun may stand still.
+	MostAnswer() (one, all int64)
+	Stall() time.Duration
+}
--- a/internal/head/random_test.go
+++ b/internal/head/random_test.go
@@ -88,20 +88,20 @@
 				r.pass(time.Duration(rapid.IntRange(1, 700).Draw(rt, "ms")) * time.Millisecond)
 			}
 			holders := map[*exchange]uint64{}
-			for id, ex := range r.h.reqs {
+			for id, ex := range r.h.requests {
 				if other := holders[ex]; other != 0 || ex.id != id {
 					rt.Fatalf("one object serves requests %d and %d", other, id)
 				}
 				holders[ex] = id
-				if !ex.final && r.now > ex.due+time.Millisecond && ex.answer == nil {
-					rt.Fatalf("request %d has no answer %v after its deadline", id, r.now-ex.due)
+				if !ex.answer.final && r.now > ex.deadline+time.Millisecond && ex.answer.from == nil {
+					rt.Fatalf("request %d has no answer %v after its deadline", id, r.now-ex.deadline)
 				}
 			}
 		}
 		r.pass(30 * time.Second)
-		if n := len(r.h.reqs); n != 0 {
-			for id, ex := range r.h.reqs {
-				rt.Logf("%d: %s live %d sends %d final %v due %v; now %v wake %v next %v timers %d", id, ex.method, ex.live, ex.sends, ex.final, ex.due, r.now, r.h.wakeAt, r.next, len(r.h.timers))
+		if n := len(r.h.requests); n != 0 {
+			for id, ex := range r.h.requests {
+				rt.Logf("%d: %s live %d sends %d final %v due %v; now %v wake %v next %v timers %d", id, ex.method, ex.attempts.inFlight, ex.attempts.count, ex.answer.final, ex.deadline, r.now, r.h.wakeAt, r.next, len(r.h.timers))
 			}
 			rt.Log(r.log.String())
 			rt.Fatalf("%d requests are held for good", n)
@@ -147,8 +147,8 @@
 			t.Fatalf("%d bytes are kept of %d", len(conn.in), len(p))
 		}
 		r.pass(30 * time.Second)
-		if len(r.h.reqs) != 0 {
-			t.Fatalf("%d requests are held for good", len(r.h.reqs))
+		if len(r.h.requests) != 0 {
+			t.Fatalf("%d requests are held for good", len(r.h.requests))
 		}
 	})
 }
@@ -166,8 +166,8 @@
 		r.say(n, string(p[:cut]))
 		r.say(n, string(p[cut:]))
 		r.pass(30 * time.Second)
-		if len(r.h.reqs) != 0 {
-			t.Fatalf("%d requests are held for good", len(r.h.reqs))
+		if len(r.h.requests) != 0 {
+			t.Fatalf("%d requests are held for good", len(r.h.requests))
 		}
 		if got := r.take(c); got == "" && r.ended[c] != Abort {
 			t.Fatal("no answer, and no end of the connection that could stand for one")
--- a/internal/head/trace.go
+++ b/internal/head/trace.go
@@ -9,7 +9,7 @@
 
 // traceOf takes the trace of W3C Trace Context's traceparent, or begins one.
 func (h *Head) traceOf(ex *exchange) {
-	h.randomID(ex.span[:])
+	h.randomID(ex.trace.span[:])
 	v := ex.req.Get("traceparent") // 00-32 hex-16 hex-2 hex
 	if len(v) >= 55 && v[2] == '-' && v[35] == '-' && v[52] == '-' && (len(v) == 55 || v[0] != '0' || v[1] != '0') &&
 		!(v[0] == 'f' && v[1] == 'f') {
@@ -18,13 +18,13 @@
 		var flags [1]byte
 		_, err3 := hex.Decode(flags[:], v[53:55])
 		if err1 == nil && err2 == nil && err3 == nil {
-			ex.trace, ex.parent, ex.sampled = id, parent, flags[0]&1 != 0
+			ex.trace.id, ex.trace.parent, ex.trace.sampled = id, parent, flags[0]&1 != 0
 			return
 		}
 	}
-	h.randomID(ex.trace[:8])
-	h.randomID(ex.trace[8:])
-	ex.sampled = true
+	h.randomID(ex.trace.id[:8])
+	h.randomID(ex.trace.id[8:])
+	ex.trace.sampled = true
 }
 
 func (h *Head) randomID(b []byte) {
@@ -40,26 +40,26 @@
 	return append(b, "-00"...)
 }
 
-// tell counts and reports a request's end.
-func (h *Head) tell(ex *exchange, o Outcome) {
-	if ex.reported && ex.id != 0 {
+// reportEnd counts and reports a request's end.
+func (h *Head) reportEnd(ex *exchange, o Outcome) {
+	if ex.answer.reported && ex.id != 0 {
 		h.guard.AnsweredAgain(h.now, ex.id)
 	}
-	ex.reported = true
-	h.way.ended(ex, o)
-	if h.obs == nil {
+	ex.answer.reported = true
+	h.protocol.finished(ex, o)
+	if h.observer == nil {
 		return
 	}
-	s := Span{Request: h.requestID(ex.id), Trace: ex.trace, ID: ex.span, Parent: ex.parent, Sampled: ex.sampled,
-		Start: ex.began, End: h.now, Method: ex.method, Path: ex.place.Path, Status: ex.status, Outcome: o,
-		Attempts: ex.sends, Reason: ex.reason}
+	s := Span{Request: h.requestID(ex.id), Trace: ex.trace.id, ID: ex.trace.span, Parent: ex.trace.parent, Sampled: ex.trace.sampled,
+		Start: ex.headerAt, End: h.now, Method: ex.method, Path: ex.place.Path, Status: ex.answer.status, Outcome: o,
+		Attempts: ex.attempts.count, Reason: ex.answer.reason}
 	if ex.client != nil {
 		s.Client = ex.client.remote.String()
 	}
 	if ex.id != 0 {
-		s.Start = ex.taken
-		s.Volume, s.Class = ex.ask.Arrival.Volume, h.c.Logic.Classes[ex.ask.Arrival.Class].Name
+		s.Start = ex.takenAt
+		s.Volume, s.Class = ex.ask.Arrival.Volume, h.config.Logic.Classes[ex.ask.Arrival.Class].Name
 	}
 	h.span = s
-	h.obs.Request(&h.span)
+	h.observer.Request(&h.span)
 }
--- a/internal/head/webdav.go
+++ b/internal/head/webdav.go
@@ -23,24 +23,24 @@
 	}
 	path, _, err := route.Path(string(r.Target))
 	if err == nil {
-		ex.place, err = h.t.Place(path)
+		ex.place, err = h.routes.Place(path)
 	}
 	if err != nil {
 		status := 400
 		if errors.Is(err, route.ErrNoVolume) {
 			status = 404
 		}
-		h.own(ex, status, err.Error())
+		h.answerOwn(ex, status, err.Error())
 		return
 	}
-	h.judged(c, ex, dav.Judge(h.t, ex.method, ex.place, string(r.Get("depth")), string(r.Get("destination")), string(r.Host)))
+	h.judged(c, ex, dav.Judge(h.routes, ex.method, ex.place, string(r.Get("depth")), string(r.Get("destination")), string(r.Host)))
 }
 
 func (webdav) arrival(h *Head, ex *exchange) *http1.Error {
-	if ex.listing == nil && ex.whole && ex.req.Length < 0 { // now its length is known
-		ex.job = h.job(ex, ex.got)
+	if ex.listing == nil && ex.body.whole && ex.req.Length < 0 { // now its length is known
+		ex.job = h.job(ex, ex.body.received)
 	}
-	v, j := ex.vol, &ex.job
+	v, j := ex.volume, &ex.job
 	ex.ask.Arrival = logic.Arrival{Shard: ex.place.Shard, Plan: v.Plan, Class: j.Class, Key: j.Key, Volume: v.Name, Left: j.Time,
 		Units: j.Units, Hosts: v.Hosts}
 	return nil
@@ -56,8 +56,8 @@
 	}
 	b = append(b, "Via: 1.1 maddergap\r\nX-Request-Id: "...)
 	b = append(h.appendRequestID(b, ex.id), "\r\n"...)
-	b = http1.AppendInt(b, "Maddergap-Attempt", int64(at.n))
-	return append(appendTrace(append(b, "traceparent: "...), ex.trace, at.span, ex.sampled), "\r\n"...)
+	b = http1.AppendInt(b, "Maddergap-Attempt", int64(at.number))
+	return append(appendTrace(append(b, "traceparent: "...), ex.trace.id, at.span, ex.trace.sampled), "\r\n"...)
 }
 
 func (webdav) verdict(r *http1.Response) (v Verdict) {
@@ -76,13 +76,13 @@
 
 func (webdav) answerHead(h *Head, at *attempt) bool {
 	ex, r := at.ex, &at.conn.resp
-	if ex.final || ex.answer != nil {
+	if ex.answer.final || ex.answer.from != nil {
 		return true // swallowed
 	}
-	ex.answer = at
-	ex.status = r.Status
-	if ex.upload == at { // it answers before it has the body: no more is sent
-		ex.upload = nil
+	ex.answer.from = at
+	ex.answer.status = r.Status
+	if ex.attempts.upload == at { // it answers before it has the body: no more is sent
+		ex.attempts.upload = nil
 		at.sent = false
 	}
 	if ex.listing != nil || ex.client == nil {
@@ -104,7 +104,7 @@
 	case r.Length >= 0:
 		b = http1.AppendInt(b, "Content-Length", r.Length)
 	case ex.req.Minor == 1:
-		ex.chunked = true
+		ex.answer.chunked = true
 		b = append(b, "Transfer-Encoding: chunked\r\n"...)
 	default:
 		cl.closing = true // the body ends with the connection
@@ -126,7 +126,7 @@
 		if cl.out == nil {
 			cl.out = h.buffer()
 		}
-		if ex.chunked {
+		if ex.answer.chunked {
 			cl.out = http1.AppendChunk(cl.out, data)
 		} else {
 			cl.out = append(cl.out, data...)
@@ -138,41 +138,77 @@
 
 func (webdav) answerDone(h *Head, at *attempt) {
 	ex, c := at.ex, at.conn
-	ex.final = true
+	ex.answer.final = true
 	h.counts.Served++
 	if ex.listing != nil {
-		h.tell(ex, Served)
+		h.reportEnd(ex, Served)
 		h.partDone(ex)
 		h.end(at, logic.OK)
 		return
 	}
 	h.learn(ex, c)
-	if ex.chunked {
+	if ex.answer.chunked {
 		ex.client.out = http1.AppendLastChunk(ex.client.out)
 	}
 	h.end(at, logic.OK)
-	h.tell(ex, Served)
+	h.reportEnd(ex, Served)
 	h.answered(ex)
 }
 
-func (webdav) cut() logic.Outcome { return logic.Reset }
+func (webdav) truncated() logic.Outcome { return logic.Reset }
 
-func (webdav) early() bool { return true }
+func (webdav) allowsEarlyAnswer() bool { return true }
 
-func (webdav) faulty() logic.Outcome { return logic.Reset }
+func (webdav) malformed() logic.Outcome { return logic.Reset }
 
 func (webdav) retryAfter(b []byte, after time.Duration) []byte { return appendRetryAfter(b, after) }
 
-func (webdav) ends() bool { return false }
+func (webdav) endMeansGone() bool { return false }
 
-func (webdav) ended(*exchange, Outcome) {}
+func (webdav) finished(*exchange, Outcome) {}
 
 // learn remembers how large a resource is.
 func (h *Head) learn(ex *exchange, c *conn) {
 	switch {
 	case ex.method == "GET" && c.resp.Status == 200 && c.resp.Length >= 0:
-		h.t.Learn(ex.place.Path, c.resp.Length)
+		h.routes.Learn(ex.place.Path, c.resp.Length)
 	case ex.method == "PUT" && c.resp.Status < 300:
-		h.t.Learn(ex.place.Path, ex.got)
+		h.routes.Learn(ex.place.Path, ex.body.received)
+	}
+}
+
+func (h *Head) judged(c *conn, ex *exchange, v dav.Verdict) {
+	switch v.Do {
+	case dav.Answer:
+		h.answerOwn(ex, v.Status, v.Reason)
+	case dav.Options:
+		ex.answer.reason = "options"
+		h.counts.Own++
+		h.respond(ex, 200, nil, func(b []byte) []byte {
+			b = http1.AppendField(b, "Allow", []byte(dav.Allow))
+			b = http1.AppendField(b, "DAV", []byte(dav.Compliance))
+			return http1.AppendField(b, "MS-Author-Via", []byte("DAV"))
+		})
+	case dav.ListRoot, dav.Gather:
+		if ex.req.Length > int64(h.config.BodyHold) {
+			h.answerOwn(ex, 413, "the body of a PROPFIND is longer than can be held")
+			return
+		}
+		ex.listing = &listing{volumes: v.Do == dav.ListRoot}
+		h.invite(c, ex)
+		if ex.body.whole {
+			h.list(ex)
+		}
+	case dav.Forward:
+		ex.volume = &h.config.Volumes[ex.place.Volume]
+		ex.job = h.job(ex, ex.req.Length)
+		if ex.req.Length > int64(h.config.BodyHold) && ex.req.Expect {
+			h.take(ex) // the body is invited when a node takes it
+			return
+		}
+		h.invite(c, ex)
+		if ex.body.whole {
+			h.take(ex)
+		}
 	}
 }
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -12,8 +12,8 @@
 	"maddergap/internal/admit"
 	"maddergap/internal/conf"
 	"maddergap/internal/discovery"
-	"maddergap/internal/facts"
 	"maddergap/internal/http1"
+	"maddergap/internal/sitesettings"
 	"maddergap/logic"
 )
 
@@ -36,8 +36,8 @@
 		MemoryMB float64 `json:"memory_mb"`
 		Sockets  int     `json:"sockets"`
 	} `json:"limits"`
-	Known    *discovery.List `json:"known"`
-	Settings *facts.Facts    `json:"settings"`
+	Known    *discovery.List    `json:"known"`
+	Settings *sitesettings.Site `json:"settings"`
 }
 
 // Config is what the platform tells a head, checked.
@@ -45,7 +45,7 @@
 	Name      string
 	Discovery string
 	Known     *discovery.List
-	Facts     *facts.Facts
+	Site      *sitesettings.Site
 	Conf      *conf.Config
 	Bounds    Bounds
 }
@@ -118,13 +118,13 @@
 )
 
 // stopTime is for how long what is under way may go on once no more is taken.
-func stopTime(f *facts.Facts) time.Duration {
+func stopTime(f *sitesettings.Site) time.Duration {
 	longest := time.Duration(0)
 	for _, c := range f.Classes {
 		if c.Deadline <= 0 { // not told
 			longest = lateDeadline
 		}
-		longest = max(longest, facts.Micros(c.Deadline))
+		longest = max(longest, sitesettings.Micros(c.Deadline))
 	}
 	return min(longest, lateDeadline) + killAfter - stopAfter - answerLead
 }
@@ -192,7 +192,7 @@
 	if err := errors.Join(errs...); err != nil {
 		return nil, err
 	}
-	c := &Config{Name: f.Name, Discovery: f.Discovery, Known: f.Known, Facts: f.Settings, Bounds: b,
+	c := &Config{Name: f.Name, Discovery: f.Discovery, Known: f.Known, Site: f.Settings, Bounds: b,
 		Conf: headConf(path, &f, b)}
 	c.Conf.Seed = seed
 	if _, err := logic.New(c.Conf.Logic, 0, 0); err != nil {
@@ -212,7 +212,7 @@
 		Unit: 1, BodyHold: mostBody, BodyRate: 1, Buffer: mostBody * 2,
 		HeaderTime: 1500 * time.Millisecond, IdleTime: idleTime, StallTime: 1200 * time.Millisecond,
 		StopTime: stopTime(f.Settings), StopAfter: stopAfter,
-		NodeIdle: facts.Micros(l.ConnIdle) / 2, NodeConns: b.Nodes, NodesConns: b.Nodes, DialTime: facts.Micros(l.ConnectTimeout),
+		NodeIdle: sitesettings.Micros(l.ConnIdle) / 2, NodeConns: b.Nodes, NodesConns: b.Nodes, DialTime: sitesettings.Micros(l.ConnectTimeout),
 		Sizes: 1, Clients: b.Clients, Processes: 1, Header: http1.Limits{Header: 8 << 10, Target: 2 << 10, Fields: 64},
 		Admit: admit.Config{Total: b.Clients, V6Bits: 64, Wide4: 24, Wide6: 48, Entries: 256,
 			AnswerRate: 50, AnswerBurst: b.Told, KnownMultiple: 1, Buffers: b.HeldBytes, BufferLeast: heldLeast,
@@ -228,10 +228,10 @@
 
 // Protocol makes what reads and writes the platform's messages.
 func (c *Config) Protocol() *Protocol {
-	p := &Protocol{classes: map[string]int{}, plans: map[string]int{}, writes: c.Facts.FamilyInfo.Writes,
-		most: c.Facts.FamilyInfo.UnitsTop, shards: c.Facts.FamilyInfo.Shards, heads: c.Facts.FleetSize,
+	p := &Protocol{classes: map[string]int{}, plans: map[string]int{}, writes: c.Site.FamilyInfo.Writes,
+		most: c.Site.FamilyInfo.UnitsTop, shards: c.Site.FamilyInfo.Shards, heads: c.Site.FleetSize,
 		stall: c.Conf.DialTime, answer: c.Bounds.Answer, answers: c.Bounds.Answers, ids: newIDs(endedKept)}
-	for i, k := range c.Facts.Classes {
+	for i, k := range c.Site.Classes {
 		p.classes[k.Name] = i
 	}
 	for i, g := range c.Conf.Logic.Plans {
--- a/internal/facts/facts.go
+++ b/internal/sitesettings/sitesettings.go
@@ -1,7 +1,7 @@
-// Package facts reads the settings object that a site gives a head, the same on the
+// Package sitesettings reads the settings object that a site gives a head, the same on the
 // simulator's wire and in a platform's configuration, and makes the module's
 // settings of it. It holds no default and no decision.
-package facts
+package sitesettings
 
 import (
 	"errors"
@@ -11,8 +11,8 @@
 	"maddergap/logic"
 )
 
-// Facts are the settings, times in microseconds.
-type Facts struct {
+// Site is the settings object, with times in microseconds.
+type Site struct {
 	FleetSize int    `json:"fleetSize"`
 	Discovery string `json:"discovery"`
 	Classes   []struct {
@@ -73,10 +73,10 @@
 
 // Check names what a head cannot go by. Guards against an effect unknown here that
 // would be taken for the one that may be repeated.
-func (f *Facts) Check() error {
+func (site *Site) Check() error {
 	var errs []error
 	bad := func(format string, args ...any) { errs = append(errs, fmt.Errorf("settings: "+format, args...)) }
-	for i, c := range f.Classes {
+	for i, c := range site.Classes {
 		if _, ok := effects[c.Effect]; !ok {
 			bad("classes[%d] %s: effect %q is unknown", i, c.Name, c.Effect)
 		}
@@ -87,13 +87,13 @@
 			bad("classes[%d] %q: want a name, a target above 0 and a gain of at least 0", i, c.Name)
 		}
 	}
-	if f.FleetSize < 1 {
-		bad("fleetSize is %d, want at least 1", f.FleetSize)
+	if site.FleetSize < 1 {
+		bad("fleetSize is %d, want at least 1", site.FleetSize)
 	}
-	if len(f.Classes) == 0 {
+	if len(site.Classes) == 0 {
 		bad("classes is empty")
 	}
-	for i, g := range f.Grades {
+	for i, g := range site.Grades {
 		if g.Name == "" {
 			bad("grades[%d] has no name", i)
 		}
@@ -110,22 +110,22 @@
 			}
 		}
 	}
-	if n := len(f.FamilyInfo.Writes); n > 0 && n != len(f.Classes) {
-		bad("familyInfo.writes tells of %d classes, there are %d", n, len(f.Classes))
+	if n := len(site.FamilyInfo.Writes); n > 0 && n != len(site.Classes) {
+		bad("familyInfo.writes tells of %d classes, there are %d", n, len(site.Classes))
 	}
-	if f.FamilyInfo.UnitsTop <= 0 || f.FamilyInfo.UsualUnits <= 0 {
-		bad("familyInfo.unitsTop is %v and usualUnits %v, want more than 0", f.FamilyInfo.UnitsTop, f.FamilyInfo.UsualUnits)
+	if site.FamilyInfo.UnitsTop <= 0 || site.FamilyInfo.UsualUnits <= 0 {
+		bad("familyInfo.unitsTop is %v and usualUnits %v, want more than 0", site.FamilyInfo.UnitsTop, site.FamilyInfo.UsualUnits)
 	}
 	return errors.Join(errs...)
 }
 
 // Settings are the module's.
-func (f *Facts) Settings() logic.Settings {
-	g, l := f.Guarantees, f.Limits
+func (site *Site) Settings() logic.Settings {
+	g, l := site.Guarantees, site.Limits
 	s := logic.Settings{
-		Heads: f.FleetSize, AskDiscovery: f.Discovery == "ask",
-		MostUnits: f.FamilyInfo.UnitsTop, MeanUnits: f.FamilyInfo.UsualUnits, ColdUnits: f.FamilyInfo.ColdUnits,
-		ShareWorth: f.FamilyInfo.FairWorth,
+		Heads: site.FleetSize, AskDiscovery: site.Discovery == "ask",
+		MostUnits: site.FamilyInfo.UnitsTop, MeanUnits: site.FamilyInfo.UsualUnits, ColdUnits: site.FamilyInfo.ColdUnits,
+		ShareWorth: site.FamilyInfo.FairWorth,
 		FallWindow: Micros(g.OverloadFor), Cold: Micros(g.Cold), ColdFrom: g.ColdFrom, FallMultiple: g.FallMultiple,
 		OrderRest: Micros(g.OrderSettle), BudgetOver: Micros(g.CountedOver), Budget: g.CountedOver > 0,
 		MaxAttempts: l.MaxAttempts,
@@ -139,14 +139,14 @@
 	if l.RetryAfter {
 		s.MaxRetryAfter = Micros(l.MaxRetryAfter)
 	}
-	for _, c := range f.Classes {
+	for _, c := range site.Classes {
 		s.Classes = append(s.Classes, logic.Class{Name: c.Name, Aim: Micros(c.Target), Deadline: Micros(c.Deadline), Effect: effects[c.Effect],
 			Group: groups[c.Group], Window: Micros(c.Window), InOrder: c.InTurn, Worth: c.Gain, LateWorth: c.Late})
 	}
-	if len(f.Grades) == 0 { // a site without plans has one, of no name
+	if len(site.Grades) == 0 { // a site without plans has one, of no name
 		s.Plans = []logic.Plan{{Weight: 1, Price: 1}}
 	}
-	for _, p := range f.Grades {
+	for _, p := range site.Grades {
 		s.Plans = append(s.Plans, logic.Plan{Name: p.Name, Rate: p.Nominal, Reserve: p.Guaranteed,
 			Weight: p.Shares, Price: p.ValueFactor, Limit: p.CeilingRate, LimitBurst: p.LimitBurst})
 	}
--- a/internal/syscalls/clocks_test.go
+++ b/internal/syscalls/clocks_test.go
@@ -23,8 +23,8 @@
 
 // headPackages are those that a head runs.
 var headPackages = []string{"logic", "internal/admit", "internal/conf", "internal/daemon", "internal/dav", "internal/discovery",
-	"internal/facts", "internal/guard", "internal/head", "internal/http1", "internal/loop", "internal/membership",
-	"internal/nodelist", "internal/orderedset", "internal/platform", "internal/route", "internal/syscalls", "internal/waitqueue", "internal/workers"}
+	"internal/guard", "internal/head", "internal/http1", "internal/loop", "internal/membership",
+	"internal/nodelist", "internal/orderedset", "internal/platform", "internal/route", "internal/sitesettings", "internal/syscalls", "internal/waitqueue", "internal/workers"}
 
 // wallReaders are the files that may turn a wall-clock time into a number, or the reverse.
 var wallReaders = map[string]string{
@@ -32,7 +32,7 @@
 	"internal/nodelist/nodelist.go": "started of the node list",
 	"internal/admit/admit.go":       "monotonic readings in the form that the rate limiter takes",
 	"internal/head/answer.go":       "the Date field",
-	"internal/head/client.go":       "the Date field",
+	"internal/head/accept.go":       "the Date field",
 }
 
 // No span comes from the wall clock: clocks are read in few named places, and wall-clock times
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -12,7 +12,7 @@
 	"strconv"
 	"strings"
 
-	"maddergap/internal/facts"
+	"maddergap/internal/sitesettings"
 )
 
 // Item is a line of the node list.
@@ -29,7 +29,7 @@
 type Event struct {
 	Kind, Head string
 	Entropy    uint64
-	Facts      facts.Facts
+	Site       sitesettings.Site
 	How        string
 	Items      []Item
 	Job        uint64
@@ -152,7 +152,7 @@
 	switch e.Kind {
 	case "boot":
 		e.Entropy = f.uint()
-		if err := json.Unmarshal([]byte(f.rest()), &e.Facts); err != nil && f.err == nil {
+		if err := json.Unmarshal([]byte(f.rest()), &e.Site); err != nil && f.err == nil {
 			return e, 0, fmt.Errorf("boot: facts: %w", err)
 		}
 	case "registry":
