discovery: a call's end is told once whether its connection is open

Closed ended its call twice and took the close back; failed is now told how the call ended. The four like branches that read an entry's texts are one function.

--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -205,7 +205,7 @@
 	for _, k := range slices.Clone(c.calls) {
 		if k.state != connected && now >= k.deadline {
 			c.status.GivenUp++
-			c.failed(now, k, errors.New("is silent"), true)
+			c.failed(now, k, failure{why: errors.New("is silent"), missed: true})
 		}
 	}
 }
@@ -237,26 +237,29 @@
 // Closed tells that a connection is lost, or was not made.
 func (c *Client) Closed(now Time, conn int) {
 	if k := c.find(conn); k != nil {
-		silent := k.state >= waiting
-		c.failed(now, k, errors.New("closed the connection"), silent)
-		c.end(k, false)
-		c.closing = slices.DeleteFunc(c.closing, func(o int) bool { return o == conn })
+		c.failed(now, k, failure{why: errors.New("closed the connection"), missed: k.state >= waiting, closed: true})
 	}
 }
 
-// failed ends a call that brought nothing. What changed since the last list is asked for
-// next; silent: something may have been missed meanwhile.
-func (c *Client) failed(now Time, k *call, why error, silent bool) {
-	c.end(k, true)
-	c.behind = c.behind || silent
-	c.status.Fault = fmt.Errorf("discovery at %s: %w", c.addr, why)
+// failure is how a call ended that brought nothing.
+type failure struct {
+	why    error
+	missed bool // something may have been missed meanwhile
+	closed bool // its connection is closed already
+}
+
+// failed ends a call that brought nothing. What changed since the last list is asked for next.
+func (c *Client) failed(now Time, k *call, f failure) {
+	c.end(k, !f.closed)
+	c.behind = c.behind || f.missed
+	c.status.Fault = fmt.Errorf("discovery at %s: %w", c.addr, f.why)
 	c.rest(now, k)
 }
 
 // spoilt ends a call whose answer cannot be used: the whole list is next.
 func (c *Client) spoilt(now Time, k *call, why error) {
 	c.base, c.known = nil, false
-	c.failed(now, k, why, true)
+	c.failed(now, k, failure{why: why, missed: true})
 }
 
 // rest sets when the call behind one that failed is made. Where calls overlap it is not put
@@ -288,7 +291,7 @@
 	var refused *refusedError
 	switch {
 	case errors.As(err, &refused):
-		c.failed(now, k, err, false)
+		c.failed(now, k, failure{why: err})
 	case err != nil:
 		c.spoilt(now, k, err)
 	case done:
--- a/internal/discovery/list.go
+++ b/internal/discovery/list.go
@@ -227,21 +227,16 @@
 		return e, fmt.Errorf("an endpoint that is no object")
 	}
 	object.Visit(func(key []byte, v *fastjson.Value) {
-		var text []byte
 		var fault error
 		switch string(key) {
 		case "name":
-			text, fault = v.StringBytes()
-			e.Name = string(text)
+			fault = readText(&e.Name, v)
 		case "address":
-			text, fault = v.StringBytes()
-			e.Address = string(text)
+			fault = readText(&e.Address, v)
 		case "zone":
-			text, fault = v.StringBytes()
-			e.Zone = string(text)
+			fault = readText(&e.Zone, v)
 		case "status":
-			text, fault = v.StringBytes()
-			e.Status = string(text)
+			fault = readText(&e.Status, v)
 		case "group":
 			e.Group, fault = v.Int()
 		case "since_ms":
@@ -254,6 +249,12 @@
 	return e, err
 }
 
+func readText(text *string, v *fastjson.Value) error {
+	b, err := v.StringBytes()
+	*text = string(b)
+	return err
+}
+
 // end gives the list that was read.
 func (r *listReader) end() (answer, error) {
 	var l struct {
