agent, lagwatch: one stand-in of discovery, one watch of lag, for soak and e2e

Sharing found a fault of the soak's agent: what it told at a short return was taken back for the notices and with it for what changed since, so that a head which had asked was told nothing at the next return. Notices and changes are kept apart now (TestChangesAfterAShortReturn).

--- a/internal/soak/agent.go
+++ b/internal/agent/agent.go
@@ -1,9 +1,13 @@
-package soak
+// Package agent is a stand-in for discovery: the agent on a head's machine, which is sent the
+// node list and tells it over HTTP. Agents can be down, slow, or silent on open watches, and
+// note from when each change counts for their head. It is for tests and rehearsals.
+package agent
 
 import (
 	"bufio"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -24,35 +28,61 @@
 // micro is the time of the records.
 func micro() int64 { return time.Now().UnixMicro() }
 
-// registry is the true list of nodes, of which each agent has what it was sent.
-type registry struct {
+// Registry is the true list of nodes, of which each agent has what it was sent.
+type Registry struct {
 	mu      sync.Mutex
 	index   int64
 	entries map[string]discovery.Entry
-	agents  []*agent
+	agents  []*Agent
 }
 
-func newRegistry() *registry { return &registry{index: 1, entries: map[string]discovery.Entry{}} }
+// NewRegistry returns an empty list.
+func NewRegistry() *Registry { return &Registry{index: 1, entries: map[string]discovery.Entry{}} }
 
-// set changes an entry and sends the list to all agents.
-func (g *registry) set(change func(e *discovery.Entry), name string) {
+// Set changes an entry and sends the list to all agents.
+func (g *Registry) Set(change func(e *discovery.Entry), name string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	e := g.entries[name]
 	change(&e)
 	g.entries[name] = e
 	g.index++
+	g.send()
+}
+
+// Replace has the list be these entries, and sends it to all agents.
+func (g *Registry) Replace(entries ...discovery.Entry) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.entries = map[string]discovery.Entry{}
+	for _, e := range entries {
+		g.entries[e.Name] = e
+	}
+	g.index++
+	g.send()
+}
+
+func (g *Registry) send() {
 	for _, a := range g.agents {
 		a.send(g.index, g.entries)
 	}
 }
 
-// agent is discovery on one head's machine.
-type agent struct {
+// Agents are those that were asked for, in their order.
+func (g *Registry) Agents() []*Agent {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.Clone(g.agents)
+}
+
+// Agent is discovery on one head's machine.
+type Agent struct {
 	head     int
-	registry *registry
+	registry *Registry
 	mu       sync.Mutex
 	ln       net.Listener
+	conns    map[net.Conn]bool
+	serving  sync.WaitGroup
 	epoch    int // of connections: those of before stay silent
 	outages  int // that overlap; in one of them the agent is down
 	down     bool
@@ -60,28 +90,37 @@
 	index    int64
 	entries  map[string]discovery.Entry
 	changed  map[string]int64 // the version with which each entry came
-	calls    int
-	bytes    int64 // of answers
+	removed  int64            // the version with which an entry was taken out last
+	usage    Usage
+	answered time.Time // when the first answer behind the last return was written, zero: not yet
 	notices  []audit.Notice
-	starts   []audit.Notice // of nodes
-	// returned and returnedWith are when the agent came back last, and what it had before.
-	returned     time.Time
-	returnedWith map[string]discovery.Entry
+	starts   []audit.Notice             // of nodes
+	noted    map[string]discovery.Entry // the list that the notices were taken of last
+	// returned is when the agent came back last, notedBefore what its notices were taken of then.
+	returned    time.Time
+	notedBefore map[string]discovery.Entry
 	// countsFrom is when what is told in a reload or behind silent watches counts at the latest.
 	countsFrom time.Time
 }
 
-func (g *registry) agent(head int) *agent {
+// Usage is what an agent was asked for.
+type Usage struct {
+	Calls int
+	Bytes int64 // of answers
+}
+
+// Agent returns a new agent for a head.
+func (g *Registry) Agent(head int) *Agent {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	a := &agent{head: head, registry: g, changed: map[string]int64{}}
+	a := &Agent{head: head, registry: g, conns: map[net.Conn]bool{}, changed: map[string]int64{}}
 	g.agents = append(g.agents, a)
 	a.send(g.index, g.entries)
 	return a
 }
 
 // send gives the agent a list; one that is down does not get it.
-func (a *agent) send(index int64, entries map[string]discovery.Entry) {
+func (a *Agent) send(index int64, entries map[string]discovery.Entry) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if !a.down {
@@ -90,18 +129,30 @@
 }
 
 // have takes a list and notes from when each change of it counts.
-func (a *agent) have(index int64, entries map[string]discovery.Entry) {
-	counts := time.Now()
-	if a.countsFrom.After(counts) {
-		counts = a.countsFrom
+func (a *Agent) have(index int64, entries map[string]discovery.Entry) {
+	for name := range a.entries {
+		if _, kept := entries[name]; !kept {
+			a.removed = index
+		}
 	}
-	before := a.entries
-	a.index, a.entries = index, map[string]discovery.Entry{}
 	for name, e := range entries {
-		a.entries[name] = e
-		if e != before[name] {
+		if e != a.entries[name] {
 			a.changed[name] = index
 		}
+	}
+	a.index, a.entries = index, maps.Clone(entries)
+	a.note()
+}
+
+// note takes the notices of what the agent has.
+func (a *Agent) note() {
+	before := a.noted
+	a.noted = a.entries
+	counts := time.Now()
+	if a.countsFrom.After(counts) {
+		counts = a.countsFrom
+	}
+	for name, e := range a.entries {
 		up, was := e.Status == "up", before[name].Status == "up"
 		if before != nil && e.Since != before[name].Since {
 			a.starts = append(a.starts, audit.Notice{Head: a.head, Node: name, From: time.Now().UnixMicro()})
@@ -116,7 +167,7 @@
 }
 
 // end ends the notice of a node that serves again.
-func (a *agent) end(name string) {
+func (a *Agent) end(name string) {
 	for i := range a.notices {
 		if n := &a.notices[i]; n.Node == name && n.To == 0 {
 			n.To = micro()
@@ -124,8 +175,8 @@
 	}
 }
 
-// listen opens the agent at a new address, and closes the old one a while later.
-func (a *agent) listen() (string, error) {
+// Listen opens the agent at a new address, and closes the old one a while later.
+func (a *Agent) Listen() (string, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return "", err
@@ -137,12 +188,12 @@
 	if old != nil {
 		old.Close()
 	}
-	go a.accept(ln)
+	a.serving.Go(func() { a.accept(ln) })
 	return ln.Addr().String(), nil
 }
 
-// moved notes that the head was told of the new address.
-func (a *agent) moved() {
+// Moved notes that the head was told of the new address.
+func (a *Agent) Moved() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.countsFrom = time.Now().Add(countsAfterReload)
@@ -152,8 +203,8 @@
 // ask it in a shorter time.
 const reachable = 350 * time.Millisecond
 
-// goDown makes the agent silent, for good on the connections that it has.
-func (a *agent) goDown() {
+// GoDown makes the agent silent, for good on the connections that it has.
+func (a *Agent) GoDown() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.outages++
@@ -167,14 +218,14 @@
 }
 
 // takeBack has what the agent got at its last return count from the next one.
-func (a *agent) takeBack() {
+func (a *Agent) takeBack() {
 	from := a.returned.UnixMicro()
 	a.notices = slices.DeleteFunc(a.notices, func(n audit.Notice) bool { return n.From >= from })
-	a.entries = a.returnedWith
+	a.noted = a.notedBefore
 }
 
-// comeBack has it answer, with what there is by now.
-func (a *agent) comeBack() {
+// ComeBack has it answer, with what there is by now.
+func (a *Agent) ComeBack() {
 	a.registry.mu.Lock()
 	defer a.registry.mu.Unlock()
 	a.mu.Lock()
@@ -183,19 +234,19 @@
 		return
 	}
 	a.epoch, a.down = a.epoch+1, false
-	a.returned, a.returnedWith = time.Now(), a.entries
+	a.returned, a.notedBefore, a.answered = time.Now(), a.noted, time.Time{}
 	a.have(a.registry.index, a.registry.entries)
 }
 
-// silenceWatches has what is open stay silent; what it misses counts later.
-func (a *agent) silenceWatches() {
+// SilenceWatches has what is open stay silent; what it misses counts later.
+func (a *Agent) SilenceWatches() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.epoch++
 	a.countsFrom = time.Now().Add(countsAfterSilence)
 }
 
-func (a *agent) setSlow(d time.Duration) {
+func (a *Agent) SetSlow(d time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.slow = d
@@ -204,14 +255,14 @@
 	}
 }
 
-// known is the list for a configuration: what the agent had last.
-func (a *agent) known() discovery.List {
+// Known is the list for a configuration: what the agent had last.
+func (a *Agent) Known() discovery.List {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return a.list()
 }
 
-func (a *agent) list() discovery.List {
+func (a *Agent) list() discovery.List {
 	index := a.index
 	l := discovery.List{Index: &index, Snapshot: true, Endpoints: make([]discovery.Entry, 0, len(a.entries))}
 	for _, e := range a.entries {
@@ -221,7 +272,7 @@
 }
 
 // changes are the entries that came after a version.
-func (a *agent) changes(from int64) discovery.List {
+func (a *Agent) changes(from int64) discovery.List {
 	index := a.index
 	l := discovery.List{Index: &index, Endpoints: []discovery.Entry{}}
 	for name, version := range a.changed {
@@ -232,24 +283,30 @@
 	return l
 }
 
-func (a *agent) accept(ln net.Listener) {
+func (a *Agent) accept(ln net.Listener) {
 	for {
 		c, err := ln.Accept()
 		if err != nil {
 			return
 		}
-		go a.serve(c)
+		a.serving.Go(func() { a.serve(c) })
 	}
 }
 
 // idleAgent is after how long a connection to an agent is given up.
 const idleAgent = 10 * time.Second
 
-func (a *agent) serve(c net.Conn) {
+func (a *Agent) serve(c net.Conn) {
 	defer c.Close()
 	a.mu.Lock()
 	epoch, dead := a.epoch, a.down
+	a.conns[c] = true
 	a.mu.Unlock()
+	defer func() {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		delete(a.conns, c)
+	}()
 	in := bufio.NewReader(c)
 	for {
 		c.SetReadDeadline(time.Now().Add(idleAgent))
@@ -264,7 +321,7 @@
 }
 
 // answer answers a call and tells whether it did: not on a connection of before an outage.
-func (a *agent) answer(c net.Conn, r *http.Request, epoch int) bool {
+func (a *Agent) answer(c net.Conn, r *http.Request, epoch int) bool {
 	from, err := strconv.ParseInt(r.URL.Query().Get("from"), 10, 64)
 	watch := err == nil
 	hold, _ := time.ParseDuration(r.URL.Query().Get("hold_ms") + "ms")
@@ -280,19 +337,19 @@
 }
 
 // state tells whether a connection of an epoch is answered, and whether a version is the last.
-func (a *agent) state(epoch int, version int64) (alive, unchanged bool) {
+func (a *Agent) state(epoch int, version int64) (alive, unchanged bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return a.epoch == epoch && !a.down, a.index == version
 }
 
 // tell writes the whole list, or for a watch what changed.
-func (a *agent) tell(c net.Conn, watch bool, from int64) bool {
+func (a *Agent) tell(c net.Conn, watch bool, from int64) bool {
 	a.mu.Lock()
 	slow, list := a.slow, discovery.List{}
-	if watch {
+	if watch && from >= a.removed {
 		list = a.changes(from)
-	} else {
+	} else { // changes do not tell what is no longer on the list
 		list = a.list()
 	}
 	a.mu.Unlock()
@@ -304,22 +361,45 @@
 	n, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.calls++
-	a.bytes += int64(n)
+	a.usage.Calls++
+	a.usage.Bytes += int64(n)
+	if a.answered.IsZero() {
+		a.answered = time.Now()
+	}
 	return err == nil
 }
 
-// close closes the agent's listener.
-func (a *agent) close() {
+// Usage is what the agent was asked for so far.
+func (a *Agent) Usage() Usage {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	return a.usage
+}
+
+// Answered is when the agent came back last, and when it wrote its first answer since, zero
+// where it has not.
+func (a *Agent) Answered() (returned, first time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.returned, a.answered
+}
+
+// Close closes the agent's listener and connections.
+func (a *Agent) Close() {
+	a.mu.Lock()
+	a.epoch++ // no watch goes on
 	if a.ln != nil {
 		a.ln.Close()
 	}
+	for c := range a.conns {
+		c.Close()
+	}
+	a.mu.Unlock()
+	a.serving.Wait()
 }
 
-// taken are the notices of a run: of nodes that drain, and of nodes that started.
-func (g *registry) taken() (drains, starts []audit.Notice) {
+// Notices are the notices of a run: of nodes that drain, and of nodes that started.
+func (g *Registry) Notices() (drains, starts []audit.Notice) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, a := range g.agents {
--- /dev/null
+++ b/internal/agent/agent_test.go
@@ -0,0 +1,98 @@
+package agent
+
+import (
+	"testing"
+	"time"
+
+	"maddergap/internal/discovery"
+)
+
+// When a change counts: at once, at the return of an agent that was down, and after a reload
+// or behind silent watches within the protocol's time.
+func TestNotices(t *testing.T) {
+	g := NewRegistry()
+	g.Set(func(e *discovery.Entry) { *e = discovery.Entry{Name: "n", Status: "up"} }, "n")
+	well, down, moved := g.Agent(0), g.Agent(1), g.Agent(2)
+	down.GoDown()
+	moved.Moved()
+	before := micro()
+	g.Set(func(e *discovery.Entry) { e.Status = "draining" }, "n")
+	if len(down.notices) != 0 {
+		t.Error("an agent that is down was sent a list")
+	}
+	time.Sleep(20 * time.Millisecond)
+	down.ComeBack()
+	all, _ := g.Notices()
+	if len(all) != 3 {
+		t.Fatalf("%+v", all)
+	}
+	for _, n := range all {
+		after := time.Duration(n.From-before) * time.Microsecond
+		switch n.Head {
+		case 0:
+			if after > 15*time.Millisecond {
+				t.Errorf("counts %v after it was sent", after)
+			}
+		case 1:
+			if after < 20*time.Millisecond {
+				t.Errorf("counts %v after, before the return", after)
+			}
+		case 2:
+			if after < 3*time.Second {
+				t.Errorf("counts %v after a reload", after)
+			}
+		}
+	}
+	g.Set(func(e *discovery.Entry) { e.Status = "up" }, "n")
+	if n := well.notices[0]; n.To == 0 {
+		t.Error("the notice of a node that serves again goes on")
+	}
+}
+
+// Outages that overlap are one; a return that is too short for anybody to ask counts with the
+// next one.
+func TestOutagesThatOverlap(t *testing.T) {
+	g := NewRegistry()
+	g.Set(func(e *discovery.Entry) { *e = discovery.Entry{Name: "n", Status: "up"} }, "n")
+	a := g.Agent(0)
+	a.GoDown()
+	a.GoDown()
+	g.Set(func(e *discovery.Entry) { e.Status = "draining" }, "n")
+	a.ComeBack()
+	if !a.down || len(a.notices) != 0 {
+		t.Error("it is back while an outage goes on")
+	}
+	a.ComeBack()
+	if a.down || len(a.notices) != 1 {
+		t.Errorf("down %v, %+v after both", a.down, a.notices)
+	}
+	a.GoDown()
+	if len(a.notices) != 0 {
+		t.Error("what nobody could ask for counts")
+	}
+	a.ComeBack()
+	if len(a.notices) != 1 {
+		t.Errorf("%+v after the next return", a.notices)
+	}
+}
+
+// A head that asked at a short return has what was new then, and is told what is new at the next
+// one. Guards against an agent that takes back what a head was told, and tells it half the truth.
+func TestChangesAfterAShortReturn(t *testing.T) {
+	g := NewRegistry()
+	set := func(status string) {
+		g.Set(func(e *discovery.Entry) { *e = discovery.Entry{Name: "n", Status: status} }, "n")
+	}
+	set("draining")
+	a := g.Agent(0)
+	a.GoDown()
+	set("up")
+	a.ComeBack()
+	had := a.Known() // as a head has it that asks at once
+	a.GoDown()
+	set("draining")
+	a.ComeBack()
+	if told := a.changes(*had.Index); len(told.Endpoints) != 1 || told.Endpoints[0].Status != "draining" {
+		t.Errorf("%+v is told of what changed since %+v", told, had)
+	}
+}
--- a/internal/e2e/crossing_test.go
+++ b/internal/e2e/crossing_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"maddergap/internal/discovery"
 )
 
 // counted is a field of the latest line that compares beliefs, or nothing.
@@ -130,8 +132,8 @@
 			addr, goOn := slowToAccept(t)
 			other := newStubNode(t, func(int, *http.Request) reply { return ok("other") })
 			d := newStubDiscovery(t)
-			entry := func(status string) string {
-				return fmt.Sprintf(`{"name":"late","address":%q,"zone":"z0","group":0,"status":%q,"since_ms":0}`, addr, status)
+			entry := func(status string) discovery.Entry {
+				return discovery.Entry{Name: "late", Address: addr, Zone: "z0", Status: status}
 			}
 			d.set(entry("up"))
 			s := serveWith(t, d, strings.NewReplacer(`"connectTimeout":250000`, `"connectTimeout":3000000`))
@@ -200,7 +202,7 @@
 		}
 	}()
 	d := newStubDiscovery(t)
-	d.set(fmt.Sprintf(`{"name":"n","address":%q,"zone":"z0","group":0,"status":"up","since_ms":0}`, ln.Addr()))
+	d.set(discovery.Entry{Name: "n", Address: ln.Addr().String(), Zone: "z0", Status: "up"})
 	s := serveOn(t, d)
 	for i := range 40 {
 		if status, body := s.raw(second(s.request("PUT", "write", 0, "1200m", ""))); status != 200 || body != "fine" {
@@ -284,31 +286,11 @@
 	}
 }
 
-// silentAgent takes connections and says nothing, as while discovery is down.
-func silentAgent(t *testing.T) string {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { ln.Close() })
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			t.Cleanup(func() { c.Close() })
-		}
-	}()
-	return ln.Addr().String()
-}
-
 // A new process has an old list from its configuration. While discovery would answer
 // nothing goes out by it; when discovery is silent the head serves by it, a second later.
 func TestCrossingOldListAtTheStart(t *testing.T) {
 	old, now := newStubNode(t, func(int, *http.Request) reply { return ok("old") }), newStubNode(t, func(int, *http.Request) reply { return ok("now") })
-	known := strings.NewReplacer(`"settings":{`, fmt.Sprintf(`"known":{"index":1,"snapshot":true,"endpoints":[%s]},"settings":{`, endpointOf("old", old, 0, "up")))
+	known := strings.NewReplacer(`"settings":{`, fmt.Sprintf(`"known":%s,"settings":{`, listText(t, endpointOf("old", old, 0, "up"))))
 	d := newStubDiscovery(t)
 	d.set(endpointOf("old", old, 0, "draining"), endpointOf("now", now, 0, "up"))
 	s := startWith(t, d.addr, known)
@@ -316,7 +298,7 @@
 		t.Errorf("%d %q, %d requests by the old list", status, body, len(old.ids()))
 	}
 
-	s = startWith(t, silentAgent(t), known)
+	s = startWith(t, silentDiscovery(t), known)
 	began := time.Now()
 	if s.ready() {
 		t.Error("ready before discovery had time to answer")
@@ -331,7 +313,7 @@
 // before and behind it while a request is under way: the request has its answer, and the
 // head ends.
 func TestCrossingStopAndReload(t *testing.T) {
-	s := startWith(t, silentAgent(t), strings.NewReplacer())
+	s := startWith(t, silentDiscovery(t), strings.NewReplacer())
 	began := time.Now()
 	s.d.Reload()
 	if err := s.stop(); err != nil || time.Since(began) > 2*time.Second {
@@ -344,8 +326,8 @@
 	c := s.dial(t)
 	fmt.Fprint(c, second(s.request("GET", "read", 0, "1200m", "")))
 	within(t, time.Second, func() bool { return s.counted("taken") == "1" })
-	d.srv.Close() // discovery is down from here on
-	s.tell(silentAgent(t))
+	d.GoDown() // discovery is down from here on
+	s.tell(silentDiscovery(t))
 	s.d.Reload()
 	s.d.Stop()
 	s.d.Reload()
--- a/internal/e2e/platform_test.go
+++ b/internal/e2e/platform_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"io"
 	"log/slog"
@@ -16,7 +17,9 @@
 	"testing"
 	"time"
 
+	"maddergap/internal/agent"
 	"maddergap/internal/daemon"
+	"maddergap/internal/discovery"
 	"maddergap/internal/platform"
 	"maddergap/internal/syscalls"
 )
@@ -119,58 +122,56 @@
 	return append([]string(nil), s.seen...)
 }
 
-// stubDiscovery is discovery: it answers every call with what it has, and holds watches.
+// stubDiscovery is discovery on the head's machine.
 type stubDiscovery struct {
-	srv   *http.Server
-	addr  string
-	calls atomic.Int64
-	mu    sync.Mutex
-	list  string
-	index int
+	*agent.Agent
+	registry *agent.Registry
+	addr     string
 }
 
 func newStubDiscovery(t *testing.T, nodes ...*stubNode) *stubDiscovery {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
+	d := &stubDiscovery{registry: agent.NewRegistry()}
+	var entries []discovery.Entry
+	for i, n := range nodes {
+		entries = append(entries, endpointOf(fmt.Sprint("s", i), n, i, "up"))
+	}
+	d.set(entries...)
+	d.Agent = d.registry.Agent(0)
+	var err error
+	if d.addr, err = d.Listen(); err != nil {
 		t.Fatal(err)
 	}
-	d := &stubDiscovery{addr: ln.Addr().String(), index: 1}
-	for i, s := range nodes {
-		d.list += "," + endpointOf(fmt.Sprint("s", i), s, i, "up")
-	}
-	d.list = strings.TrimPrefix(d.list, ",")
-	d.srv = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		d.calls.Add(1)
-		from := r.URL.Query().Get("from")
-		for range 20 {
-			d.mu.Lock()
-			index, list := d.index, d.list
-			d.mu.Unlock()
-			if from != fmt.Sprint(index) {
-				fmt.Fprintf(w, `{"index":%d,"snapshot":true,"endpoints":[%s]}`, index, list)
-				return
-			}
-			time.Sleep(10 * time.Millisecond)
-		}
-		fmt.Fprintf(w, `{"index":%s,"snapshot":false,"endpoints":[]}`, from)
-	})}
-	go d.srv.Serve(ln)
-	t.Cleanup(func() { d.srv.Close() })
+	t.Cleanup(d.Close)
 	return d
 }
 
-func endpointOf(name string, s *stubNode, group int, status string) string {
-	return fmt.Sprintf(`{"name":%q,"address":%q,"zone":"z0","group":%d,"status":%q,"since_ms":0}`, name, s.ln.Addr(), group, status)
+// silentDiscovery takes connections and says nothing, as while discovery is down.
+func silentDiscovery(t *testing.T) string {
+	t.Helper()
+	d := newStubDiscovery(t)
+	d.GoDown()
+	return d.addr
 }
 
-// set tells another list.
-func (d *stubDiscovery) set(entries ...string) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.list, d.index = strings.Join(entries, ","), d.index+1
+func endpointOf(name string, n *stubNode, group int, status string) discovery.Entry {
+	return discovery.Entry{Name: name, Address: n.ln.Addr().String(), Zone: "z0", Group: group, Status: status}
 }
 
+// listText is a list as a configuration has it.
+func listText(t *testing.T, entries ...discovery.Entry) []byte {
+	t.Helper()
+	index := int64(1)
+	text, err := json.Marshal(discovery.List{Index: &index, Snapshot: true, Endpoints: entries})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return text
+}
+
+// set tells another list.
+func (d *stubDiscovery) set(entries ...discovery.Entry) { d.registry.Replace(entries...) }
+
 // service runs a head on the platform over real sockets.
 type service struct {
 	*system
@@ -475,9 +476,9 @@
 	s.d.Reload()
 	s.d.Reload()
 	within(t, time.Second, func() bool { return get() == "two" })
-	before := a.calls.Load()
+	before := a.Usage().Calls
 	time.Sleep(300 * time.Millisecond)
-	if a.calls.Load() != before {
+	if a.Usage().Calls != before {
 		t.Error("the old address is still asked")
 	}
 }
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"maddergap/internal/agent"
 	"maddergap/internal/audit"
 	"maddergap/internal/child"
 )
@@ -28,7 +29,7 @@
 type head struct {
 	number   int
 	listen   string
-	agent    *agent
+	agent    *agent.Agent
 	clients  *clients
 	settings *settings
 	dir      string
@@ -52,11 +53,11 @@
 
 // configure writes the head's configuration, with a new address of discovery.
 func (h *head) configure() error {
-	address, err := h.agent.listen()
+	address, err := h.agent.Listen()
 	if err != nil {
 		return err
 	}
-	text, err := h.settings.file(h.number, h.listen, address, h.agent.known())
+	text, err := h.settings.file(h.number, h.listen, address, h.agent.Known())
 	if err != nil {
 		return err
 	}
@@ -135,7 +136,7 @@
 		h.fault("reload: %v", err)
 		return
 	}
-	h.agent.moved()
+	h.agent.Moved()
 	h.process.Signal(syscall.SIGHUP)
 }
 
@@ -161,7 +162,7 @@
 type fleet struct {
 	o        *Options
 	settings *settings
-	registry *registry
+	registry *agent.Registry
 	nodes    []*node
 	starts   []audit.Span // cold ones
 	mu       sync.Mutex   // of starts and faults
@@ -179,3 +180,6 @@
 	defer f.mu.Unlock()
 	f.faults = append(f.faults, err.Error())
 }
+
+// micro is the time of the records.
+func micro() int64 { return time.Now().UnixMicro() }
--- a/internal/soak/members.go
+++ b/internal/soak/members.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"maddergap/internal/agent"
 	"maddergap/internal/discovery"
 	"maddergap/internal/loopback"
 )
@@ -34,38 +35,39 @@
 }
 
 func membersOf(exe []string, dir string, size int, out io.Writer) error {
-	registry := newRegistry()
+	registry := agent.NewRegistry()
+	var entries []discovery.Entry
 	for i := range size {
-		name := fmt.Sprintf("s-%08x", i)
-		registry.entries[name] = discovery.Entry{Name: name, Address: fmt.Sprintf("127.200.%d.%d:8000", i/250, i%250+1), Zone: "z0", Group: i / 4, Status: "up"}
+		address := fmt.Sprintf("127.200.%d.%d:8000", i/250, i%250+1)
+		entries = append(entries, discovery.Entry{Name: fmt.Sprintf("s-%08x", i), Address: address, Zone: "z0", Group: i / 4, Status: "up"})
 	}
+	registry.Replace(entries...)
 	log, err := os.Create(filepath.Join(dir, "members.log"))
 	if err != nil {
 		return err
 	}
 	defer log.Close()
 	o := &Options{Seed: 1, Heads: 1, Nodes: 4}
-	h := &head{listen: loopback.Addr(250, 1, headPort), agent: registry.agent(0), settings: drawSettings(o), dir: dir, exe: exe, log: log}
+	h := &head{listen: loopback.Addr(250, 1, headPort), agent: registry.Agent(0), settings: drawSettings(o), dir: dir, exe: exe, log: log}
 	if err := h.start(); err != nil {
 		return err
 	}
 	defer h.process.Kill()
-	defer h.agent.close()
+	defer h.agent.Close()
 	for round := range roundsOfMembers {
-		h.agent.goDown()
+		h.agent.GoDown()
 		time.Sleep(downForMembers)
-		registry.set(func(e *discovery.Entry) { e.Status = []string{"draining", "up"}[round%2] }, "s-00000000")
-		h.agent.comeBack()
+		registry.Set(func(e *discovery.Entry) { e.Status = []string{"draining", "up"}[round%2] }, "s-00000000")
+		h.agent.ComeBack()
 		time.Sleep(upForMembers)
 	}
 	used, err := usageOf(h.process.Pid())
 	if err != nil {
 		return err
 	}
-	h.agent.mu.Lock()
-	defer h.agent.mu.Unlock()
+	asked := h.agent.Usage()
 	fmt.Fprintf(out, "  %5d nodes: CPU %.2f s, peak %.1f MB, %d descriptors, %d answers of %d KB in all\n", size, used.cpu.Seconds(),
-		float64(used.peakKB)/1024, used.descriptors, h.agent.calls, h.agent.bytes/1024)
+		float64(used.peakKB)/1024, used.descriptors, asked.Calls, asked.Bytes/1024)
 	return nil
 }
 
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -11,8 +11,10 @@
 	"sync"
 	"time"
 
+	"maddergap/internal/agent"
 	"maddergap/internal/audit"
 	"maddergap/internal/discovery"
+	"maddergap/internal/lagwatch"
 	"maddergap/internal/loopback"
 )
 
@@ -47,10 +49,10 @@
 	if err := o.Check(); err != nil {
 		return nil, err
 	}
-	f := &fleet{o: o, settings: drawSettings(o), registry: newRegistry()}
+	f := &fleet{o: o, settings: drawSettings(o), registry: agent.NewRegistry()}
 	script := Draw(o)
-	lag := watchLag()
-	defer lag.stop()
+	lag := lagwatch.Start()
+	defer lag.Stop()
 	defer f.close()
 	if err := f.openNodes(); err != nil {
 		return nil, err
@@ -89,7 +91,7 @@
 			return err
 		}
 		f.nodes = append(f.nodes, n)
-		f.registry.set(func(e *discovery.Entry) {
+		f.registry.Set(func(e *discovery.Entry) {
 			*e = discovery.Entry{Name: n.name, Address: n.addr(), Zone: fmt.Sprint("z", i%2), Group: n.shard, Status: "up"}
 		}, n.name)
 	}
@@ -103,7 +105,7 @@
 			return err
 		}
 		listen := f.address(i, headPort)
-		h := &head{number: i, listen: listen, agent: f.registry.agent(i), settings: f.settings, dir: dir, exe: exe,
+		h := &head{number: i, listen: listen, agent: f.registry.Agent(i), settings: f.settings, dir: dir, exe: exe,
 			inject: script.Inject[i], log: log}
 		h.clients = &clients{head: i, addr: listen, config: f.settings, nextID: &f.ids}
 		f.heads = append(f.heads, h)
@@ -202,27 +204,27 @@
 }
 
 func (f *fleet) discovery(e Event) {
-	agents := f.registry.agents
+	agents := f.registry.Agents()
 	if e.Who >= 0 {
 		agents = agents[e.Who : e.Who+1]
 	}
 	for _, a := range agents {
 		switch e.Kind {
 		case DiscoveryDown:
-			a.goDown()
+			a.GoDown()
 		case WatchesSilent:
-			a.silenceWatches()
+			a.SilenceWatches()
 		case DiscoverySlow:
-			a.setSlow(e.For / 10)
+			a.SetSlow(e.For / 10)
 		}
 	}
 	time.Sleep(e.For)
 	for _, a := range agents {
 		switch e.Kind {
 		case DiscoveryDown:
-			a.comeBack()
+			a.ComeBack()
 		case DiscoverySlow:
-			a.setSlow(0)
+			a.SetSlow(0)
 		}
 	}
 }
@@ -231,9 +233,9 @@
 	n := f.nodes[e.Who]
 	switch e.Kind {
 	case Drain:
-		f.registry.set(func(e *discovery.Entry) { e.Status = "draining" }, n.name)
+		f.registry.Set(func(e *discovery.Entry) { e.Status = "draining" }, n.name)
 		time.Sleep(e.For)
-		f.registry.set(func(e *discovery.Entry) { e.Status = "up" }, n.name)
+		f.registry.Set(func(e *discovery.Entry) { e.Status = "up" }, n.name)
 	case NodeRestart:
 		if !n.life.TryLock() { // it is down already
 			return
@@ -249,7 +251,7 @@
 		f.mu.Lock()
 		f.starts = append(f.starts, audit.Span{Name: n.name, From: micro()})
 		f.mu.Unlock()
-		f.registry.set(func(e *discovery.Entry) { e.Since = float64(time.Now().UnixMilli()) }, n.name)
+		f.registry.Set(func(e *discovery.Entry) { e.Since = float64(time.Now().UnixMilli()) }, n.name)
 	case NodeLate:
 		n.pause(true)
 		time.Sleep(e.For)
@@ -269,7 +271,7 @@
 			h.process.Kill()
 		}
 		h.mu.Unlock()
-		h.agent.close()
+		h.agent.Close()
 		h.log.Close()
 	}
 	for _, n := range f.nodes {
@@ -278,7 +280,7 @@
 }
 
 // judge joins the records.
-func (f *fleet) judge(script *Script, dir string, lag *lagWatch) (*Report, error) {
+func (f *fleet) judge(script *Script, dir string, lag *lagwatch.Watch) (*Report, error) {
 	text, err := f.settings.file(0, "127.0.0.1:1", "127.0.0.1:1", discovery.List{})
 	if err != nil {
 		return nil, err
@@ -287,8 +289,8 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Report{Options: f.o, Script: script, Lag: lag.longest(), Faults: f.faults}
-	drains, starts := f.registry.taken()
+	r := &Report{Options: f.o, Script: script, Lag: lag.Longest(), Faults: f.faults}
+	drains, starts := f.registry.Notices()
 	in := audit.Input{Config: config, Notices: drains, Told: starts, Grace: drainGrace, CancelGrace: cancelGrace, ToldSlack: toldSlack,
 		Late: lateAnswers, Blur: blur + r.Lag, Starts: f.starts, Cold: f.settings.cold()}
 	for _, h := range f.heads {
@@ -354,39 +356,3 @@
 	}
 	fmt.Fprintf(w, "seed %d: BROKEN; again with: %s\n", r.Options.Seed, command)
 }
-
-// lagWatch measures how long this process is held up.
-type lagWatch struct {
-	mu   sync.Mutex
-	most time.Duration
-	end  chan struct{}
-	once sync.Once
-}
-
-const lagTick = 5 * time.Millisecond
-
-func watchLag() *lagWatch {
-	l := &lagWatch{end: make(chan struct{})}
-	go func() {
-		for {
-			before := time.Now()
-			select {
-			case <-l.end:
-				return
-			case <-time.After(lagTick):
-			}
-			l.mu.Lock()
-			l.most = max(l.most, time.Since(before)-lagTick)
-			l.mu.Unlock()
-		}
-	}()
-	return l
-}
-
-func (l *lagWatch) longest() time.Duration {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.most
-}
-
-func (l *lagWatch) stop() { l.once.Do(func() { close(l.end) }) }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -7,7 +7,6 @@
 	"testing"
 	"time"
 
-	"maddergap/internal/discovery"
 	"maddergap/internal/syscalls"
 )
 
@@ -62,75 +61,6 @@
 	}
 }
 
-// When a change counts: at once, at the return of an agent that was down, and after a reload
-// or behind silent watches within the protocol's time.
-func TestNotices(t *testing.T) {
-	g := newRegistry()
-	g.set(func(e *discovery.Entry) { *e = discovery.Entry{Name: "n", Status: "up"} }, "n")
-	well, down, moved := g.agent(0), g.agent(1), g.agent(2)
-	down.goDown()
-	moved.moved()
-	before := micro()
-	g.set(func(e *discovery.Entry) { e.Status = "draining" }, "n")
-	if len(down.notices) != 0 {
-		t.Error("an agent that is down was sent a list")
-	}
-	time.Sleep(20 * time.Millisecond)
-	down.comeBack()
-	all, _ := g.taken()
-	if len(all) != 3 {
-		t.Fatalf("%+v", all)
-	}
-	for _, n := range all {
-		after := time.Duration(n.From-before) * time.Microsecond
-		switch n.Head {
-		case 0:
-			if after > 15*time.Millisecond {
-				t.Errorf("counts %v after it was sent", after)
-			}
-		case 1:
-			if after < 20*time.Millisecond {
-				t.Errorf("counts %v after, before the return", after)
-			}
-		case 2:
-			if after < 3*time.Second {
-				t.Errorf("counts %v after a reload", after)
-			}
-		}
-	}
-	g.set(func(e *discovery.Entry) { e.Status = "up" }, "n")
-	if n := well.notices[0]; n.To == 0 {
-		t.Error("the notice of a node that serves again goes on")
-	}
-}
-
-// Outages that overlap are one; a return that is too short for anybody to ask counts with the
-// next one.
-func TestOutagesThatOverlap(t *testing.T) {
-	g := newRegistry()
-	g.set(func(e *discovery.Entry) { *e = discovery.Entry{Name: "n", Status: "up"} }, "n")
-	a := g.agent(0)
-	a.goDown()
-	a.goDown()
-	g.set(func(e *discovery.Entry) { e.Status = "draining" }, "n")
-	a.comeBack()
-	if !a.down || len(a.notices) != 0 {
-		t.Error("it is back while an outage goes on")
-	}
-	a.comeBack()
-	if a.down || len(a.notices) != 1 {
-		t.Errorf("down %v, %+v after both", a.down, a.notices)
-	}
-	a.goDown()
-	if len(a.notices) != 0 {
-		t.Error("what nobody could ask for counts")
-	}
-	a.comeBack()
-	if len(a.notices) != 1 {
-		t.Errorf("%+v after the next return", a.notices)
-	}
-}
-
 // What heads found broken themselves, or crashed with, is read from their logs.
 func TestBrokenLines(t *testing.T) {
 	file := filepath.Join(t.TempDir(), "head0.log")
