--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -246,6 +246,7 @@
 	a.countsFrom = time.Now().Add(countsAfterSilence)
 }
 
+// SetSlow has each answer take so much longer, 0: no longer; what slow answers tell counts later.
 func (a *Agent) SetSlow(d time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
