--- /dev/null
+++ b/logic/deadlines_test.go
@@ -0,0 +1,88 @@
+package logic
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+// bangna-main-later big-1: a timer told as a fraction of a microsecond came early,
+// no other was set, and a held request was never answered.
+func TestHeldRequestIsAnsweredThoughTimersAreCoarse(t *testing.T) {
+	r := start(t, site(), nodeA)
+	n := r.h.members.nodes[0]
+	var timers []Time
+	do := func(acts []Action) {
+		for _, a := range acts {
+			if w, ok := a.(WakeIn); ok {
+				timers = append(timers, r.now+w.In.Truncate(time.Microsecond))
+			}
+		}
+		slices.Sort(timers)
+	}
+	do(r.at(0, req(1, func(a *Arrival) { a.Left = 100 * ms })))
+	do(r.end(1, OK))
+	n.window, n.paceJitter, n.sentAt = 0.1, 1, r.now
+	n.observed.latency.sum = 0.1 + 1e-7/3 // a gap that ends between microseconds
+	do(r.at(0, req(2, func(a *Arrival) { a.Left = 3 * time.Second })))
+	for len(timers) > 0 {
+		next := timers[0]
+		timers = timers[1:]
+		acts := r.at(next-r.now, Wake{})
+		do(acts)
+		if r.tries[2] > 0 || len(answers(acts)) > 0 {
+			return
+		}
+	}
+	t.Error("neither sent nor answered, and no timer set")
+}
+
+// A request that others went before is told of it at half of its time; one at a node
+// that sends rarely keeps all of it, and so does one that a node had already.
+func TestOvertakenRequestIsRefusedAtHalfOfItsTime(t *testing.T) {
+	late := func(overtakers int) time.Duration {
+		r := start(t, site(func(s *Settings) {
+			s.Plans = append(s.Plans, Plan{Name: "limited", Weight: 1, Price: 1, Limit: 0.001, LimitBurst: 10})
+		}), Entry{Node: "n0"})
+		came := r.now
+		r.at(0, Arrival{ID: 9, Class: 1, Plan: 1, Volume: "v", Left: 2 * time.Second, Units: 1}) // its limit holds it
+		for i := range overtakers {
+			id := uint64(20 + i)
+			r.at(0, Arrival{ID: id, Volume: "w", Left: 5 * time.Second, Units: 1})
+			r.end(id, OK)
+		}
+		for r.now < came+3*time.Second {
+			if answers(r.at(5*ms, Wake{}))[9] == "r" {
+				return r.now - came
+			}
+		}
+		return 0
+	}
+	if at := late(2); at < 950*ms || at > time.Second {
+		t.Errorf("overtaken by two it was refused after %v, want just before 1s", at)
+	}
+	if at := late(0); at < 1950*ms || at > 2*time.Second {
+		t.Errorf("overtaken by none it was refused after %v, want just before 2s", at)
+	}
+}
+
+// A client's marked repeat has its aim counted from the first try: what is late already
+// does not go before what can still be in time.
+func TestRepeatAimsFromItsFirstTry(t *testing.T) {
+	for _, again := range []bool{false, true} {
+		r := start(t, site(func(s *Settings) { s.Classes[0].Deadline = time.Second }), Entry{Node: "n0"})
+		for id := uint64(1); id <= 2; id++ {
+			r.at(0, Arrival{ID: id, Volume: "x", Left: time.Second, Units: 1})
+		}
+		r.at(0, Arrival{ID: 3, Volume: "v", Left: 600 * ms, Units: 1, Again: again})
+		r.at(0, Arrival{ID: 4, Volume: "w", Left: time.Second, Units: 1})
+		r.at(20*ms, Ended{ID: 1, Outcome: OK, Closed: true})
+		want := []uint64{1, 2, 3}
+		if again {
+			want[2] = 4
+		}
+		if got := r.sent(); len(got) < 3 || !slices.Equal(got[:3], want) {
+			t.Errorf("again %v: sent %v, want %v first", again, got, want)
+		}
+	}
+}
--- a/logic/guards_test.go
+++ b/logic/guards_test.go
@@ -91,3 +91,52 @@
 		}
 	}
 }
+
+// ic23155, ifb7f1d: what earns little must stand back at a crowded node.
+func TestLittleWorthStandsBackWhileTheNodeIsSlow(t *testing.T) {
+	s := site(func(s *Settings) {
+		s.ShareWorth, s.Classes[0].LateWorth, s.Classes[1].Worth = 0.3, 0.1, 1
+	})
+	r := start(t, s, nodeA)
+	n := r.h.members.nodes[0]
+	for _, c := range []struct {
+		name     string
+		pressure float64
+		silent   time.Duration
+		class    int
+		excess   bool
+		late     bool
+		want     bool
+	}{
+		{"in time, within the reserve", 2, 0, 0, false, false, false},
+		{"late", 0.9, 0, 0, false, true, true},
+		{"beyond the reserve", 0.9, 0, 0, true, false, true},
+		{"class of half the worth", 0.9, 0, 1, false, false, true},
+		{"half the worth, some pressure", 0.4, 0, 1, false, false, false},
+		{"late at a quick node", 0.05, 0, 0, false, true, false},
+		{"late, nothing heard for long", 0.9, 3 * time.Second, 0, false, true, false},
+	} {
+		v := r.h.volumeOf(req(1))
+		q := &profile{class: &r.h.settings.Classes[c.class], plan: v.plan, hosts: v.hosts, excess: c.excess}
+		n.pressure, n.heardAt = c.pressure, r.now-c.silent
+		want(t, c.name, r.h.standsBack(candidate{node: n, profile: q, late: c.late}), c.want)
+	}
+}
+
+// All heads of a volume together try a crowded node at the pace of one.
+func TestPressureFadesSlowerWithMoreHosts(t *testing.T) {
+	r := start(t, site(func(s *Settings) { s.Heads, s.ShareWorth = 100, 0.3 }), nodeA)
+	n := r.h.members.nodes[0]
+	for _, c := range []struct {
+		hosts int
+		after time.Duration
+		want  bool // still stands back
+	}{{1, 200 * ms, true}, {1, time.Second, false}, {20, time.Second, true}, {20, 25 * time.Second, false}} {
+		v := r.h.volumeOf(req(1, hosts(c.hosts)))
+		q := &profile{class: &r.h.settings.Classes[0], plan: v.plan, hosts: v.hosts, excess: true}
+		n.pressure, n.heardAt = 0.9, r.now-c.after
+		if got := r.h.standsBack(candidate{node: n, profile: q}); got != c.want {
+			t.Errorf("%d hosts after %v: stands back %v, want %v", c.hosts, c.after, got, c.want)
+		}
+	}
+}
--- /dev/null
+++ b/logic/placement_test.go
@@ -0,0 +1,40 @@
+package logic
+
+import (
+	"testing"
+)
+
+func TestNewObjectGoesToTheLeastLoaded(t *testing.T) {
+	r := start(t, site(), nodeA, nodeB)
+	r.at(0, req(1), req(2), req(3), req(4))
+	r.at(0, req(5, shard(-1)))
+	want(t, "node", r.sends[len(r.sends)-1], Send{ID: 5, Node: "B"})
+}
+
+// bangna-main-later: all heads sent new objects to the first of the nodes alike.
+func TestNewObjectsOfManyHeadsAreSpread(t *testing.T) {
+	var nodes []Entry
+	for i := range 10 {
+		nodes = append(nodes, Entry{Node: string(rune('a' + i)), Shard: i})
+	}
+	took := map[string]int{}
+	for seed := uint64(1); seed <= 40; seed++ {
+		h, err := New(site(), seed, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, a := range h.Handle(0, []Event{List{Full: true, Entries: nodes}, req(1, shard(-1))}) {
+			if s, ok := a.(Send); ok {
+				took[s.Node]++
+			}
+		}
+	}
+	for node, k := range took {
+		if k > 12 {
+			t.Errorf("node %s takes %d of 40 first objects", node, k)
+		}
+	}
+	if len(took) < 7 {
+		t.Errorf("%d nodes of 10 are used", len(took))
+	}
+}
--- /dev/null
+++ b/logic/retries_test.go
@@ -0,0 +1,126 @@
+package logic
+
+import (
+	"testing"
+	"time"
+)
+
+// What follows the first outcome, by effect and by whether it proves that
+// nothing ran: sent again, failed at once.
+func TestEffects(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		class int
+		o     Outcome
+		again bool
+		final string
+	}{
+		{"safe, error", 0, Failed, true, ""},
+		{"safe, reset", 0, Reset, true, ""},
+		{"unsafe, error", 1, Failed, false, "f"},
+		{"unsafe, reset", 1, Reset, false, "f"},
+		{"unsafe, cancelled", 1, Cancelled, false, "f"},
+		{"unsafe, full", 1, Full, true, ""},
+		{"unsafe, not connected", 1, ConnectFailed, true, ""},
+		{"unsafe, moot", 1, Moot, true, ""},
+		{"keyed, reset", 2, Reset, true, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := start(t, site(), nodeA)
+			r.at(0, req(1, class(c.class)))
+			acts := r.end(1, c.o)
+			want(t, "answer", answers(acts)[1], c.final)
+			r.wait(400 * ms)
+			want(t, "sent again", r.tries[1] > 1, c.again)
+		})
+	}
+}
+
+func TestKeyedStaysInItsGroupAndWindow(t *testing.T) {
+	other := Entry{Node: "A2", Shard: 0, Zone: 1}
+	for _, c := range []struct {
+		name   string
+		group  Group
+		window time.Duration
+		again  bool
+		final  string
+	}{
+		{"all", GroupAll, time.Second, true, ""},
+		{"cell", GroupCell, time.Second, true, ""},
+		{"zone", GroupZone, time.Second, false, "f"},
+		{"window over", GroupAll, 50 * ms, false, "r"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := site(func(s *Settings) { s.Classes[2].Group, s.Classes[2].Window = c.group, c.window })
+			r := start(t, s, nodeA)
+			r.at(0, req(1, class(2)))
+			r.at(60*ms, List{Entries: []Entry{{Node: "A", Shard: 0, State: Gone}, other}})
+			acts := r.end(1, Reset)
+			acts = append(acts, r.wait(1100*ms)...)
+			want(t, "sent again", r.tries[1] > 1, c.again)
+			if !c.again {
+				want(t, "answer", answers(acts)[1], c.final)
+			}
+		})
+	}
+}
+
+func TestAttemptMaximum(t *testing.T) {
+	r := start(t, site(func(s *Settings) { s.MaxAttempts = 2 }), nodeA)
+	r.at(0, req(1))
+	r.end(1, Full)
+	r.wait(200 * ms)
+	want(t, "attempts", r.tries[1], 2)
+	want(t, "answer", answers(r.end(1, Full))[1], "r")
+}
+
+func TestBudgetOfFurtherAttempts(t *testing.T) {
+	s := site(func(s *Settings) {
+		s.Budget, s.BudgetFree, s.BudgetShare, s.BudgetOver = true, 1, 0.5, 5*time.Second
+		s.MaxAttempts = 0
+	})
+	r := start(t, s, nodeA)
+	r.h.members.nodes[0].window = 8
+	long := func(a *Arrival) { a.Left = time.Minute }
+	r.at(0, req(1, long), req(2, long))
+	for range 20 { // two taken: 1 + 0.5*2 further attempts in five seconds
+		for id := range r.tries {
+			r.end(id, Full)
+		}
+		r.wait(100 * ms)
+	}
+	want(t, "attempts", r.tries[1]+r.tries[2], 4)
+}
+
+// What cannot be sent again gets its final answer at once: a refusal where the
+// attempt is known not to have run, else what its class allows.
+func TestSpentRequestIsNotSentAgain(t *testing.T) {
+	for _, c := range []struct {
+		effect  Effect
+		outcome Outcome
+		refused bool
+	}{{Unsafe, Full, true}, {Unsafe, Reset, false}, {Safe, Reset, true}} {
+		h, err := New(Settings{Heads: 1, Classes: []Class{{Aim: 100 * time.Millisecond, Effect: c.effect, Worth: 1}},
+			Plans: []Plan{{Weight: 1, Price: 1}}}, 1, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		h.Handle(0, []Event{List{Full: true, Entries: []Entry{{Node: "a"}}},
+			Arrival{ID: 1, Volume: "v", Left: time.Second, Units: 1, Hosts: 1}})
+		acts := h.Handle(time.Millisecond, []Event{Ended{ID: 1, Node: "a", Outcome: c.outcome, Spent: true}})
+		var refused, failed bool
+		for _, a := range acts {
+			switch a.(type) {
+			case Send:
+				t.Errorf("%+v: sent again", c)
+			case Refuse:
+				refused = true
+			case Fail:
+				failed = true
+			}
+		}
+		if refused != c.refused || failed == c.refused {
+			t.Errorf("%+v: refused %v, failed %v", c, refused, failed)
+		}
+	}
+}
--- /dev/null
+++ b/logic/rig_test.go
@@ -0,0 +1,121 @@
+package logic
+
+import (
+	"reflect"
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+// site returns settings that the tests change to their needs: one head, one
+// plan without reserve or limit, three classes of the three effects.
+func site(change ...func(*Settings)) Settings {
+	s := Settings{Heads: 1, MostUnits: 6, MeanUnits: 2, MaxAttempts: 4, ShareWorth: 1,
+		Classes: []Class{
+			{Name: "read", Aim: 200 * ms, Effect: Safe, Worth: 2},
+			{Name: "write", Aim: 400 * ms, Effect: Unsafe, Worth: 2},
+			{Name: "put", Aim: 400 * ms, Effect: Keyed, Group: GroupAll, Window: 5 * time.Second, Worth: 2},
+		},
+		Plans: []Plan{{Name: "one", Weight: 1, Price: 1}}}
+	for _, c := range change {
+		c(&s)
+	}
+	return s
+}
+
+// rig drives a head in the way the bench does and keeps what it did.
+type rig struct {
+	t     *testing.T
+	h     *Scheduler
+	now   Time
+	acts  []Action
+	sends []Send
+	tries map[uint64]int
+}
+
+func start(t *testing.T, s Settings, nodes ...Entry) *rig {
+	t.Helper()
+	h, err := New(s, 1, time.Minute)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &rig{t: t, h: h, now: time.Minute, tries: map[uint64]int{}}
+	r.at(0, List{Full: true, Entries: nodes})
+	return r
+}
+
+// at moves the clock on, gives the events and returns what the head did.
+func (r *rig) at(after time.Duration, events ...Event) []Action {
+	r.now += after
+	r.acts = r.h.Handle(r.now, events)
+	for _, a := range r.acts {
+		if s, ok := a.(Send); ok {
+			r.sends = append(r.sends, s)
+			r.tries[s.ID]++
+		}
+	}
+	return r.acts
+}
+
+// wait steps through an interval as timers would and returns all actions.
+func (r *rig) wait(d time.Duration) (all []Action) {
+	for end := r.now + d; r.now < end; {
+		all = append(all, r.at(min(5*ms, end-r.now), Wake{})...)
+	}
+	return all
+}
+
+func (r *rig) end(id uint64, o Outcome) []Action {
+	return r.at(0, Ended{ID: id, Attempt: r.tries[id] - 1, Outcome: o, Closed: o == OK})
+}
+
+func (r *rig) sent() (ids []uint64) {
+	for _, s := range r.sends {
+		ids = append(ids, s.ID)
+	}
+	return ids
+}
+
+// answers returns the final answers among actions: 'r' or 'f' by request.
+func answers(acts []Action) map[uint64]string {
+	m := map[uint64]string{}
+	for _, a := range acts {
+		switch a := a.(type) {
+		case Refuse:
+			m[a.ID] += "r"
+		case Fail:
+			m[a.ID] += "f"
+		}
+	}
+	return m
+}
+
+func req(id uint64, change ...func(*Arrival)) Arrival {
+	a := Arrival{ID: id, Volume: "v", Left: time.Second, Units: 2, Hosts: 1}
+	for _, c := range change {
+		c(&a)
+	}
+	return a
+}
+
+func class(n int) func(*Arrival) { return func(a *Arrival) { a.Class = n } }
+
+func shard(n int) func(*Arrival) { return func(a *Arrival) { a.Shard = n } }
+
+func ofVolume(v string, p int) func(*Arrival) { return func(a *Arrival) { a.Volume, a.Plan = v, p } }
+
+func units(u float64) func(*Arrival) { return func(a *Arrival) { a.Units = u } }
+
+func key(k string) func(*Arrival) { return func(a *Arrival) { a.Key = k } }
+
+func hosts(n int) func(*Arrival) { return func(a *Arrival) { a.Hosts = n } }
+
+var nodeA, nodeB = Entry{Node: "A", Shard: 0}, Entry{Node: "B", Shard: 1}
+
+func want[T any](t *testing.T, what string, got, want T) {
+	t.Helper()
+	if !reflect.DeepEqual(got, want) {
+		t.Errorf("%s: got %v, want %v", what, got, want)
+	}
+}
