head, logic: time that the head's own machine takes is not the node's

Found by a new test that fails system calls over a stop: a write that failed with ENOBUFS for 0.5 s opened the breaker of its node by silence and counted as an answer of 0.5 s, so that requests stood back at an idle node until they were refused. The class is a failure of the head's own machine that is taken for the node's. The module is told Stalled and Resumed of an attempt, and stops its clock meanwhile. A stop no longer half-closes connections of which a read failed, as a request may stand in them. TestStopWithoutDescriptors is the first row of TestStopWhileSystemCallsFail, which asks for more: open connections too, ten tables of faults.

--- a/internal/daemon/observer.go
+++ b/internal/daemon/observer.go
@@ -1,14 +1,11 @@
 package daemon
 
 import (
-	"bytes"
 	"context"
 	"fmt"
-	"io"
 	"log/slog"
 	"net/netip"
 	"os"
-	"sync/atomic"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -27,48 +24,6 @@
 	"maddergap/logic"
 )
 
-// Sink writes lines from a goroutine of its own, so that a slow disk or a full
-// pipe never holds the loop up. At its bound lines are dropped and counted.
-type Sink struct {
-	w       io.Writer
-	lines   chan []byte
-	dropped atomic.Int64
-	done    chan struct{}
-}
-
-const sinkLines = 8192
-
-// NewSink starts a sink.
-func NewSink(w io.Writer) *Sink {
-	s := &Sink{w: w, lines: make(chan []byte, sinkLines), done: make(chan struct{})}
-	go func() {
-		defer close(s.done)
-		for line := range s.lines {
-			if n := s.dropped.Swap(0); n > 0 {
-				fmt.Fprintf(s.w, "{\"level\":\"WARN\",\"msg\":\"log lines dropped\",\"number\":%d}\n", n)
-			}
-			s.w.Write(line)
-		}
-	}()
-	return s
-}
-
-// Write takes a line; it never waits.
-func (s *Sink) Write(p []byte) (int, error) {
-	select {
-	case s.lines <- bytes.Clone(p):
-	default:
-		s.dropped.Add(1)
-	}
-	return len(p), nil
-}
-
-// Close writes what it holds.
-func (s *Sink) Close() {
-	close(s.lines)
-	<-s.done
-}
-
 // observer writes requests to the log and spans to the trace file.
 type observer struct {
 	log      *slog.Logger
--- a/internal/e2e/syscalls_test.go
+++ b/internal/e2e/syscalls_test.go
@@ -1,7 +1,9 @@
 package e2e
 
 import (
+	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -95,34 +97,75 @@
 	}
 }
 
-// Descriptors run out as the head stops: what stands in its listen queue is taken as soon as
-// there are some, and answered.
-func TestStopWithoutDescriptors(t *testing.T) {
-	node := newStubNode(t, func(int, *http.Request) reply { return ok("fine") })
-	s := startInjected(t, newStubDiscovery(t, node).addr, strings.NewReplacer(), "accept EMFILE from 700ms for 600ms")
+// System calls fail at each step of a stop, from before it begins until after its listener is
+// closed: what is under way, what comes on connections that stand and what waits in the listen
+// queue is answered, and the head ends.
+func TestStopWhileSystemCallsFail(t *testing.T) {
+	for _, faults := range []string{
+		"accept EMFILE from 700ms for 600ms",
+		"accept ENOBUFS from 700ms for 300ms; socket EMFILE from 700ms for 600ms",
+		"socket ENFILE from 700ms for 600ms",
+		"connect EADDRNOTAVAIL from 700ms for 600ms",
+		"epoll_ctl ENOSPC from 700ms for 600ms",
+		"epoll_ctl ENOMEM from 700ms for 600ms; poll ENOMEM from 700ms for 200ms",
+		"write ENOBUFS from 700ms for 600ms",
+		"read ENOMEM from 700ms for 600ms",
+		"shutdown ENOBUFS from 700ms for 900ms",
+		"epoll_wait EINTR chance 0.5 from 700ms; accept EINTR chance 0.5 from 700ms; read SHORT from 700ms; write SHORT from 700ms",
+	} {
+		t.Run(faults, func(t *testing.T) {
+			t.Parallel()
+			stopWhileFailing(t, faults)
+		})
+	}
+}
+
+func stopWhileFailing(t *testing.T, faults string) {
+	// Each answer ends its connection, so that each request needs a descriptor and a connection.
+	node := newStubNode(t, func(int, *http.Request) reply {
+		return reply{text: "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 4\r\n\r\nfine", close: true}
+	})
 	started := time.Now()
+	s := startInjected(t, newStubDiscovery(t, node).addr, strings.NewReplacer(), faults)
 	within(t, 600*time.Millisecond, s.ready)
+	open := make([]net.Conn, 4) // they stand before anything fails
+	for i := range open {
+		open[i] = s.dial(t)
+		_, text := s.request("GET", "read", 0, "2500m", "")
+		fmt.Fprint(open[i], text)
+		if status := statusOn(open[i]); status != 200 {
+			t.Fatalf("%d before anything failed", status)
+		}
+	}
 	time.Sleep(time.Until(started.Add(800 * time.Millisecond)))
 	var answers sync.WaitGroup
-	for i := range 8 {
-		c, err := net.Dial("tcp", s.addr)
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { c.Close() })
+	send := func(who string, c net.Conn) {
 		_, text := s.request("GET", "read", 0, "2500m", "")
 		fmt.Fprint(c, text)
-		answers.Add(1)
-		go func() {
-			defer answers.Done()
-			c.SetReadDeadline(time.Now().Add(4 * time.Second))
-			b := make([]byte, 4096)
-			if n, err := c.Read(b); err != nil || !strings.HasPrefix(string(b[:n]), "HTTP/1.1 200 ") {
-				t.Errorf("client %d: %q, %v", i, b[:max(n, 0)], err)
+		answers.Go(func() {
+			if status := statusOn(c); status != 200 {
+				t.Errorf("%s: %d", who, status)
 			}
-		}()
+		})
+	}
+	for i := range 4 {
+		send(fmt.Sprint("newcomer ", i), s.dial(t))
+		send(fmt.Sprint("open connection ", i), open[i])
 	}
 	s.d.Stop()
 	answers.Wait()
-	s.stop()
+	if err := s.stop(); err != nil {
+		t.Errorf("%v; the head's log:\n%s", err, s.log.String())
+	}
+}
+
+// statusOn reads the status of an answer, 0: there is none.
+func statusOn(c net.Conn) int {
+	c.SetReadDeadline(time.Now().Add(4 * time.Second))
+	r, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0
+	}
+	io.Copy(io.Discard, r.Body)
+	return r.StatusCode
 }
--- a/internal/head/attempt.go
+++ b/internal/head/attempt.go
@@ -17,6 +17,7 @@
 	written   bool // something of it went out
 	sent      bool // all of it was handed to the connection
 	ended     bool
+	stalled   bool // the head's own machine holds it up
 	chunked   bool // its body goes out in chunks
 	begun     bool // the module was told that its answer streams
 	verdict   logic.Outcome
--- a/internal/head/conn.go
+++ b/internal/head/conn.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"maddergap/internal/http1"
+	"maddergap/logic"
 )
 
 // conn is a connection of either kind.
@@ -38,6 +39,7 @@
 	discard  bool // what it still sends is of no use
 	overrun  bool // it sent more ahead than is kept
 	eof      bool // it sends no more
+	unread   bool // a read of it failed, and may have left a request behind
 	left     bool // it has gone
 	shut     bool // nor does the head
 	reading  Time // when the first byte of a header came, 0: none
@@ -284,6 +286,7 @@
 		h.feeding.feed.Data(h.now, c.feedConn, p)
 		return
 	}
+	c.unread = false
 	if len(c.in) > 0 {
 		c.in = append(c.in, p...)
 		p = c.in
@@ -298,12 +301,31 @@
 	}
 }
 
-// Postponed tells that a connection asked for with Dial is begun later, as the head's own
-// machine could not: that is not the other side's doing.
-func (h *Head) Postponed(now Time, id ConnID) {
+// Stalled tells that a call on a connection failed for a failure of the head's own machine, and
+// is made again later: that is not the other side's doing. A connection asked for with Dial is
+// begun later then.
+func (h *Head) Stalled(now Time, id ConnID) {
 	h.tick(now)
-	if c := h.conn(id); c != nil {
-		c.postponed = true
+	c := h.conn(id)
+	if c == nil {
+		return
+	}
+	if c.client() {
+		c.unread = true
+		return
+	}
+	c.postponed = c.postponed || !c.connected
+	if at := c.at; at != nil && !at.stalled {
+		at.stalled = true
+		h.events = append(h.events, logic.Stalled{ID: at.ex.id, Attempt: at.number})
+	}
+}
+
+// resumed tells the module that an attempt goes on.
+func (h *Head) resumed(at *attempt) {
+	if at != nil && at.stalled {
+		at.stalled = false
+		h.events = append(h.events, logic.Resumed{ID: at.ex.id, Attempt: at.number})
 	}
 }
 
--- a/internal/head/invariants_test.go
+++ b/internal/head/invariants_test.go
@@ -125,14 +125,14 @@
 
 // A connection that the head's own machine could not begin is not the node's failure, unless
 // others came up meanwhile.
-func TestPostponedConnections(t *testing.T) {
+func TestStalledConnections(t *testing.T) {
 	for _, others := range []bool{false, true} {
 		r, c, _ := carelessRig(t)
 		r.late = true
 		c.actions = []logic.Action{logic.Send{ID: 1, Node: "n0"}}
 		r.h.events = append(r.h.events, logic.Wake{})
 		r.run()
-		r.h.Postponed(r.now, r.dials[0])
+		r.h.Stalled(r.now, r.dials[0])
 		if others {
 			r.now += time.Millisecond
 			r.h.lastConnected = r.now
--- a/internal/head/node.go
+++ b/internal/head/node.go
@@ -53,6 +53,7 @@
 	if at == nil {
 		return
 	}
+	h.resumed(at)
 	if !at.written {
 		at.written = true
 		h.began(at)
@@ -65,6 +66,7 @@
 
 // nodeData uses bytes of a node and returns those it cannot use yet.
 func (h *Head) nodeData(c *conn, p []byte) []byte {
+	h.resumed(c.at)
 	for more := true; more && len(p) > 0 && !c.gone; {
 		switch {
 		case c.at == nil: // nothing was asked
@@ -232,6 +234,10 @@
 		c.at = nil
 		h.drop(c, Abort)
 		h.end(at, h.unconnected(c, at))
+	case !at.written: // the head's own machine held it up: it never ran
+		c.at = nil
+		h.drop(c, Abort)
+		h.end(at, logic.Moot)
 	case at.ex.answer.from == at, at.buffered && h.now < at.ex.deadline: // the answer stopped in its middle
 		h.broken(c, h.protocol.malformed())
 	default: // the client's time is up; a later answer is nobody's
--- a/internal/head/stop.go
+++ b/internal/head/stop.go
@@ -23,7 +23,7 @@
 	for _, c := range h.slots {
 		switch {
 		case c == nil || !c.client() || c.ex != nil || len(c.pending()) > 0 || c.reading > 0:
-		case c.requests == 0: // its first request may be on its way, or come and not be read
+		case c.requests == 0 || c.unread: // a request may be on its way, or come and not be read
 			h.setDeadline(c, min(c.deadline, h.now+firstTime))
 		default:
 			h.lingeringClose(c)
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -498,6 +498,7 @@
 		case errors.Is(err, unix.ENOBUFS) || errors.Is(err, unix.ENOMEM):
 			l.stall(s)
 			l.arm(s)
+			l.Head.Stalled(l.Now(), id)
 		case err != nil:
 			l.lost(id)
 		case n == 0:
@@ -536,6 +537,7 @@
 			s.wanted |= unix.EPOLLOUT
 			l.stall(s)
 			l.arm(s)
+			l.Head.Stalled(l.Now(), id)
 			return
 		case err != nil && !errors.Is(err, unix.EAGAIN):
 			l.lost(id)
@@ -595,7 +597,7 @@
 func (l *Loop) dial(a head.Action) {
 	if len(l.redials.waiting) > 0 && l.Now() < l.redials.backoff.at { // it would fail like those
 		l.redials.waiting = append(l.redials.waiting, a)
-		l.Head.Postponed(l.Now(), a.Conn)
+		l.Head.Stalled(l.Now(), a.Conn)
 		return
 	}
 	sa, family, err := sockaddr(a.Addr)
--- a/logic/estimates.go
+++ b/logic/estimates.go
@@ -106,7 +106,7 @@
 func (s *Scheduler) expected(n *node, units float64) time.Duration {
 	seconds := max(n.latency+s.estimates.unitTime*(units-s.settings.MeanUnits), 0)
 	if len(n.inFlight) > 0 {
-		seconds = max(seconds, (s.now-n.inFlight[0].sentAt).Seconds()/2)
+		seconds = max(seconds, (s.now-n.inFlight[0].outSince(s.now)).Seconds()/2)
 	}
 	return time.Duration(seconds * float64(time.Second))
 }
--- a/logic/events.go
+++ b/logic/events.go
@@ -36,7 +36,7 @@
 	Moot
 )
 
-// Event is one of Arrival, List, Ended, Begun, Dropped, Wake.
+// Event is one of Arrival, List, Ended, Begun, Stalled, Resumed, Dropped, Wake.
 type Event interface{ event() }
 
 // Arrival is a request taken from a client.
@@ -79,6 +79,19 @@
 	Attempt int
 }
 
+// Stalled tells that the head's own machine holds an attempt up: nothing of that is the node's
+// doing. Resumed tells that it no longer does.
+type Stalled struct {
+	ID      uint64
+	Attempt int
+}
+
+// Resumed is told after Stalled; see there.
+type Resumed struct {
+	ID      uint64
+	Attempt int
+}
+
 // Dropped tells that the client has left.
 type Dropped struct{ ID uint64 }
 
@@ -89,5 +102,7 @@
 func (List) event()    {}
 func (Ended) event()   {}
 func (Begun) event()   {}
+func (Stalled) event() {}
+func (Resumed) event() {}
 func (Dropped) event() {}
 func (Wake) event()    {}
--- a/logic/health.go
+++ b/logic/health.go
@@ -25,7 +25,7 @@
 // The breaker opens here on failed connections and resets in a row (a node that resets a part
 // of its work still serves the rest), and on silence in checkSilence.
 func (s *Scheduler) observe(n *node, a *attempt, e Ended) {
-	took := (s.now - a.sentAt).Seconds()
+	took := (s.now - a.outSince(s.now)).Seconds()
 	aim := a.request.class.Aim.Seconds()
 	switch e.Outcome {
 	case OK, Failed:
@@ -45,6 +45,9 @@
 			s.openBreaker(n)
 		}
 	case TimedOut:
+		if a.stalledAt > 0 {
+			return // the head's own machine held it up to its end
+		}
 		s.bookSilence(n, answer{latency: took, waiting: 1})
 		s.collapseWindow(n)
 	}
@@ -70,7 +73,7 @@
 		return
 	}
 	most := max(silentAims*s.shortestAim.Seconds(), silentAnswer*n.latency)
-	silent := s.now - max(n.heardAt, n.inFlight[0].sentAt)
+	silent := s.now - max(n.heardAt, n.inFlight[0].outSince(s.now))
 	if silent.Seconds() >= most {
 		s.openBreaker(n)
 	}
--- a/logic/requests.go
+++ b/logic/requests.go
@@ -72,10 +72,36 @@
 type attempt struct {
 	request    *request
 	node       *node
-	sentAt     Time
+	sentAt     Time // later by as long as the head's own machine held it up
+	stalledAt  Time // since when that holds it up, 0: it does not
 	windowFull bool // the node's window was full with it
 }
 
+// outSince is since when an attempt has been the node's to answer.
+func (a *attempt) outSince(now Time) Time {
+	if a.stalledAt > 0 {
+		return a.sentAt + now - a.stalledAt
+	}
+	return a.sentAt
+}
+
+// attemptStalled stops an attempt's clock. Guards against a head that takes failures of its own
+// machine for a slow or silent node.
+func (s *Scheduler) attemptStalled(e Stalled) {
+	a := s.attempts[attemptID{e.ID, uint64(e.Attempt)}]
+	if a != nil && a.stalledAt == 0 {
+		a.stalledAt = s.now
+	}
+}
+
+// attemptResumed has an attempt's clock go on.
+func (s *Scheduler) attemptResumed(e Resumed) {
+	a := s.attempts[attemptID{e.ID, uint64(e.Attempt)}]
+	if a != nil && a.stalledAt > 0 {
+		a.sentAt, a.stalledAt = a.outSince(s.now), 0
+	}
+}
+
 type attemptID struct{ request, number uint64 }
 
 // arrive takes a request from a client.
--- a/logic/scheduler.go
+++ b/logic/scheduler.go
@@ -90,6 +90,10 @@
 			s.attemptEnded(event)
 		case Begun:
 			s.answerBegun(event)
+		case Stalled:
+			s.attemptStalled(event)
+		case Resumed:
+			s.attemptResumed(event)
 		case Dropped:
 			s.clientLeft(event)
 		}
