--- a/internal/lagwatch/lagwatch.go
+++ b/internal/lagwatch/lagwatch.go
@@ -4,31 +4,34 @@
 package lagwatch
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
 
 const (
 	// tick is how often the watch wakes.
-	tick = 5 * time.Millisecond
-	// kept is how many times of being held up are kept, the latest.
-	kept = 4096
+	tick = 2 * time.Millisecond
+	// least is how long the process is held up for a span to be kept.
+	least = 5 * time.Millisecond
+	// kept is how many spans are kept, the latest.
+	kept = 1 << 16
 )
 
 // Watch measures until it is stopped.
 type Watch struct {
 	mu      sync.Mutex
 	longest time.Duration
-	late    []lateness
+	late    []Span
 	stop    chan struct{}
 	stopped chan struct{}
 	once    sync.Once
 }
 
-type lateness struct {
-	at time.Time // when it was noticed
-	by time.Duration
-}
+// Span is a time in which the process was held up.
+type Span struct{ From, To time.Time }
+
+func (s Span) length() time.Duration { return s.To.Sub(s.From) }
 
 // Start begins to measure.
 func Start() *Watch {
@@ -46,21 +49,28 @@
 			return
 		case <-time.After(tick):
 		}
-		w.note(time.Now(), time.Since(before)-tick)
+		w.note(Span{From: before.Add(tick), To: time.Now()})
 	}
 }
 
-func (w *Watch) note(at time.Time, by time.Duration) {
+func (w *Watch) note(s Span) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.longest = max(w.longest, by)
-	if by <= tick {
+	w.longest = max(w.longest, s.length())
+	if s.length() < least {
 		return
 	}
 	if len(w.late) == kept {
 		w.late = w.late[1:]
 	}
-	w.late = append(w.late, lateness{at: at, by: by})
+	w.late = append(w.late, s)
+}
+
+// Spans are the times in which the process was held up, in their order.
+func (w *Watch) Spans() []Span {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.late)
 }
 
 // Longest is the longest that the process was held up.
@@ -70,14 +80,14 @@
 	return w.longest
 }
 
-// Since is the longest that the process was held up by what was noticed after a time; less than
-// a tick counts as nothing.
+// Since is the longest that the process was held up by what was noticed after a time; short times
+// count as nothing.
 func (w *Watch) Since(t time.Time) (longest time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, late := range w.late {
-		if late.at.After(t) {
-			longest = max(longest, late.by)
+		if late.To.After(t) {
+			longest = max(longest, late.length())
 		}
 	}
 	return longest
