soak: order, limits and attempt budgets bind too

The soak judged rules 5 to 7 over a deployment that had none of them. It has a class that is in order with three keys a head, a second volume whose limit is less than what is asked of it, and a budget of further attempts; a request is drawn as one value.

--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -94,13 +94,9 @@
 	if !c.connect() {
 		return
 	}
-	class := c.rand.IntN(len(c.config.classes))
-	id := fmt.Sprintf("%016x", c.nextID.Add(1))
-	wait := c.config.classes[class].deadline
-	wait = wait/2 + time.Duration(c.rand.Int64N(int64(wait/2)))
-	text := c.config.request(id, class, c.rand.IntN(c.config.shards), c.rand.Uint64N(64), wait)
-	record := audit.Client{Trace: id, Head: c.head, Class: class, Units: 1, Volume: volumeName}
-	c.exchange(&record, text, wait)
+	a := c.config.draw(c.rand, fmt.Sprintf("%016x", c.nextID.Add(1)))
+	record := audit.Client{Trace: a.id, Head: c.head, Class: a.class, Key: fmt.Sprint(a.key), Units: 1, Volume: a.volume.name}
+	c.exchange(&record, c.config.request(a), a.wait)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	record.Sequence = len(c.done)
@@ -187,7 +183,7 @@
 		return nil // the head is down, or full
 	}
 	defer conn.Close()
-	text := cs.config.request("0", 0, 0, 0, time.Second)
+	text := cs.config.request(asked{id: "0", volume: &volumes[0], wait: time.Second})
 	if _, err := io.WriteString(conn, text[:len(text)/2]); err != nil {
 		return nil
 	}
