head: whether a node keeps connections open behind an answer is learnt

The caution now ends for a node once one of its connections was still open when it had rested, and begins again when it ends one sooner.

--- a/internal/head/crossing_test.go
+++ b/internal/head/crossing_test.go
@@ -293,8 +293,9 @@
 }
 
 // A request that must not run twice is not sent on a connection whose answer has just come,
-// and is not touched by the reset that may be under way behind that answer. Where no connection
-// may be added it goes out all the same, and other requests reuse connections at once.
+// and is not touched by the reset that may be under way behind that answer, until the node is
+// seen to keep connections open, and again once it has not. Where no connection may be added it
+// goes out all the same, and other requests reuse connections at once.
 func TestUnsafeRequestOnFreshConnection(t *testing.T) {
 	r := newRig(t, "")
 	c := r.client(get("/feed-a/s/x"))
@@ -313,6 +314,25 @@
 	r.say(m, ok("y"))
 	r.take(c)
 
+	r = newRig(t, "")
+	c = r.client(get("/feed-a/s/x"))
+	r.say(r.node(0), ok("x"))
+	r.take(r.node(0))
+	r.pass(restTime) // the node keeps connections open
+	r.say(c, get("/feed-a/s/x"))
+	r.say(r.node(0), ok("x"))
+	r.take(r.node(0))
+	r.say(c, put("/feed-a/s/x", "one"))
+	r.want("on the same connection", r.take(r.node(0)), "PUT /feed-a/s/x")
+	r.say(r.node(0), ok(""))
+	r.h.Closed(r.now, r.node(0)) // right behind its answer: it does not
+	r.run()
+	r.say(c, get("/feed-a/s/x"))
+	r.take(r.node(1))
+	r.say(r.node(1), ok("x"))
+	r.say(c, put("/feed-a/s/x", "two"))
+	r.want("on a new connection again", r.take(r.node(2)), "PUT /feed-a/s/x")
+
 	r = newRig(t, "")
 	r.h.config.NodeConns = 1
 	r.client(get("/feed-a/s/x"))
--- a/internal/head/members.go
+++ b/internal/head/members.go
@@ -14,8 +14,10 @@
 	idle        []*conn // kept connections, the last used last
 	conns       int     // all connections, dialling ones too
 	listed      bool
-	state       logic.NodeState
-	changed     Time // when the head was notified of this state
+	// keepsOpen: a connection was still open when it had rested, and none was ended sooner since.
+	keepsOpen bool
+	state     logic.NodeState
+	changed   Time // when the head was notified of this state
 }
 
 // Nodes tells a new node list.
@@ -55,6 +57,9 @@
 	n.state, n.started, n.addr = c.Entry.State, c.Entry.Started, c.Addr
 	n.zone, n.shard = c.Entry.Zone, c.Entry.Shard
 	n.listed = n.state != logic.Gone
+	if c.Moved {
+		n.keepsOpen = false
+	}
 	if c.Moved || !n.listed { // what is kept leads elsewhere, or to a life before
 		h.closeIdle(n)
 	}
--- a/internal/head/node.go
+++ b/internal/head/node.go
@@ -179,6 +179,7 @@
 }
 
 func (h *Head) nodeClosed(c *conn, eof bool) {
+	h.closedByNode(c)
 	at := c.at
 	if at == nil {
 		h.unpark(c)
--- a/internal/head/pool.go
+++ b/internal/head/pool.go
@@ -15,24 +15,34 @@
 
 // keptFor returns the kept connection that a request goes out on, nil where there is none for
 // it: of those that have rested the last used, so that what is not needed ages, or the one that
-// has rested longest. A request that must not run twice gets a new connection before one that
-// has not rested. Guards against a node that closes a connection right behind an answer: nobody
-// can tell whether a request that met the reset has run.
+// has rested longest. Where the node is not known to keep connections open, a request that must
+// not run twice gets a new one before one that has not rested. Guards against a node that closes
+// a connection right behind an answer: nobody can tell whether a request that met the reset has
+// run.
 func (h *Head) keptFor(ex *exchange, n *node) *conn {
 	if n == nil || len(n.idle) == 0 {
 		return nil
 	}
 	for _, c := range slices.Backward(n.idle) {
 		if h.now-c.parked >= restTime {
+			n.keepsOpen = true
 			return c
 		}
 	}
-	if h.classOf(ex).Effect == logic.Unsafe && h.spareFor(n) {
+	if !n.keepsOpen && h.classOf(ex).Effect == logic.Unsafe && h.spareFor(n) {
 		return nil
 	}
 	return n.idle[0]
 }
 
+// closedByNode notes that a node ended a connection: behind an answer, if it had not rested.
+func (h *Head) closedByNode(c *conn) {
+	used := c.parked > 0
+	if used && h.now-c.parked < restTime {
+		c.node.keepsOpen = false
+	}
+}
+
 // spareFor tells whether a connection to a node may be added without closing another.
 func (h *Head) spareFor(n *node) bool {
 	return n.conns < h.config.NodeConns && (h.config.NodesConns == 0 || h.counts.NodeConns < h.config.NodesConns)
