logic: no further attempts within one window of a head's start

The rule holds for each head also after a restart, and what was spent before cannot be known, so the window counts as spent, as it does for limits and cold nodes.

--- a/logic/reference_test.go
+++ b/logic/reference_test.go
@@ -629,6 +629,9 @@
 	}
 	h.taken = slices.DeleteFunc(h.taken, func(t Time) bool { return t <= h.now-h.s.BudgetOver })
 	h.further = slices.DeleteFunc(h.further, func(t Time) bool { return t < h.now-h.s.BudgetOver })
+	if h.now <= h.boot+h.s.BudgetOver { // a life before may have spent it
+		return false
+	}
 	return float64(len(h.further)+1) <= h.s.BudgetFree+h.s.BudgetShare*float64(len(h.taken))
 }
 
--- a/logic/retries.go
+++ b/logic/retries.go
@@ -98,6 +98,9 @@
 	if !s.settings.Budget {
 		return true
 	}
+	if s.budgetUnknown() {
+		return false
+	}
 	budget := &s.retryBudget
 	s.trimArrivals()
 	// An attempt just at the edge still counts, an arrival there does not.
@@ -106,6 +109,12 @@
 	return float64(len(budget.retries)+1) <= most
 }
 
+// budgetUnknown tells whether the head's life before may have spent the budget of this window.
+// Guards against a head that restarts and spends again, within one window, what it had spent.
+func (s *Scheduler) budgetUnknown() bool {
+	return s.now <= s.startedAt+s.settings.BudgetOver
+}
+
 // trimArrivals forgets arrivals that are out of the budget's window.
 func (s *Scheduler) trimArrivals() {
 	s.retryBudget.arrivals = since(s.retryBudget.arrivals, s.now-s.settings.BudgetOver+1)
--- a/logic/retries_test.go
+++ b/logic/retries_test.go
@@ -80,6 +80,7 @@
 		s.MaxAttempts = 0
 	})
 	r := start(t, s, nodeA)
+	r.wait(s.BudgetOver + ms) // a life before may have spent the budget until then
 	r.h.members.nodes[0].window = 8
 	long := func(a *Arrival) { a.Left = time.Minute }
 	r.at(0, req(1, long), req(2, long))
@@ -92,6 +93,23 @@
 	want(t, "attempts", r.tries[1]+r.tries[2], 4)
 }
 
+// A head that has just come up makes no attempt past the first for as long as what it made before
+// may still count.
+func TestBudgetCountsAsSpentAfterARestart(t *testing.T) {
+	s := site(func(s *Settings) {
+		s.Budget, s.BudgetFree, s.BudgetShare, s.BudgetOver = true, 3, 1, 2*time.Second
+	})
+	r := start(t, s, nodeA)
+	long := func(a *Arrival) { a.Left = time.Minute }
+	r.at(0, req(1, long))
+	r.end(1, Reset)
+	r.wait(s.BudgetOver - 100*ms)
+	want(t, "attempts within a window of the start", r.tries[1], 1)
+	want(t, "why", r.h.WaitReason(1), RetryBudget)
+	r.wait(200 * ms)
+	want(t, "attempts once it is over", r.tries[1], 2)
+}
+
 // What cannot be sent again gets its final answer at once: a refusal where the
 // attempt is known not to have run, else what its class allows.
 func TestSpentRequestIsNotSentAgain(t *testing.T) {
