agent: what comes just before an outage counts from the return

What an agent had for less than 350 ms before an outage now counts from its return, as what it had at a return that short did before; what it ended goes on.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -96,9 +96,8 @@
 	notices  []audit.Notice
 	starts   []audit.Notice             // of nodes
 	noted    map[string]discovery.Entry // the list that the notices were taken of last
-	// returned is when the agent came back last, notedBefore what its notices were taken of then.
-	returned    time.Time
-	notedBefore map[string]discovery.Entry
+	history  []noting                   // of what changed the notices lately
+	returned time.Time                  // when the agent came back last
 	// countsFrom is when what is told in a reload or behind silent watches counts at the latest.
 	countsFrom time.Time
 }
@@ -144,10 +143,21 @@
 	a.note()
 }
 
+// noting is when notices were taken, and the list that they were taken of before.
+type noting struct {
+	at     time.Time
+	before map[string]discovery.Entry
+}
+
 // note takes the notices of what the agent has.
 func (a *Agent) note() {
 	before := a.noted
 	a.noted = a.entries
+	now := time.Now()
+	a.history = slices.DeleteFunc(a.history, func(n noting) bool { return n.at.Before(now.Add(-2 * reachable)) })
+	if before != nil { // the first list is known from the start
+		a.history = append(a.history, noting{at: now, before: before})
+	}
 	counts := time.Now()
 	if a.countsFrom.After(counts) {
 		counts = a.countsFrom
@@ -199,8 +209,8 @@
 	a.countsFrom = time.Now().Add(countsAfterReload)
 }
 
-// reachable is for how long an agent has to be back for what it got then to count: none can
-// ask it in a shorter time.
+// reachable is for how long an agent has to be up with a list for that to count: none can be
+// sure to have asked it in a shorter time.
 const reachable = 350 * time.Millisecond
 
 // GoDown makes the agent silent, for good on the connections that it has.
@@ -208,20 +218,29 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.outages++
-	if a.epoch++; a.down {
+	a.epoch++
+	if a.down {
 		return
 	}
 	a.down = true
-	if time.Since(a.returned) < reachable {
-		a.takeBack()
-	}
+	a.takeBack(time.Now().Add(-reachable))
 }
 
-// takeBack has what the agent got at its last return count from the next one.
-func (a *Agent) takeBack() {
-	from := a.returned.UnixMicro()
+// takeBack has what the agent got since a time count from its next return.
+func (a *Agent) takeBack(since time.Time) {
+	i := slices.IndexFunc(a.history, func(n noting) bool { return n.at.After(since) })
+	if i < 0 {
+		return
+	}
+	a.noted = a.history[i].before
+	from := a.history[i].at.UnixMicro()
+	a.history = a.history[:i]
 	a.notices = slices.DeleteFunc(a.notices, func(n audit.Notice) bool { return n.From >= from })
-	a.noted = a.notedBefore
+	for k := range a.notices {
+		if a.notices[k].To >= from { // it ended by what is taken back
+			a.notices[k].To = 0
+		}
+	}
 }
 
 // ComeBack has it answer, with what there is by now.
@@ -234,7 +253,7 @@
 		return
 	}
 	a.epoch, a.down = a.epoch+1, false
-	a.returned, a.notedBefore, a.answered = time.Now(), a.noted, time.Time{}
+	a.returned, a.answered = time.Now(), time.Time{}
 	a.have(a.registry.index, a.registry.entries)
 }
 
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -96,3 +96,32 @@
 		t.Errorf("%+v is told of what changed since %+v", told, had)
 	}
 }
+
+// What an agent is sent just before it is silent counts from its return, and what had ended by it
+// goes on. Guards against a head that is blamed for what it could not have heard.
+func TestNoticeJustBeforeAnOutage(t *testing.T) {
+	g := NewRegistry()
+	set := func(status string) {
+		g.Set(func(e *discovery.Entry) { *e = discovery.Entry{Name: "n", Status: status} }, "n")
+	}
+	set("up")
+	a := g.Agent(0)
+	time.Sleep(reachable + 10*time.Millisecond)
+	set("draining")
+	a.GoDown()
+	if len(a.notices) != 0 {
+		t.Errorf("%+v counts while the agent is silent", a.notices)
+	}
+	time.Sleep(20 * time.Millisecond)
+	back := micro()
+	a.ComeBack()
+	if len(a.notices) != 1 || a.notices[0].From < back {
+		t.Errorf("%+v after the return", a.notices)
+	}
+	time.Sleep(reachable + 10*time.Millisecond)
+	set("up")
+	a.GoDown()
+	if len(a.notices) != 1 || a.notices[0].To != 0 {
+		t.Errorf("%+v: ended by what nobody heard", a.notices)
+	}
+}
