logic, agent, soak: one profile, one proof of not having run, no derived state

The profile of a waiting request was written out twice (makeReady, sendRefusal); which outcomes prove that an attempt did not run stood in logic and again in the head, and is a method of Outcome now; a parameter was not used; the end of time had a constant and was spelled out beside it; the soak's second share followed from the first; the stand-in agent read its clock three times for one moment. No behaviour changes, no test is touched.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -158,14 +158,14 @@
 	if before != nil { // the first list is known from the start
 		a.history = append(a.history, noting{at: now, before: before})
 	}
-	counts := time.Now()
+	counts := now
 	if a.countsFrom.After(counts) {
 		counts = a.countsFrom
 	}
 	for name, e := range a.entries {
 		up, was := e.Status == "up", before[name].Status == "up"
 		if before != nil && e.Since != before[name].Since {
-			a.starts = append(a.starts, audit.Notice{Head: a.head, Node: name, From: time.Now().UnixMicro()})
+			a.starts = append(a.starts, audit.Notice{Head: a.head, Node: name, From: now.UnixMicro()})
 		}
 		switch {
 		case was && !up:
--- a/internal/head/invariants.go
+++ b/internal/head/invariants.go
@@ -104,7 +104,7 @@
 // mayRun notes that an attempt may have run, by how it ended.
 func (h *Head) mayRun(at *attempt, o logic.Outcome) {
 	ex := at.ex
-	if ex.attempts.mayHaveRun.known || o == logic.Full || o == logic.ConnectFailed || o == logic.Moot {
+	if ex.attempts.mayHaveRun.known || o.ProvesNotRun() {
 		return
 	}
 	ex.attempts.mayHaveRun = attemptRun{known: true, began: at.began}
--- a/internal/head/pool.go
+++ b/internal/head/pool.go
@@ -37,8 +37,7 @@
 
 // closedByNode notes that a node ended a connection: behind an answer, if it had not rested.
 func (h *Head) closedByNode(c *conn) {
-	used := c.parked > 0
-	if used && h.now-c.parked < restTime {
+	if c.parked > 0 && h.now-c.parked < restTime {
 		c.node.keepsOpen = false
 	}
 }
--- a/internal/soak/settings.go
+++ b/internal/soak/settings.go
@@ -18,19 +18,18 @@
 type volume struct {
 	name string
 	plan string
-	// share is the part of the requests that are for it.
-	share float64
 }
 
 // volumes are the volumes of a run: one without a limit, and one whose limit binds.
 var volumes = [...]volume{
-	{name: "00000000feed0001", plan: "low", share: 0.8},
-	{name: "00000000feed0002", plan: "limited", share: 0.2},
+	{name: "00000000feed0001", plan: "low"},
+	{name: "00000000feed0002", plan: "limited"},
 }
 
 // What binds requests beside their time. A head has a part of the limit, which holds its largest
 // request and is less than what is asked of it.
 const (
+	freeShare   = 0.8 // of the requests, for the volume without a limit
 	limitRate   = 2.0 // units a second of each head's part
 	limitBurst  = 4.0 // units of each head's part
 	orderRest   = 200 * time.Millisecond
@@ -157,7 +156,7 @@
 // draw draws what a client asks for.
 func (s *settings) draw(r *rand.Rand, id string) asked {
 	a := asked{id: id, class: r.IntN(len(s.classes)), volume: &volumes[0], shard: r.IntN(s.shards), key: r.Uint64N(64)}
-	if r.Float64() >= volumes[0].share {
+	if r.Float64() >= freeShare {
 		a.volume = &volumes[1]
 	}
 	class := &s.classes[a.class]
--- a/logic/deadlines.go
+++ b/logic/deadlines.go
@@ -1,7 +1,6 @@
 package logic
 
 import (
-	"math"
 	"time"
 )
 
@@ -47,7 +46,7 @@
 // nextExpiry returns when the first of those held must be answered.
 func nextExpiry(queue *requestQueue) Time {
 	if queue.Len() == 0 {
-		return math.MaxInt64
+		return never
 	}
 	return queue.NextExpiry() - expiryMargin
 }
--- a/logic/events.go
+++ b/logic/events.go
@@ -36,6 +36,9 @@
 	Moot
 )
 
+// ProvesNotRun tells whether an outcome proves that its attempt did not run.
+func (o Outcome) ProvesNotRun() bool { return o == Full || o == ConnectFailed || o == Moot }
+
 // Event is one of Arrival, List, Ended, Begun, Stalled, Resumed, Dropped, Wake.
 type Event interface{ event() }
 
--- a/logic/guards.go
+++ b/logic/guards.go
@@ -144,7 +144,7 @@
 // sendRefusal asks all guards about a request that is ready.
 func (s *Scheduler) sendRefusal(r *request) Reason {
 	n := r.node
-	p := profile{class: r.class, plan: r.volume.plan, hosts: r.volume.hosts, units: r.Units, excess: r.excess, retry: r.attempts > 0}
+	p := r.currentProfile()
 	answered := s.now + s.expected(n, r.Units)
 	c := candidate{node: n, profile: &p, request: r, late: r.Aim < answered}
 	if reason := s.firstRefusal(nodeGuards, c); reason != Allowed {
--- a/logic/key_order.go
+++ b/logic/key_order.go
@@ -46,7 +46,7 @@
 // restKey has a key rest after an attempt that may still run.
 func (s *Scheduler) restKey(r *request, o Outcome) {
 	order := s.keyOrders[r.Key]
-	if order == nil || !r.class.InOrder || provenNotRun(o) || o == OK || o == Failed {
+	if order == nil || !r.class.InOrder || o.ProvesNotRun() || o == OK || o == Failed {
 		return
 	}
 	order.restUntil, order.restOf = s.now+s.settings.OrderRest, r
--- a/logic/membership.go
+++ b/logic/membership.go
@@ -1,7 +1,6 @@
 package logic
 
 import (
-	"math"
 	"slices"
 	"time"
 )
@@ -56,7 +55,7 @@
 	}
 	listed, regroup := s.takeEntries(list)
 	// Requests held for a node that no longer serves, or for none, find their next node.
-	moved := s.unassigned.RemoveExpired(math.MaxInt64, nil)
+	moved := s.unassigned.RemoveExpired(never, nil)
 	anyGone := false
 	for _, n := range s.members.nodes {
 		if list.Full && !listed[n] {
@@ -66,7 +65,7 @@
 			s.markDirty(n)
 		}
 		if n.State != Serving {
-			moved = append(moved, n.queue.RemoveExpired(math.MaxInt64, nil)...)
+			moved = append(moved, n.queue.RemoveExpired(never, nil)...)
 		}
 		anyGone = anyGone || n.State == Gone
 	}
@@ -140,7 +139,7 @@
 			return false
 		}
 		delete(m.byName, n.Node)
-		n.wakeAt = math.MaxInt64
+		n.wakeAt = never
 		return true
 	})
 }
--- a/logic/requests.go
+++ b/logic/requests.go
@@ -49,6 +49,18 @@
 	retry  bool // an attempt past the first
 }
 
+// currentProfile is the profile that a request would wait with now.
+func (r *request) currentProfile() profile {
+	return profile{
+		class:  r.class,
+		plan:   r.volume.plan,
+		hosts:  r.volume.hosts,
+		units:  r.Units,
+		excess: r.excess,
+		retry:  r.attempts > 0,
+	}
+}
+
 // worth is what a unit earns in time and within the reserve.
 func (p *profile) worth() float64 { return p.class.Worth * p.plan.Price }
 
@@ -113,7 +125,7 @@
 		s.do(Refuse{ID: a.ID}) // nothing known may be promised of it but that it never ran
 		return
 	}
-	s.budgetFor(a)
+	s.bookArrival()
 	s.sequence++
 	a.Units = max(a.Units, 0)
 	r := &request{Arrival: a, class: &s.settings.Classes[a.Class], volume: s.volumeOf(a)}
@@ -157,14 +169,7 @@
 		r.node.queue.Defer(r, readyAt)
 		return
 	}
-	r.node.queue.MakeReady(r, r.volume, profile{
-		class:  r.class,
-		plan:   r.volume.plan,
-		hosts:  r.volume.hosts,
-		units:  r.Units,
-		excess: r.excess,
-		retry:  r.attempts > 0,
-	})
+	r.node.queue.MakeReady(r, r.volume, r.currentProfile())
 }
 
 // answerBegun notes that part of an answer is with the client: there is no second one.
--- a/logic/retries.go
+++ b/logic/retries.go
@@ -7,15 +7,12 @@
 	retryBackoffPart = 10
 )
 
-// provenNotRun tells whether an outcome proves that the attempt did not run.
-func provenNotRun(o Outcome) bool { return o == Full || o == ConnectFailed || o == Moot }
-
 // noteMayHaveRun books what an attempt's outcome says of where the request has been.
 func (s *Scheduler) noteMayHaveRun(r *request, a *attempt, o Outcome) {
 	if o != ConnectFailed && o != Moot {
 		r.HoldUntil = r.Deadline // a node had it
 	}
-	if !provenNotRun(o) && o != OK && r.mayHaveRunAt == nil {
+	if !o.ProvesNotRun() && o != OK && r.mayHaveRunAt == nil {
 		r.mayHaveRunAt, r.firstRunAt = a.node, a.sentAt
 	}
 }
@@ -30,7 +27,7 @@
 		return true
 	case most > 0 && r.attempts >= most:
 		return true
-	case provenNotRun(e.Outcome):
+	case e.Outcome.ProvesNotRun():
 		return false
 	default:
 		return r.class.Effect == Unsafe || s.chooseNode(r) == nil
@@ -79,8 +76,8 @@
 	retries  []Time
 }
 
-// budgetFor books an arrival, which earns a part of an attempt.
-func (s *Scheduler) budgetFor(Arrival) {
+// bookArrival books an arrival, which earns a part of an attempt.
+func (s *Scheduler) bookArrival() {
 	if s.settings.Budget {
 		s.retryBudget.arrivals = append(s.retryBudget.arrivals, s.now)
 	}
--- a/logic/window.go
+++ b/logic/window.go
@@ -1,7 +1,6 @@
 package logic
 
 import (
-	"math"
 	"time"
 )
 
@@ -57,7 +56,7 @@
 	case float64(len(n.inFlight))+1 <= n.window:
 		return 0
 	case n.window >= 1 || len(n.inFlight) > 0:
-		return math.MaxInt64
+		return never
 	}
 	gap := n.paceJitter * n.latency / n.window
 	return n.sentAt + Time(gap*float64(time.Second))
