gateway: an attempt has no way to its request after the request's end

What callers saw: at a stop longer than stop-time, a node that ended a chunked response after the abort crashed the process (exit 2), and whatever else was owed a response got none. With a length in place of chunks a request counted as failed and as served, and a line "request" came without id, client or method. A part of a listing counted twice.

Cause: a written attempt is left to its outcome when its request ends, and kept a plain pointer to it. The abort was the one end that left an attempt whose response was being passed on, so that endResponse, endPart, learnSize and the reports used a request without a client, or a recycled one.

Change: requestRef leads to the request up to the final response and to nothing afterwards, also where the object serves another request; attempts copy what they need later. Protocols are handed the request with each part of a response. Every end goes through cancelAttempts, which ends an attempt whose response is passed on. A merged listing forgets its parent as it responds.

Failed before, on: TestResponseAfterRequestEnd at three of its 13 ends (nil dereference in endResponse; 2 received, 3 ended; a part reported twice; the other ten held). One line of TestAttemptStartsBeforeItsLimit reads the reference; its check is unchanged.

Measured: gateway tests pass; TestRandomHistories and TestRandomRaces at 20,000 histories each pass.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -10,8 +10,12 @@
 // to send, and ends exactly once, with an outcome that the scheduler is notified of. conn
 // is nil if the attempt ended before it had a connection. While it is in flight,
 // conn.attempt is this attempt; afterwards the connection may carry another one.
+//
+// An attempt may outlive its request: a node that may be executing it is waited for. Its
+// response is read and dropped then; see requestRef.
 type nodeAttempt struct {
-	req         *request
+	req         requestRef
+	identity    requestIdentity
 	number      int // of the request's attempts, from 0
 	nodeName    string
 	conn        *nodeConn
@@ -44,27 +48,40 @@
 	return a.fullyQueued && len(a.conn.pending()) == 0
 }
 
-// responseWanted reports whether the body of its response is for a client or a listing.
-func (a *nodeAttempt) responseWanted() bool {
-	if a.bufferResponse {
-		return true
+// responseConsumer returns the request that the attempt's response is for, as it has none
+// yet or this one is being passed on. nil: the response is read and dropped.
+func (a *nodeAttempt) responseConsumer() *request {
+	req := a.req.live()
+	if req == nil || !a.bufferResponse && req.response.source != a {
+		return nil
 	}
-	return a.req.response.source == a && (a.req.listing != nil || a.req.client != nil)
+	return req
+}
+
+// streamingClient returns the client that the attempt's response is streamed to, or nil if it is
+// not streamed to one.
+func (a *nodeAttempt) streamingClient() *clientConn {
+	if req := a.responseConsumer(); req != nil && req.response.source == a {
+		return req.client
+	}
+	return nil
 }
 
 // responseTimedOut reports whether the timer of the attempt's connection, which has expired,
 // was that of a response that has begun and makes no progress. If not, it was that of the
 // request's deadline, which also bounds the timer of a buffered response.
 func (a *nodeAttempt) responseTimedOut(now Time) bool {
-	streaming := a.req.response.source == a
-	buffering := a.bufferResponse && now < a.req.deadline
-	return streaming || buffering
+	if a.bufferResponse {
+		return now < a.identity.deadline
+	}
+	return a.responseConsumer() != nil
 }
 
 // newAttempt begins an attempt.
 func (g *Gateway) newAttempt(req *request, nodeName string, startBefore Time) *nodeAttempt {
 	attempt := &nodeAttempt{
-		req:         req,
+		req:         refTo(req),
+		identity:    g.identityOf(req),
 		number:      req.attempts.count,
 		nodeName:    nodeName,
 		startedAt:   g.clock.now,
@@ -85,30 +102,59 @@
 		return
 	}
 	attempt.ended = true
-	req := attempt.req
-	g.notePossibleExecution(attempt, outcome)
 	g.buffers.responseBytes -= int64(len(attempt.responseBody))
 	g.buffers.put(attempt.responseBody)
 	attempt.responseBody = nil
-	req.attempts.inFlight--
-	if req.attempts.uploading == attempt {
-		req.attempts.uploading = nil
-	}
-	g.scheduler.notify(scheduler.AttemptEnded{
-		ID:            req.id,
+	event := scheduler.AttemptEnded{
+		ID:            attempt.identity.id,
 		Attempt:       attempt.number,
 		Node:          attempt.nodeName,
 		Outcome:       outcome,
 		Duration:      g.clock.now - attempt.startedAt,
-		Responded:     req.response.final,
-		BodyConsumed:  req.body.consumed,
+		Responded:     true,
 		ReportedLoad:  attempt.reportedLoad,
 		HasLoadReport: attempt.hasLoadReport,
-	})
+	}
+	if req := attempt.req.live(); req != nil {
+		g.notePossibleExecution(req, attempt, outcome)
+		req.stopUpload(attempt)
+		event.Responded = false
+		event.BodyConsumed = req.body.consumed
+	}
+	g.scheduler.notify(event)
 	g.reportAttempt(attempt, outcome)
+	g.releaseRequest(attempt)
+}
+
+// releaseRequest ends an attempt's use of its request's object.
+func (g *Gateway) releaseRequest(attempt *nodeAttempt) {
+	req := attempt.req.request
+	req.attempts.inFlight--
 	g.recycle(req)
 }
 
+// stopUpload ends the forwarding of the body to an attempt, if it is forwarded to that one.
+func (r *request) stopUpload(attempt *nodeAttempt) {
+	if r.attempts.uploading == attempt {
+		r.attempts.uploading = nil
+	}
+}
+
+// cancelAttempts ends the attempts of a request that has its final response, or whose client
+// has left. One that a node may be executing is left to its outcome, as it occupies the node's
+// capacity until then. One is ended if the node cannot execute it, because the body is
+// incomplete, or if its response was being passed on.
+func (g *Gateway) cancelAttempts(req *request) {
+	switch attempts := &req.attempts; {
+	case attempts.uploading != nil && !req.body.complete:
+		g.abortAttempt(attempts.uploading)
+	case req.response.source != nil:
+		g.abortAttempt(req.response.source)
+	case attempts.latest != nil:
+		g.cancelAttempt(attempts.latest)
+	}
+}
+
 // abortAttempt ends an attempt that is of no use any more, with its connection.
 func (g *Gateway) abortAttempt(attempt *nodeAttempt) {
 	if !attempt.ended {
--- a/internal/gateway/buffered_protocol.go
+++ b/internal/gateway/buffered_protocol.go
@@ -39,16 +39,16 @@
 	return b.p.BeginRequest(&req.info)
 }
 
-func (b bufferedProtocol) appendRequest(g *Gateway, dst []byte, attempt *nodeAttempt) []byte {
-	attempt.announcedTimeout = attempt.req.timeRemaining(g.clock.now)
-	return b.p.AppendRequest(dst, &attempt.req.header, attempt.announcedTimeout)
+func (b bufferedProtocol) appendRequest(g *Gateway, dst []byte, req *request, attempt *nodeAttempt) []byte {
+	attempt.announcedTimeout = attempt.identity.timeRemaining(g.clock.now)
+	return b.p.AppendRequest(dst, &req.header, attempt.announcedTimeout)
 }
 
 func (b bufferedProtocol) parseResponse(r *http1.Response) ResponseInfo { return b.p.ParseResponse(r) }
 
 // beginResponse begins to buffer a response. A response without a length is complete when
 // its node ends the connection in order; after a reset, or while nothing comes, it is not.
-func (b bufferedProtocol) beginResponse(g *Gateway, attempt *nodeAttempt) bool {
+func (b bufferedProtocol) beginResponse(g *Gateway, _ *request, attempt *nodeAttempt) bool {
 	if limit, _ := b.p.MaxResponseBytes(); attempt.conn.response.ContentLength > limit {
 		return false
 	}
@@ -58,28 +58,22 @@
 	return true
 }
 
-func (b bufferedProtocol) responseData(g *Gateway, attempt *nodeAttempt, data []byte) bool {
+func (b bufferedProtocol) responseData(g *Gateway, _ *request, attempt *nodeAttempt, data []byte) bool {
 	limit, totalLimit := b.p.MaxResponseBytes()
 	g.buffers.responseBytes += int64(len(data)) // given back when the attempt ends
 	attempt.responseBody = append(attempt.responseBody, data...)
 	return int64(len(attempt.responseBody)) <= limit && g.buffers.responseBytes <= totalLimit
 }
 
-func (b bufferedProtocol) endResponse(g *Gateway, attempt *nodeAttempt) {
-	req := attempt.req
-	if req.response.final { // its client has left
-		g.endAttempt(attempt, scheduler.OK)
-		return
-	}
+func (b bufferedProtocol) endResponse(g *Gateway, req *request, attempt *nodeAttempt) {
 	req.response.final = true
 	req.response.source = attempt
 	req.response.status = attempt.conn.response.Status
 	g.counts.Served++
-	if client := req.client; client != nil {
-		out := http1.AppendStatus(g.buffers.orNew(client.out), req.response.status)
-		out = http1.AppendIntField(out, "Content-Length", int64(len(attempt.responseBody)))
-		client.out = append(g.appendHeaderEnd(out, client, req), attempt.responseBody...)
-	}
+	client := req.client
+	out := http1.AppendStatus(g.buffers.orNew(client.out), req.response.status)
+	out = http1.AppendIntField(out, "Content-Length", int64(len(attempt.responseBody)))
+	client.out = append(g.appendHeaderEnd(out, client, req), attempt.responseBody...)
 	g.endAttempt(attempt, scheduler.OK)
 	g.reportRequestEnd(req, Served)
 	g.responseQueued(req)
--- a/internal/gateway/invariant_checks.go
+++ b/internal/gateway/invariant_checks.go
@@ -7,16 +7,17 @@
 
 // invariantAttempt describes an attempt to the invariants.
 func (g *Gateway) invariantAttempt(attempt *nodeAttempt) invariant.Attempt {
-	req := attempt.req
 	a := invariant.Attempt{
-		Request:              req.id,
+		Request:              attempt.identity.id,
 		Node:                 attempt.nodeName,
 		Number:               attempt.number,
 		MembershipKnown:      g.nodes.known,
-		ClientDisconnectedAt: req.cancelledAt,
-		Deadline:             req.deadline,
+		ClientDisconnectedAt: attempt.req.cancelledAt(),
+		Deadline:             attempt.identity.deadline,
 		Timeout:              attempt.announcedTimeout,
-		Prior:                g.priorAttempts(attempt),
+	}
+	if req := attempt.req.live(); req != nil {
+		a.Prior = g.priorAttempts(req, attempt)
 	}
 	n := g.nodes.byName[attempt.nodeName]
 	if n == nil {
@@ -36,11 +37,11 @@
 }
 
 // priorAttempts describes what became of a request's attempts before this one.
-func (g *Gateway) priorAttempts(attempt *nodeAttempt) invariant.PriorAttempts {
-	executed, class := &attempt.req.attempts.mayHaveExecuted, g.class(attempt.req)
+func (g *Gateway) priorAttempts(req *request, attempt *nodeAttempt) invariant.PriorAttempts {
+	executed, class := &req.attempts.mayHaveExecuted, attempt.identity.class
 	prior := invariant.PriorAttempts{
 		Effect:     class.Effect,
-		InFlight:   attempt.req.attempts.inFlight - 1,
+		InFlight:   req.attempts.inFlight - 1,
 		MayHaveRun: executed.known,
 	}
 	if class.Effect != scheduler.Idempotent || !executed.known {
@@ -60,8 +61,8 @@
 }
 
 // notePossibleExecution notes that an attempt may have been executed, by its outcome.
-func (g *Gateway) notePossibleExecution(attempt *nodeAttempt, outcome scheduler.Outcome) {
-	executed := &attempt.req.attempts.mayHaveExecuted
+func (g *Gateway) notePossibleExecution(req *request, attempt *nodeAttempt, outcome scheduler.Outcome) {
+	executed := &req.attempts.mayHaveExecuted
 	if executed.known || outcome.ProvesNotRun() {
 		return
 	}
@@ -103,11 +104,12 @@
 		return true
 	}
 	a := g.invariantAttempt(attempt)
-	if g.announcedTimeoutOutdated(attempt) {
-		g.encodeRequest(c)
+	req := attempt.req.live()
+	if req != nil && g.announcedTimeoutOutdated(attempt) {
+		g.encodeRequest(c, req)
 		a.Timeout = attempt.announcedTimeout
 	}
-	if g.invariants.CheckBeforeWrite(g.clock.now, &a) == invariant.None {
+	if g.invariants.CheckBeforeWrite(g.clock.now, &a) == invariant.None && req != nil {
 		return true
 	}
 	g.withholdAttempt(c)
@@ -117,7 +119,7 @@
 // announcedTimeoutOutdated reports whether an attempt would announce more time to its node
 // than is left, so that it has to be encoded anew.
 func (g *Gateway) announcedTimeoutOutdated(attempt *nodeAttempt) bool {
-	timeout, deadline := attempt.announcedTimeout, attempt.req.deadline
+	timeout, deadline := attempt.announcedTimeout, attempt.identity.deadline
 	return timeout > 0 && g.clock.now < deadline && invariant.TimeoutOutdated(g.clock.now, deadline, timeout)
 }
 
--- a/internal/gateway/listing.go
+++ b/internal/gateway/listing.go
@@ -173,6 +173,7 @@
 // a part is never sent, as a client would take the missing resources for deleted.
 func (g *Gateway) respondWithListing(l *listing) {
 	req := l.parent
+	l.parent = nil // its object is reused after the response
 	if l.errorStatus != 0 {
 		g.respondLocally(req, l.errorStatus, l.errorReason)
 		return
--- a/internal/gateway/local_response.go
+++ b/internal/gateway/local_response.go
@@ -41,6 +41,7 @@
 
 // finishRequest reports the end of a request without a node's response, and responds.
 func (g *Gateway) finishRequest(req *request, outcome Outcome, retryAfter time.Duration) {
+	g.cancelAttempts(req)
 	g.reportRequestEnd(req, outcome)
 	switch {
 	case req.listing != nil:
--- a/internal/gateway/node_conn.go
+++ b/internal/gateway/node_conn.go
@@ -54,7 +54,7 @@
 	attempt.conn = c
 	g.nodes.connOpened(n)
 	g.actions.dial(c.id, n.addr)
-	g.setDeadline(c, min(g.clock.now+g.config.Timeouts.Dial, attempt.req.deadline))
+	g.setDeadline(c, min(g.clock.now+g.config.Timeouts.Dial, attempt.identity.deadline))
 }
 
 // nodeConnected is called when a connection is established. Its attempt is sent, unless
@@ -69,12 +69,14 @@
 		return
 	}
 	c.state = nodeAwaitingResponse
-	if startBefore := c.attempt.startBefore; startBefore > 0 && g.clock.now >= startBefore {
+	startBefore := c.attempt.startBefore
+	req := c.attempt.req.live()
+	if req == nil || startBefore > 0 && g.clock.now >= startBefore {
 		g.withholdAttempt(c)
 		return
 	}
-	g.setDeadline(c, c.attempt.req.deadline)
-	g.sendRequest(c)
+	g.setDeadline(c, c.attempt.identity.deadline)
+	g.sendRequest(c, req)
 }
 
 // resumeNodeInput reads a paused connection again, and uses what was read before the pause.
@@ -104,8 +106,11 @@
 		attempt.firstByteWritten = true
 		g.checkFirstByteWritten(attempt)
 	}
-	client := attempt.req.client
-	if attempt.req.attempts.uploading == attempt && client != nil && client.paused && len(c.pending()) <= g.bufferAllowance()/2 {
+	req := attempt.req.live()
+	if req == nil || req.attempts.uploading != attempt {
+		return
+	}
+	if client := req.client; client != nil && client.paused && len(c.pending()) <= g.bufferAllowance()/2 {
 		g.restartUploadTimer(client)
 		g.resumeClientInput(client)
 	}
@@ -180,7 +185,9 @@
 	case attempt.responseTimedOut(g.clock.now):
 		g.abortNodeConn(c, g.protocol.brokenResponseOutcome())
 	default: // the deadline of the request has passed; a later response would be of no use
-		attempt.req.attempts.timedOut = true
+		if req := attempt.req.live(); req != nil {
+			req.attempts.timedOut = true
+		}
 		g.abortNodeConn(c, scheduler.TimedOut)
 	}
 }
@@ -195,7 +202,7 @@
 	}
 	if attempt := c.attempt; attempt != nil && !attempt.stalled {
 		attempt.stalled = true
-		g.scheduler.notify(scheduler.AttemptStalled{ID: attempt.req.id, Attempt: attempt.number})
+		g.scheduler.notify(scheduler.AttemptStalled{ID: attempt.identity.id, Attempt: attempt.number})
 	}
 }
 
@@ -204,7 +211,7 @@
 func (g *Gateway) attemptUnstalled(attempt *nodeAttempt) {
 	if attempt != nil && attempt.stalled {
 		attempt.stalled = false
-		g.scheduler.notify(scheduler.AttemptResumed{ID: attempt.req.id, Attempt: attempt.number})
+		g.scheduler.notify(scheduler.AttemptResumed{ID: attempt.identity.id, Attempt: attempt.number})
 	}
 }
 
--- a/internal/gateway/node_response.go
+++ b/internal/gateway/node_response.go
@@ -41,7 +41,7 @@
 	if n == 0 {
 		return data, false
 	}
-	if err := http1.ParseResponse(data[:n], &c.response, attempt.req.method, g.config.HeaderLimits); err != nil {
+	if err := http1.ParseResponse(data[:n], &c.response, attempt.identity.method, g.config.HeaderLimits); err != nil {
 		g.abortNodeConn(c, scheduler.Failed)
 		return nil, false
 	}
@@ -80,15 +80,18 @@
 	if info.Outcome != scheduler.OK {
 		return true
 	}
-	return g.protocol.beginResponse(g, attempt)
+	req := attempt.req.live()
+	if req == nil {
+		return true
+	}
+	return g.protocol.beginResponse(g, req, attempt)
 }
 
 // consumeResponseBody takes a piece of the body of a response, or pauses the node if the
 // client has not taken what came before.
 func (g *Gateway) consumeResponseBody(c *nodeConn, data []byte) (rest []byte, more bool) {
 	attempt := c.attempt
-	client := attempt.req.client
-	if attempt.req.response.source == attempt && client != nil && len(client.pending()) > g.bufferAllowance() {
+	if client := attempt.streamingClient(); client != nil && len(client.pending()) > g.bufferAllowance() {
 		g.pauseReading(c)
 		g.setDeadline(c, never) // the node waits for the client
 		return data, false
@@ -107,13 +110,14 @@
 	if len(data) == 0 {
 		return
 	}
-	if !attempt.responseWanted() {
+	req := attempt.responseConsumer()
+	if req == nil {
 		if attempt.discardedBytes += int64(len(data)); attempt.discardedBytes > maxDiscardedBytes {
 			g.abortNodeConn(attempt.conn, attempt.outcome)
 		}
 		return
 	}
-	if !g.protocol.responseData(g, attempt, data) {
+	if !g.protocol.responseData(g, req, attempt, data) {
 		g.abortNodeConn(attempt.conn, g.protocol.brokenResponseOutcome())
 	}
 }
@@ -122,15 +126,15 @@
 func (g *Gateway) responseProgressed(c *nodeConn) {
 	attempt := c.attempt
 	if attempt.bufferResponse {
-		g.setDeadline(c, min(attempt.req.deadline, g.clock.now+attempt.noProgressTimeout))
+		g.setDeadline(c, min(attempt.identity.deadline, g.clock.now+attempt.noProgressTimeout))
 		return
 	}
-	if attempt.req.response.source != attempt {
+	if attempt.responseConsumer() == nil {
 		return
 	}
 	if !attempt.responseStarted {
 		attempt.responseStarted = true
-		g.scheduler.notify(scheduler.ResponseStarted{ID: attempt.req.id, Attempt: attempt.number})
+		g.scheduler.notify(scheduler.ResponseStarted{ID: attempt.identity.id, Attempt: attempt.number})
 	}
 	if !c.paused {
 		g.setDeadline(c, g.clock.now+g.config.Timeouts.NoProgress)
@@ -141,15 +145,12 @@
 // connection idle if it can be reused.
 func (g *Gateway) responseComplete(c *nodeConn) {
 	attempt := c.attempt
-	req := attempt.req
 	c.attempt = nil
 	c.state = nodeIdle
 	reusable := !c.response.Close && attempt.requestWritten()
-	if req.attempts.uploading == attempt {
-		req.attempts.uploading = nil
-	}
-	if attempt.bufferResponse || req.response.source == attempt {
-		g.protocol.endResponse(g, attempt)
+	if req := attempt.responseConsumer(); req != nil {
+		req.stopUpload(attempt)
+		g.protocol.endResponse(g, req, attempt)
 	} else {
 		g.endAttempt(attempt, attempt.outcome)
 	}
--- a/internal/gateway/observer.go
+++ b/internal/gateway/observer.go
@@ -107,19 +107,19 @@
 	if g.observer == nil {
 		return
 	}
-	req := attempt.req
+	request := &attempt.identity
 	g.span = Span{
-		Request:        g.ids.requestID(req.id),
-		Trace:          req.trace.id,
+		Request:        g.ids.requestID(request.id),
+		Trace:          request.trace.id,
 		ID:             attempt.spanID,
-		Parent:         req.trace.span,
-		Sampled:        req.trace.sampled,
+		Parent:         request.trace.span,
+		Sampled:        request.trace.sampled,
 		Start:          attempt.startedAt,
 		End:            g.clock.now,
-		Method:         req.method,
-		Path:           req.location.Path,
-		Volume:         req.info.Arrival.Volume,
-		Class:          g.class(req).Name,
+		Method:         request.method,
+		Path:           request.path,
+		Volume:         request.volume,
+		Class:          request.class.Name,
 		Status:         attempt.status,
 		Attempt:        attempt.number,
 		Node:           attempt.nodeName,
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -19,15 +19,16 @@
 	prepareArrival(g *Gateway, req *request) *http1.Error
 	// appendRequest appends the request line and the fields of an attempt, without those
 	// that give the length of the body.
-	appendRequest(g *Gateway, b []byte, attempt *nodeAttempt) []byte
+	appendRequest(g *Gateway, b []byte, req *request, attempt *nodeAttempt) []byte
 	// parseResponse reads the header of a node's response.
 	parseResponse(r *http1.Response) ResponseInfo
 
-	// beginResponse, responseData and endResponse pass a response on whose outcome is OK.
-	// Where the first two return false, the attempt ends with brokenResponseOutcome.
-	beginResponse(g *Gateway, attempt *nodeAttempt) bool
-	responseData(g *Gateway, attempt *nodeAttempt, data []byte) bool
-	endResponse(g *Gateway, attempt *nodeAttempt)
+	// beginResponse, responseData and endResponse pass a response on whose outcome is OK, to a
+	// request that has no final response. They are not called once it has one. Where the first
+	// two return false, the attempt ends with brokenResponseOutcome.
+	beginResponse(g *Gateway, req *request, attempt *nodeAttempt) bool
+	responseData(g *Gateway, req *request, attempt *nodeAttempt, data []byte) bool
+	endResponse(g *Gateway, req *request, attempt *nodeAttempt)
 
 	// truncatedRequestOutcome is the outcome of an attempt of which only a part was
 	// written when its connection was lost.
--- a/internal/gateway/races_test.go
+++ b/internal/gateway/races_test.go
@@ -196,7 +196,7 @@
 		h.deferConnects = true
 		h.connectClient(requestWithID("a"))
 		n := h.nodeConn(0)
-		req := h.findNodeConn(n).attempt.req
+		req := h.findNodeConn(n).attempt.req.live()
 		h.findNodeConn(n).attempt.startBefore = h.now + 100*time.Millisecond
 		h.now += 100*time.Millisecond + late
 		h.gateway.Connected(h.now, n)
--- a/internal/gateway/random_histories_test.go
+++ b/internal/gateway/random_histories_test.go
@@ -15,7 +15,12 @@
 	*harness
 	rt      *rapid.T
 	clients []ConnID
-	unsent  map[ConnID]string // the rest of the request that a client has begun
+	unsent  map[ConnID]string // the rest of the request that a client has begun, or of a node's response
+	stopped bool              // the gateway was told to shut down
+}
+
+func newRandomHistory(t *testing.T, rt *rapid.T) *randomHistory {
+	return &randomHistory{harness: newHarness(t, ""), rt: rt, unsent: map[ConnID]string{}}
 }
 
 func (x *randomHistory) pick(conns []ConnID) ConnID {
@@ -24,7 +29,7 @@
 
 // event draws one event and has it handled. step is its number.
 func (x *randomHistory) event(step int) {
-	switch rapid.IntRange(0, 9).Draw(x.rt, "event") {
+	switch rapid.IntRange(0, 12).Draw(x.rt, "event") {
 	case 0, 1, 2:
 		x.clientSendsRequest(step)
 	case 3:
@@ -38,7 +43,26 @@
 	case 9:
 		x.refuseDials = rapid.IntRange(0, 4).Draw(x.rt, "refuse") == 0
 		x.advanceTime(time.Duration(rapid.IntRange(1, 700).Draw(x.rt, "ms")) * time.Millisecond)
+	case 10, 11:
+		x.nodeSendsRest()
+	case 12:
+		x.shutdownAdvances()
+	}
+}
+
+// shutdownAdvances takes the gateway one step further in its shutdown, now and then. Events go
+// on after each step, also after the abort.
+func (x *randomHistory) shutdownAdvances() {
+	switch step := rapid.IntRange(0, 7).Draw(x.rt, "shutdown"); {
+	case step == 0:
+		x.gateway.Drain(x.now)
+	case step == 1:
+		x.gateway.Shutdown(x.now)
+		x.stopped = true
+	case step >= 2 && x.stopped:
+		x.gateway.AbortRemaining(x.now)
 	}
+	x.runActions()
 }
 
 // clientSendsRequest sends a request or its beginning, on a connection that has none begun
@@ -109,8 +133,31 @@
 		"HTTP/1.1 200 OK\r\n\r\nuntil the end",
 		"nonsense\r\n\r\n",
 		"HTTP/1.1 207 Multi-Status\r\nContent-Length: 52\r\n\r\n<D:multistatus xmlns:D=\"DAV:\"></D:multistatus>      ",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n5\r\nworld\r\n0\r\n\r\n",
+		"HTTP/1.1 207 Multi-Status\r\nTransfer-Encoding: chunked\r\n\r\n2e\r\n<D:multistatus xmlns:D=\"DAV:\"></D:multistatus>\r\n0\r\n\r\n",
 	}).Draw(x.rt, "response")
-	x.deliver(n, text[:rapid.SampledFrom([]int{len(text), len(text) / 2}).Draw(x.rt, "bytes")])
+	sent := rapid.SampledFrom([]int{len(text), len(text) / 2, strings.Index(text, "\r\n\r\n") + 8}).Draw(x.rt, "bytes")
+	sent = min(sent, len(text))
+	x.unsent[n] = text[sent:]
+	x.deliver(n, text[:sent])
+}
+
+// nodeSendsRest has a node go on with a response that it has begun, up to its end or not.
+func (x *randomHistory) nodeSendsRest() {
+	var streaming []ConnID
+	for _, n := range x.dialed {
+		if x.unsent[n] != "" && x.findNodeConn(n) != nil {
+			streaming = append(streaming, n)
+		}
+	}
+	if len(streaming) == 0 {
+		return
+	}
+	n := x.pick(streaming)
+	text := x.unsent[n]
+	sent := rapid.SampledFrom([]int{len(text), 1}).Draw(x.rt, "bytes")
+	x.unsent[n] = text[sent:]
+	x.deliver(n, text[:sent])
 }
 
 func (x *randomHistory) nodeClosesConn() {
@@ -178,7 +225,7 @@
 // is left, no object serves two at once, and the gateway comes to rest.
 func TestRandomHistories(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		x := &randomHistory{harness: newHarness(t, ""), rt: rt, unsent: map[ConnID]string{}}
+		x := newRandomHistory(t, rt)
 		for step := range rapid.IntRange(5, 60).Draw(rt, "steps") {
 			x.event(step)
 			x.checkRequests()
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"time"
-
 	"maddergap/internal/config"
 	"maddergap/internal/http1"
 	"maddergap/internal/route"
@@ -96,15 +94,14 @@
 	sampled bool
 }
 
-// inUse reports whether a client, an attempt or the scheduler still refers to the request.
+// inUse reports whether a client, an attempt or the scheduler still refers to the request, or
+// its end is still to be reported.
 func (r *request) inUse() bool {
-	responseDue := !r.response.final && (r.id != 0 || r.listing != nil)
-	return r.client != nil || r.attempts.inFlight > 0 || responseDue
-}
-
-// timeRemaining returns for how long the gateway waits for an attempt that is sent now.
-func (r *request) timeRemaining(now Time) time.Duration {
-	return max(r.deadline-now, time.Millisecond)
+	endDue := !r.response.reported
+	if r.id == 0 { // a listing, or one that the gateway answers at once
+		endDue = r.listing != nil && !r.response.final
+	}
+	return r.client != nil || r.attempts.inFlight > 0 || endDue
 }
 
 // recycle takes back a request if it is no longer in use. It may be called more than once.
--- a/internal/gateway/request_lifecycle.go
+++ b/internal/gateway/request_lifecycle.go
@@ -118,9 +118,9 @@
 // or buffers it until there is one. Forwarded bytes are not kept, so that there can be no
 // retry.
 func (g *Gateway) bufferOrForwardBody(req *request, data []byte) {
-	if uploading := req.attempts.uploading; uploading != nil {
+	if req.attempts.uploading != nil {
 		req.body.consumed = true
-		g.forwardBody(uploading, data)
+		g.forwardBody(req, data)
 		return
 	}
 	req.body.data = append(req.body.data, data...)
@@ -178,10 +178,6 @@
 //
 // The scheduler, the observer and the counts do not distinguish these: all of them are
 // notified that the client has disconnected.
-//
-// An attempt that a node may be executing is left to its outcome, as it occupies the node's
-// capacity until then. It is ended if the node cannot execute it, because the body is
-// incomplete, or if its response was being streamed to the client.
 func (g *Gateway) cancelRequest(req *request) {
 	if req.id == 0 {
 		if req.listing != nil {
@@ -193,15 +189,8 @@
 	req.cancelledAt = g.clock.now
 	g.counts.Disconnected++
 	g.scheduler.notify(scheduler.ClientDisconnected{ID: req.id})
+	g.cancelAttempts(req)
 	g.reportRequestEnd(req, ClientDisconnected)
-	switch attempts := &req.attempts; {
-	case attempts.uploading != nil && !req.body.complete:
-		g.abortAttempt(attempts.uploading)
-	case req.response.source != nil:
-		g.abortAttempt(req.response.source)
-	case attempts.latest != nil:
-		g.cancelAttempt(attempts.latest)
-	}
 }
 
 // rejectMalformedBody ends a request whose body is malformed, so that none of it is
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -25,7 +25,7 @@
 		idle.attempt = attempt
 		attempt.conn = idle
 		g.setDeadline(idle, req.deadline)
-		g.sendRequest(idle)
+		g.sendRequest(idle, req)
 	case n.conns >= g.config.Limits.ConnsPerNode || !g.makeRoomForNodeConn():
 		g.endAttempt(attempt, scheduler.ConnectFailed)
 	default:
@@ -35,29 +35,28 @@
 
 // sendRequest sends the attempt of an established connection: the header, and as much of
 // the body as is buffered. The rest of the body is forwarded as it comes.
-func (g *Gateway) sendRequest(c *nodeConn) {
-	g.encodeRequest(c)
-	attempt, req := c.attempt, c.attempt.req
+func (g *Gateway) sendRequest(c *nodeConn, req *request) {
+	g.encodeRequest(c, req)
+	c.state = nodeAwaitingResponse
+	c.interimResponses = 0
 	if !req.body.complete {
-		req.attempts.uploading = attempt
+		req.attempts.uploading = c.attempt
 		if client := req.client; client != nil {
 			g.sendContinue(client, req)
 			g.restartUploadTimer(client)
 			g.resumeClientInput(client)
 		}
 	}
-	c.state = nodeAwaitingResponse
-	c.interimResponses = 0
 	g.flush(c)
 }
 
 // encodeRequest encodes the header of a connection's attempt, and as much of the body as
 // is buffered, in place of what was encoded before.
-func (g *Gateway) encodeRequest(c *nodeConn) {
-	attempt, req := c.attempt, c.attempt.req
+func (g *Gateway) encodeRequest(c *nodeConn, req *request) {
+	attempt := c.attempt
 	c.out = c.out[:0]
 	c.written = 0
-	b := g.protocol.appendRequest(g, g.buffers.orNew(c.out), attempt)
+	b := g.protocol.appendRequest(g, g.buffers.orNew(c.out), req, attempt)
 	c.out = append(appendRequestFraming(b, req), "\r\n"...)
 	attempt.fullyQueued = req.body.complete
 	attempt.chunked = !req.body.complete && req.header.ContentLength < 0
@@ -92,8 +91,9 @@
 }
 
 // forwardBody sends a piece of a request body on as it comes.
-func (g *Gateway) forwardBody(attempt *nodeAttempt, data []byte) {
-	c, req := attempt.conn, attempt.req
+func (g *Gateway) forwardBody(req *request, data []byte) {
+	attempt := req.attempts.uploading
+	c := attempt.conn
 	c.out = g.buffers.orNew(c.out)
 	if len(data) > 0 {
 		appendBody(c, data)
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -54,9 +54,6 @@
 			continue
 		}
 		g.scheduler.notify(scheduler.ClientDisconnected{ID: req.id})
-		if req.attempts.latest != nil {
-			g.cancelAttempt(req.attempts.latest)
-		}
 		if req.attempts.count == 0 {
 			g.reject(req, 0)
 		} else {
--- a/internal/gateway/webdav_protocol.go
+++ b/internal/gateway/webdav_protocol.go
@@ -109,8 +109,8 @@
 	return nil
 }
 
-func (webdavProtocol) appendRequest(g *Gateway, b []byte, attempt *nodeAttempt) []byte {
-	req, header := attempt.req, &attempt.req.header
+func (webdavProtocol) appendRequest(g *Gateway, b []byte, req *request, attempt *nodeAttempt) []byte {
+	header := &req.header
 	b = append(append(b, req.method...), ' ')
 	b = append(append(b, originForm(header.Target)...), " HTTP/1.1\r\n"...)
 	b = http1.AppendEndToEndFields(b, &header.Message, "expect", "traceparent", "x-request-id", "maddergap-attempt")
@@ -142,9 +142,8 @@
 
 // beginResponse sends the header of the first usable response on to the client. A further
 // one is read and dropped.
-func (webdavProtocol) beginResponse(g *Gateway, attempt *nodeAttempt) bool {
-	req := attempt.req
-	if req.response.final || req.response.source != nil {
+func (webdavProtocol) beginResponse(g *Gateway, req *request, attempt *nodeAttempt) bool {
+	if req.response.source != nil {
 		return true
 	}
 	req.response.source = attempt
@@ -153,10 +152,9 @@
 		req.attempts.uploading = nil
 		attempt.fullyQueued = false
 	}
-	if req.listing != nil || req.client == nil {
-		return true
+	if req.listing == nil {
+		g.writeResponseHeader(req.client, req, &attempt.conn.response)
 	}
-	g.writeResponseHeader(req.client, req, &attempt.conn.response)
 	return true
 }
 
@@ -183,8 +181,7 @@
 	g.flushClient(c)
 }
 
-func (webdavProtocol) responseData(g *Gateway, attempt *nodeAttempt, data []byte) bool {
-	req := attempt.req
+func (webdavProtocol) responseData(g *Gateway, req *request, attempt *nodeAttempt, data []byte) bool {
 	if req.listing != nil {
 		if !g.receivePartData(req, data) {
 			g.abortNodeConn(attempt.conn, scheduler.Cancelled)
@@ -202,8 +199,7 @@
 	return true
 }
 
-func (webdavProtocol) endResponse(g *Gateway, attempt *nodeAttempt) {
-	req := attempt.req
+func (webdavProtocol) endResponse(g *Gateway, req *request, attempt *nodeAttempt) {
 	req.response.final = true
 	g.counts.Served++
 	if req.listing != nil {
