discoverytest: a watch whose caller has gone is neither answered nor counted

Callers saw nothing.

Cause: the fake agent held a watch to the end of its hold though the gateway had closed the connection at the change of address, and counted it then. Load only made the test read the count within the hold.

Evidence: times of calls at the agent beside the gateway's log. In the failures looked at the last call was received before "discovery address changed" (31.546, 31.553) and counted after the test's reading (31.668, 31.561); none was received after the change. The product does not call.

The product and the failing test are unchanged. TestWatchOfClosedConnectionDoesNotCount fails on the text before ("1 calls were responded to").

--- a/internal/discoverytest/agent_test.go
+++ b/internal/discoverytest/agent_test.go
@@ -1,6 +1,8 @@
 package discoverytest
 
 import (
+	"fmt"
+	"net"
 	"testing"
 	"time"
 
@@ -138,3 +140,27 @@
 		t.Errorf("%+v: want a second drain from the recovery on", a.notices.drains)
 	}
 }
+
+// Guards against a watch that counts as a call long after its caller has closed the connection: a
+// gateway that has moved to another agent would seem to go on calling this one.
+func TestWatchOfClosedConnectionDoesNotCount(t *testing.T) {
+	r := NewRegistry()
+	setStatus(r, "up")
+	a := r.NewAgent(0)
+	addr, err := a.Listen()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer a.Close()
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	fmt.Fprintf(conn, "GET /?from=%d&hold_ms=60 HTTP/1.1\r\nHost: h\r\n\r\n", *a.FullList().Index)
+	time.Sleep(20 * time.Millisecond)
+	conn.Close()
+	time.Sleep(100 * time.Millisecond)
+	if calls := a.Usage().Calls; calls != 0 {
+		t.Errorf("%d calls were responded to, though the caller had closed its connection", calls)
+	}
+}
--- a/internal/discoverytest/server.go
+++ b/internal/discoverytest/server.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -74,8 +76,14 @@
 		if err != nil {
 			return
 		}
-		if !hung {
-			hung = !a.handle(conn, request, epoch)
+		if hung {
+			continue
+		}
+		switch a.handle(conn, in, request, epoch) {
+		case callHung:
+			hung = true
+		case callerGone:
+			return
 		}
 	}
 }
@@ -107,19 +115,42 @@
 	return call{isWatch: err == nil, from: from, hold: hold}
 }
 
-// handle responds to a request, a watch once there is a change or its hold is over. It reports
-// whether it did: it does not on a connection of a past epoch.
-func (a *Agent) handle(conn net.Conn, r *http.Request, epoch int) bool {
+// callResult is what became of a call.
+type callResult uint8
+
+const (
+	callResponded callResult = iota
+	callHung                 // its connection is of a past epoch
+	callerGone               // the caller closed its connection within the hold
+)
+
+// handle responds to a request, a watch once there is a change or its hold is over.
+func (a *Agent) handle(conn net.Conn, in *bufio.Reader, r *http.Request, epoch int) callResult {
 	call := parseCall(r)
-	for deadline := time.Now().Add(call.hold); ; time.Sleep(watchPollInterval) {
+	for deadline := time.Now().Add(call.hold); ; {
 		serves, index := a.state(epoch)
 		if !serves {
-			return false
+			return callHung
 		}
 		if !call.isWatch || index != call.from || time.Now().After(deadline) {
 			return a.respond(conn, call)
 		}
+		if !waitForCaller(conn, in, watchPollInterval) {
+			return callerGone
+		}
+	}
+}
+
+// waitForCaller waits for a time, or until the caller has closed its connection, and reports
+// that it has not. A watch that outlives its caller would count as one that was made later.
+func waitForCaller(conn net.Conn, in *bufio.Reader, wait time.Duration) (connected bool) {
+	conn.SetReadDeadline(time.Now().Add(wait))
+	_, err := in.Peek(1)
+	if err == nil { // its next request
+		time.Sleep(wait)
+		return true
 	}
+	return errors.Is(err, os.ErrDeadlineExceeded)
 }
 
 // state reports whether connections of an epoch are served, and the version of the list.
@@ -130,12 +161,12 @@
 }
 
 // respond writes the list that a call asks for, after the delay that is set.
-func (a *Agent) respond(conn net.Conn, call call) bool {
+func (a *Agent) respond(conn net.Conn, call call) callResult {
 	list, delay := a.response(call)
 	time.Sleep(delay)
 	body, err := json.Marshal(list)
 	if err != nil {
-		return false
+		return callHung
 	}
 	n, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
 	a.mu.Lock()
@@ -143,7 +174,10 @@
 	a.usage.Calls++
 	a.usage.ResponseBytes += int64(n)
 	a.faults.responded(time.Now())
-	return err == nil
+	if err != nil {
+		return callerGone
+	}
+	return callResponded
 }
 
 func (a *Agent) response(call call) (list discovery.EndpointList, delay time.Duration) {
