gateway: a response that breaks before it is written leaves its client a status

Cause: as soon as a node's header was queued for the client, a break of the response ended in an abort, also where nothing had been written. Header and break come in one read or one iteration.

Change: the position at which a response begins in the client's output is kept. An attempt that ends within a response of which nothing was written withdraws it, so that the request may be tried again or gets 502 or 503. Attempts are cancelled before the gateway decides its own response, so that this holds for the abort at shutdown, a late body and a malformed one too. With a byte written the connection is reset, as before.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -118,6 +118,7 @@
 	if req := attempt.req.live(); req != nil {
 		g.notePossibleExecution(req, attempt, outcome)
 		req.stopUpload(attempt)
+		g.withdrawResponse(req, attempt)
 		event.Responded = false
 		event.BodyConsumed = req.body.consumed
 	}
@@ -140,8 +141,8 @@
 	}
 }
 
-// cancelAttempts ends the attempts of a request that has its final response, or whose client
-// has left. One that a node may be executing is left to its outcome, as it occupies the node's
+// cancelAttempts ends the attempts of a request that is about to end without a node's response.
+// One that a node may be executing is left to its outcome, as it occupies the node's
 // capacity until then. One is ended if the node cannot execute it, because the body is
 // incomplete, or if its response was being passed on.
 func (g *Gateway) cancelAttempts(req *request) {
--- a/internal/gateway/client_conn.go
+++ b/internal/gateway/client_conn.go
@@ -71,6 +71,7 @@
 
 	upload         transferProgress // of the request body
 	download       transferProgress // of the response
+	outputWritten  int64            // bytes written since the connection was accepted
 	accountedBytes int              // its part of bufferPool.clientBytes
 }
 
@@ -94,6 +95,7 @@
 // handleWritten resumes the node if it was paused for the client, and detects that a
 // response was written completely.
 func (c *clientConn) handleWritten(g *Gateway, n int) {
+	c.outputWritten += int64(n)
 	c.download.bytes += int64(n)
 	g.accountClientBytes(c)
 	allWritten := len(c.pending()) == 0
--- a/internal/gateway/local_response.go
+++ b/internal/gateway/local_response.go
@@ -20,6 +20,7 @@
 	if req == nil || req.response.final {
 		return
 	}
+	g.cancelAttempts(req)
 	req.response.decide(503, reasonRejected)
 	g.counts.Rejected++
 	g.finishRequest(req, Rejected, retryAfter)
@@ -30,6 +31,7 @@
 	if req == nil || req.response.final {
 		return
 	}
+	g.cancelAttempts(req)
 	if req.attempts.timedOut {
 		req.response.decide(504, reasonTimedOut)
 	} else {
@@ -41,7 +43,6 @@
 
 // finishRequest reports the end of a request without a node's response, and responds.
 func (g *Gateway) finishRequest(req *request, outcome Outcome, retryAfter time.Duration) {
-	g.cancelAttempts(req)
 	g.reportRequestEnd(req, outcome)
 	switch {
 	case req.listing != nil:
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -74,8 +74,11 @@
 	reported bool         // the request's end was reported
 	source   *nodeAttempt // whose response it is; nil: the gateway's own, or none yet
 	chunked  bool         // it is sent in chunks
-	status   int
-	reason   string // why the gateway itself responded; empty: it did not
+	// outputStart is the position in the client's output at which source's response begins; see
+	// outputEnd.
+	outputStart int64
+	status      int
+	reason      string // why the gateway itself responded; empty: it did not
 }
 
 // decide makes a response of the gateway's own the final one. The client gets it unless the
--- a/internal/gateway/request_lifecycle.go
+++ b/internal/gateway/request_lifecycle.go
@@ -185,11 +185,11 @@
 		}
 		return
 	}
+	g.scheduler.notify(scheduler.ClientDisconnected{ID: req.id})
+	g.cancelAttempts(req)
 	req.response.final = true
 	req.cancelledAt = g.clock.now
 	g.counts.Disconnected++
-	g.scheduler.notify(scheduler.ClientDisconnected{ID: req.id})
-	g.cancelAttempts(req)
 	g.reportRequestEnd(req, ClientDisconnected)
 }
 
--- a/internal/gateway/webdav_protocol.go
+++ b/internal/gateway/webdav_protocol.go
@@ -160,6 +160,7 @@
 
 // writeResponseHeader sends the header of a node's response to a client.
 func (g *Gateway) writeResponseHeader(c *clientConn, req *request, r *http1.Response) {
+	req.response.outputStart = c.outputEnd()
 	b := http1.AppendStatus(g.buffers.orNew(c.out), r.Status)
 	b = http1.AppendEndToEndFields(b, &r.Message, "x-request-id")
 	b = g.appendRequestIDField(b, req)
