gateway: a client that cuts its body off gets 400; close is no violation for one that reads nothing

The gateway ends both itself, and the check asked only whether a response was due. The timer of a connection also did not know what it was set for: that of a body could end a client as one that does not read, and the end of a body could stop the timer of an unread response.

Change: a body that ends early is answered like any other malformed one. The checker is told what was queued for the client and by when it had to read more (invariant.UnansweredClose), and allows just a close past that time. readBy keeps this deadline apart from the timer. Every other close while a response is due is a violation as before.

--- a/cmd/maddergap/helpers_test.go
+++ b/cmd/maddergap/helpers_test.go
@@ -56,10 +56,17 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { cmd.Process.Kill(); cmd.Wait() })
+	waitListening(t, addr)
+	return cmd
+}
+
+// waitListening waits until an instance listens on addr.
+func waitListening(t *testing.T, addr string) {
+	t.Helper()
 	for deadline := time.Now().Add(10 * time.Second); ; time.Sleep(10 * time.Millisecond) {
 		if c, err := net.Dial("tcp", addr); err == nil {
 			c.Close()
-			return cmd
+			return
 		}
 		if time.Now().After(deadline) {
 			t.Fatal("the instance does not listen")
--- a/internal/gateway/client_conn.go
+++ b/internal/gateway/client_conn.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"maddergap/internal/invariant"
 )
 
 const (
@@ -71,6 +73,7 @@
 
 	upload         transferProgress // of the request body
 	download       transferProgress // of the response
+	readBy         Time             // when the client has to have read more of what is pending, if anything is
 	outputWritten  int64            // bytes written since the connection was accepted
 	accountedBytes int              // its part of bufferPool.clientBytes
 }
@@ -103,7 +106,8 @@
 		c.download = transferProgress{}
 		g.reportAdmittedRequestEnd(c)
 	} else {
-		g.setDeadline(c, g.downloadDeadline(c))
+		c.readBy = g.downloadDeadline(c)
+		g.setDeadline(c, c.readBy)
 	}
 	if req := c.req; req != nil {
 		if req.response.source != nil && len(c.pending()) <= g.bufferAllowance()/2 {
@@ -125,8 +129,10 @@
 	switch {
 	case c.phase >= clientDiscarding, c.req == nil && len(c.pending()) == 0 && !c.inReadyClients:
 		g.closeConn(c, Close)
-	case c.req != nil && (!c.req.body.complete || c.peer == peerDisconnected):
-		g.dropClient(c, Close) // the rest of the body cannot come any more, or nobody reads the response
+	case c.req != nil && c.peer == peerDisconnected:
+		g.dropClient(c, Close) // nobody reads the response
+	case c.req != nil && !c.req.body.complete:
+		g.rejectMalformedBody(c, c.req, errBodyCutOff)
 	default: // a half-close: the response is still due
 	}
 }
@@ -140,10 +146,12 @@
 func (c *clientConn) handleTimer(g *Gateway) {
 	req := c.req
 	switch {
-	case c.phase >= clientDiscarding, len(c.pending()) > 0: // the client does not read its response
+	case c.phase >= clientDiscarding, len(c.pending()) > 0 && g.clock.now >= c.readBy: // the client does not read its response
 		g.dropClient(c, Abort)
 	case req != nil && !req.body.complete && !req.response.final:
 		g.uploadTimedOut(c, req)
+	case len(c.pending()) > 0: // the timer was that of the body
+		g.setDeadline(c, c.readBy)
 	case req != nil: // the scheduler's deadline for the request applies
 	case c.headerStartedAt > 0:
 		g.counts.Malformed++
@@ -153,13 +161,14 @@
 	}
 }
 
-// handleRemoved counts a close while a response is due as a violation of
-// ResponseBeforeClose. The count includes closes for which the client is to blame: it
-// closed its sending side within the body of a submitted request (handleEOF), or stopped
-// reading a response that streams (handleTimer).
+// handleRemoved has a close while a response is due checked against ResponseBeforeClose.
 func (c *clientConn) handleRemoved(g *Gateway) {
 	if c.responseDue() {
-		g.invariants.RecordUnansweredClose(g.clock.now, c.req.id)
+		g.invariants.CheckUnansweredClose(g.clock.now, &invariant.UnansweredClose{
+			Request:   c.req.id,
+			Unwritten: len(c.pending()),
+			ReadBy:    c.readBy,
+		})
 	}
 	g.buffers.clientBytes -= int64(c.accountedBytes)
 	c.accountedBytes = 0
@@ -238,7 +247,8 @@
 	g.recycle(req)
 	g.flushClient(c)
 	if len(c.pending()) > 0 {
-		g.setDeadline(c, g.downloadDeadline(c))
+		c.readBy = g.downloadDeadline(c)
+		g.setDeadline(c, c.readBy)
 	} else {
 		g.reportAdmittedRequestEnd(c)
 	}
--- a/internal/gateway/client_flow.go
+++ b/internal/gateway/client_flow.go
@@ -29,6 +29,16 @@
 	return c.download.deadline(g.clock.now, g.config.Timeouts.NoProgress, g.config.MinRates.Grace, g.config.MinRates.Response)
 }
 
+// stopUploadTimer ends the wait for the body of a client. What is pending for it still has to be
+// read in time.
+func (g *Gateway) stopUploadTimer(c *clientConn) {
+	if len(c.pending()) > 0 && c.download.since > 0 {
+		g.setDeadline(c, c.readBy)
+	} else {
+		g.setDeadline(c, never)
+	}
+}
+
 // bufferAllowance returns how many bytes of a response or a body a connection may hold
 // now. A transfer is paused above it and resumed below half of it.
 func (g *Gateway) bufferAllowance() int {
@@ -57,9 +67,10 @@
 	if !c.flushPending && len(c.pending()) > 0 {
 		if c.download.since == 0 {
 			c.download = transferProgress{since: g.clock.now}
+			c.readBy = g.downloadDeadline(c)
 		}
 		if c.timer.deadline == never {
-			g.setDeadline(c, g.downloadDeadline(c))
+			g.setDeadline(c, c.readBy)
 		}
 	}
 	g.flush(c)
--- a/internal/gateway/client_input.go
+++ b/internal/gateway/client_input.go
@@ -78,7 +78,7 @@
 	req := c.req
 	if g.uploadBlocked(req) {
 		g.pauseReading(c)
-		g.setDeadline(c, never) // the client waits for the gateway
+		g.stopUploadTimer(c) // the client waits for the gateway
 		return data, false
 	}
 	c.upload.bytes += int64(len(data))
--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -157,10 +157,10 @@
 		return
 	}
 	base.closed = true
+	c.handleRemoved(g)
 	g.conns.remove(base.id, closedByDriver)
 	g.timers.remove(&base.timer)
 	g.buffers.put(base.unread)
 	g.buffers.put(base.out)
 	base.unread, base.out, base.written = nil, nil, 0
-	c.handleRemoved(g)
 }
--- a/internal/gateway/request_lifecycle.go
+++ b/internal/gateway/request_lifecycle.go
@@ -110,7 +110,7 @@
 	req.body.complete = req.body.decoder.Done()
 	req.body.continueHandled = true // a client that sends its body does not wait for 100
 	if req.body.complete {
-		g.setDeadline(c, never)
+		g.stopUploadTimer(c)
 	}
 }
 
@@ -193,6 +193,9 @@
 	g.reportRequestEnd(req, ClientDisconnected)
 }
 
+// errBodyCutOff is the error of a body whose client has closed its sending side within it.
+var errBodyCutOff = &http1.Error{Status: 400, Reason: "the body ended early"}
+
 // rejectMalformedBody ends a request whose body is malformed, so that none of it is
 // executed.
 func (g *Gateway) rejectMalformedBody(c *clientConn, req *request, err error) {
--- a/internal/gateway/unsent_response_test.go
+++ b/internal/gateway/unsent_response_test.go
@@ -55,3 +55,56 @@
 		t.Errorf("closed by %v", h.closedBy[c])
 	}
 }
+
+// Guards against violations of `close` by what clients do: an invariant that is reported each time
+// is believed by nobody. One that ends its body early gets a status; one that does not read its
+// response is cut off.
+func TestClientsFaultIsNoViolation(t *testing.T) {
+	begun := putRequest("/feed-a/s/x", strings.Repeat("x", 40<<10))[:20<<10]
+	for _, test := range []struct {
+		name, request string
+		act           func(h *harness, c ConnID)
+		want          string
+	}{
+		{"body ends early, before the response", begun, func(h *harness, c ConnID) { h.gateway.EOF(h.now, c) }, "HTTP/1.1 400 "},
+		{"body ends early, in the response", begun, func(h *harness, c ConnID) {
+			h.deliver(h.nodeConn(0), sizedHeader+"hello")
+			h.gateway.EOF(h.now, c)
+		}, "HTTP/1.1 200 "},
+		{"body stops", begun, func(h *harness, c ConnID) { h.advanceTime(4 * time.Second) }, "HTTP/1.1 504 "},
+		{"response is not read", getRequest("/feed-a/s/x"), func(h *harness, c ConnID) {
+			h.blocked[c] = true
+			h.deliver(h.nodeConn(0), sizedHeader+"hello")
+			h.advanceTime(4 * time.Second)
+		}, ""},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHarness(t, "")
+			c := h.connectClient(test.request)
+			test.act(h, c)
+			h.runActions()
+			h.wantContains("what the client got", h.takeWritten(c), test.want)
+			h.advanceTime(10 * time.Second)
+			if _, closed := h.closedBy[c]; !closed {
+				t.Error("the connection stays open")
+			}
+			if len(h.violations) > 0 {
+				t.Errorf("violated: %v", h.violations)
+			}
+		})
+	}
+}
+
+// A close while the response is due stays a violation, also for a client that still has time to
+// read what it was sent.
+func TestCloseWithinReadTimeIsViolation(t *testing.T) {
+	h := newHarness(t, "")
+	c := h.connectClient(getRequest("/feed-a/s/x"))
+	h.blocked[c] = true
+	h.deliver(h.nodeConn(0), sizedHeader+"hello")
+	h.advanceTime(time.Second)
+	h.gateway.closeConn(h.gateway.conns.find(c), Close)
+	if len(h.violations) != 1 {
+		t.Errorf("violated: %v", h.violations)
+	}
+}
--- a/internal/invariant/rules.go
+++ b/internal/invariant/rules.go
@@ -55,8 +55,7 @@
 	SingleResponse
 	// ResponseBeforeClose requires that the gateway closes no connection while a request on it is
 	// owed a response. Guards against requests lost in a shutdown or by an idle timeout, which
-	// show as resets at clients. Nothing is allowed: closes for a client's own fault, such as one
-	// that stops reading its response, are counted as well.
+	// show as resets at clients. Allowed is what UnansweredClose.Allowed says of the client.
 	ResponseBeforeClose
 	// RuleCount is the number of rules, None among them.
 	RuleCount
@@ -119,6 +118,18 @@
 	return now+timeout > deadline+maxEncodingAge
 }
 
+// UnansweredClose is the close of a connection while a request on it is owed its response.
+type UnansweredClose struct {
+	Request   uint64 // the gateway's number of it
+	Unwritten int    // bytes that are queued for the client
+	ReadBy    Time   // when the client had to have read more of them, if there are any
+}
+
+// Allowed reports whether the client leaves no way to respond: it does not read what it was sent
+// before, and has had its time for that. A client that has left is owed nothing, and one that cuts its
+// body off gets a status.
+func (u *UnansweredClose) Allowed(now Time) bool { return u.Unwritten > 0 && now >= u.ReadBy }
+
 // Attempt is the state of an attempt, and of what it depends on, when its first byte is written.
 type Attempt struct {
 	Request         uint64 // the gateway's number of the request
