gateway: its own limits of connections to nodes no longer open a node's breaker

What callers saw: at node-connections, or at the limit over all nodes, requests were rejected though the node was well, as its circuit breaker had opened.

Cause: an attempt for which these limits allow no connection ended as ConnectFailed, which counts against the node; three in a row open its breaker. Found by reading.

Change: it ends as NotSent, an attempt that did not run for a reason other than the node.

Failed before: TestConnectionLimitIsNotTheNodesFault, at either limit (six attempts of two requests counted as failed connections beside a response under way). All five requests of it are served now.

--- a/internal/gateway/node_failure_test.go
+++ b/internal/gateway/node_failure_test.go
@@ -5,6 +5,9 @@
 	"strings"
 	"testing"
 	"time"
+
+	"maddergap/internal/config"
+	"maddergap/scheduler"
 )
 
 // A node takes a write and never responds. The client gets 504 in time, which does not
@@ -195,3 +198,41 @@
 		t.Errorf("%v, want 40 refused", f)
 	}
 }
+
+// Guards against a healthy node that is ejected by this instance's own limits of connections:
+// three attempts for which there was no connection in a row opened its circuit breaker. They are
+// not sent, and served as soon as there is a connection.
+func TestConnectionLimitIsNotTheNodesFault(t *testing.T) {
+	for name, lower := range map[string]func(l *config.Limits){
+		"per node": func(l *config.Limits) { l.ConnsPerNode = 1 },
+		"over all": func(l *config.Limits) { l.NodeConns = 1 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, "")
+			lower(&h.gateway.config.Limits)
+			h.connectClient(getRequest("/feed-a/s/0"))
+			for i := range 4 {
+				h.connectClient(getRequest(fmt.Sprint("/feed-a/s/", i+1)))
+				h.advanceTime(20 * time.Millisecond)
+			}
+			for range 10 {
+				h.takeWritten(h.nodeConn(0))
+				h.deliver(h.nodeConn(0), okResponse("x"))
+				h.advanceTime(10 * time.Millisecond)
+			}
+			notSent := 0
+			for _, span := range h.spans {
+				if span.Node != "" && span.AttemptOutcome == scheduler.ConnectFailed {
+					t.Errorf("attempt %d of %s counts as a failed connection", span.Attempt, span.Request)
+				}
+				if span.Node != "" && span.AttemptOutcome == scheduler.NotSent {
+					notSent++
+				}
+			}
+			if notSent < 3 {
+				t.Errorf("%d attempts met the limit, want 3 or more", notSent)
+			}
+			h.wantOutcomes(map[Outcome]int{Served: 5})
+		})
+	}
+}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -26,8 +26,8 @@
 		attempt.conn = idle
 		g.setDeadline(idle, req.deadline)
 		g.sendRequest(idle, req)
-	case n.conns >= g.config.Limits.ConnsPerNode || !g.makeRoomForNodeConn():
-		g.endAttempt(attempt, scheduler.ConnectFailed)
+	case n.conns >= g.config.Limits.ConnsPerNode || !g.makeRoomForNodeConn(): // a limit of this instance, not a fault of the node
+		g.endAttempt(attempt, scheduler.NotSent)
 	default:
 		g.dialNode(n, attempt)
 	}
