daemon: a platform's reload that is rejected leaves discovery where it was

What operators saw: "reload rejected" in the log, and yet the instance followed discovery at the new address.

Cause: the new address was applied before the rest was compared. Found by reading.

Change: listen, the scheduler's settings and the limits are compared first.

Failed before: TestPlatformReloadIsAllOrNothing (a read after the rejected reload was answered by the node of the new address). It and TestPlatformReloadChangesDiscoveryAddress pass.

--- a/internal/daemon/platform_role.go
+++ b/internal/daemon/platform_role.go
@@ -43,21 +43,21 @@
 // openListeners has no filter: on a platform, no client is known before it connects.
 func (r *platformRole) openListeners(d *Daemon) error { return d.listen(nil) }
 
-// reload applies a new address of discovery, also where it returns an error: everything else needs
-// a restart.
+// reload applies a new address of discovery; everything else needs a restart. A configuration in
+// which listen, the scheduler's settings or the limits differ is rejected as a whole.
 func (r *platformRole) reload(d *Daemon) error {
 	c, err := r.load()
 	if err != nil {
 		return err
 	}
+	if !slices.Equal(c.Gateway.Listen, d.config.Listen) || !reflect.DeepEqual(c.Gateway.Scheduler, d.config.Scheduler) || c.Bounds != r.config.Bounds {
+		return errors.New("listen, settings and limits change with a restart only")
+	}
 	if c.DiscoveryAddr != r.config.DiscoveryAddr {
 		d.log.Info("discovery address changed", "from", r.config.DiscoveryAddr, "to", c.DiscoveryAddr)
 		r.source.client.SetAddress(d.loop.Now(), c.DiscoveryAddr)
 		r.config.DiscoveryAddr = c.DiscoveryAddr
 	}
-	if !slices.Equal(c.Gateway.Listen, d.config.Listen) || !reflect.DeepEqual(c.Gateway.Scheduler, d.config.Scheduler) || c.Bounds != r.config.Bounds {
-		return errors.New("discovery is followed where the file says; listen, settings and limits change with a restart only")
-	}
 	return nil
 }
 
--- a/internal/e2e/platform_discovery_test.go
+++ b/internal/e2e/platform_discovery_test.go
@@ -43,6 +43,26 @@
 	}
 }
 
+// Guards against a reload that is rejected and yet applied in part: with a change of the
+// scheduler's settings, discovery stays where it was.
+func TestPlatformReloadIsAllOrNothing(t *testing.T) {
+	one, two := startNodeResponding(t, "one"), startNodeResponding(t, "two")
+	before, after := startDiscovery(t, one), startDiscovery(t, two)
+	instance := startPlatformReady(t, before, platformOptions{})
+	read := func() string {
+		_, body := instance.roundTrip(instance.newRead(0, "1200m").text)
+		return body
+	}
+	instance.configChange = strings.NewReplacer(`"fleetSize":1`, `"fleetSize":2`)
+	instance.writeConfig(after.addr)
+	instance.daemon.Reload()
+	within(t, time.Second, func() bool { return strings.Contains(instance.log.String(), "reload rejected") })
+	time.Sleep(200 * time.Millisecond)
+	if got := read(); got != "one" || strings.Contains(instance.log.String(), "discovery address changed") {
+		t.Errorf("%q after a configuration that was rejected", got)
+	}
+}
+
 // Under load, nodes are drained, removed and replaced by others. By the nodes' own records
 // none is sent a request more than 500 ms after discovery has it as draining, every request
 // is served, and no write is sent twice.
