daemon: a reload names the settings that are accepted and need a restart

What operators saw: "reloaded", and log-requests, seed, learn or forget as before; on a platform connectTimeout, connIdle, zones, writes, nShards; and the stop-time of a parent of workers.

Cause: these are read once, at the start, and no code compared them. Found by reading.

Change: the line "needs a restart" names them, against the configuration of the start, with each reload until then. For a parent its workers log it, since it reads nothing again.

Failed before: TestReloadNamesWhatNeedsRestart, TestPlatformReloadNamesWhatNeedsRestart (no such line). The parent's stop-time has no test.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -21,6 +21,7 @@
 // goroutine of Run.
 type Daemon struct {
 	config     *config.Config
+	started    *config.Config // that of the start
 	log        *slog.Logger
 	loop       *eventloop.Loop
 	gateway    *gateway.Gateway
--- a/internal/daemon/platform_role.go
+++ b/internal/daemon/platform_role.go
@@ -58,6 +58,7 @@
 		r.source.client.SetAddress(d.loop.Now(), c.DiscoveryAddr)
 		r.config.DiscoveryAddr = c.DiscoveryAddr
 	}
+	logChangesWithoutEffect(d.log, r.config.ChangesWithoutEffect(c))
 	return nil
 }
 
--- a/internal/daemon/role.go
+++ b/internal/daemon/role.go
@@ -52,7 +52,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Daemon{config: c, log: log, loop: loop, iterations: newIterationStats(log), role: r, members: source}
+	d := &Daemon{config: c, started: c, log: log, loop: loop, iterations: newIterationStats(log), role: r, members: source}
 	seed := c.Seed
 	if seed == 0 {
 		seed = rand.Uint64()
@@ -100,7 +100,13 @@
 	if err != nil {
 		return err
 	}
-	return d.applyConfig(c.ForWorker(r.Index))
+	if err := d.applyConfig(c.ForWorker(r.Index)); err != nil {
+		return err
+	}
+	if c.Timeouts.Shutdown != d.started.Timeouts.Shutdown { // the parent read it at its start
+		logChangesWithoutEffect(d.log, []string{"stop-time of the parent process"})
+	}
+	return nil
 }
 
 // background sends heartbeats while the loop iterates, and stops the daemon when the parent is gone.
@@ -145,5 +151,6 @@
 		d.log.Warn("known-client filter not updated", "error", err)
 	}
 	d.config = c
+	logChangesWithoutEffect(d.log, changesWithoutEffect(d.started, c))
 	return nil
 }
--- a/internal/e2e/platform_discovery_test.go
+++ b/internal/e2e/platform_discovery_test.go
@@ -63,6 +63,24 @@
 	}
 }
 
+// Guards against a change that a reload accepts and that has no effect, without a word: it is
+// named in the log.
+func TestPlatformReloadNamesWhatNeedsRestart(t *testing.T) {
+	before, after := startDiscovery(t, startNodeResponding(t, "one")), startDiscovery(t, startNodeResponding(t, "two"))
+	instance := startPlatformReady(t, before, platformOptions{})
+	read := func() string {
+		_, body := instance.roundTrip(instance.newRead(0, "1200m").text)
+		return body
+	}
+	instance.configChange = strings.NewReplacer(`"connectTimeout":250000`, `"connectTimeout":300000`, `"zones":["z0"]`, `"zones":["z0","z1"]`)
+	instance.writeConfig(after.addr)
+	instance.daemon.Reload()
+	within(t, time.Second, func() bool { return read() == "two" })
+	if want := `msg="needs a restart" settings="settings.limits.connectTimeout, settings.zones"`; !strings.Contains(instance.log.String(), want) {
+		t.Errorf("the log does not say %s", want)
+	}
+}
+
 // Under load, nodes are drained, removed and replaced by others. By the nodes' own records
 // none is sent a request more than 500 ms after discovery has it as draining, every request
 // is served, and no write is sent twice.
--- a/internal/e2e/reload_test.go
+++ b/internal/e2e/reload_test.go
@@ -75,3 +75,15 @@
 		t.Errorf("past the new limit: %d, want 503", status)
 	}
 }
+
+// Guards against an operator who believes in a setting that is not in force: a directive that a
+// reload accepts and that takes effect at a restart only is named in the log.
+func TestReloadNamesWhatNeedsRestart(t *testing.T) {
+	_, addrs := startNodes(t, 1, fakenode.Options{})
+	instance := startWebDAV(t, "", addrs[0], addrs[0])
+	instance.writeConfig(strings.Replace(webdavConfig, "log-requests no", "log-requests yes", 1) + "seed 5\nadmit learn 5 forget 1h\n")
+	instance.daemon.Reload()
+	eventually(t, "the log names what needs a restart", func() bool {
+		return strings.Contains(instance.log.String(), `msg="needs a restart" settings="seed, log-requests, learn, forget"`)
+	})
+}
