scheduler: a node's restart ends its row of failed connections

What callers saw: a node that came back was ejected again by its first failed connection, where it takes three in a row.

Cause: a new start closed the circuit breaker and left the count. Found by reading.

Change: it closes the breaker with the count.

Failed before: TestRestartEndsRowOfFailures (two resets, a restart, one reset: open).

--- a/scheduler/circuit_breaker.go
+++ b/scheduler/circuit_breaker.go
@@ -26,7 +26,7 @@
 	trialAt       Time
 	trialInterval time.Duration
 	// consecutiveFailures counts failed and reset connections since the last response other than
-	// "queue full". Neither a time-out nor a new start of the node ends the row.
+	// "queue full", or since the node's start. A time-out does not end the row.
 	consecutiveFailures int
 }
 
--- a/scheduler/circuit_breaker_test.go
+++ b/scheduler/circuit_breaker_test.go
@@ -45,6 +45,25 @@
 	assertEqual(t, "open after resets in a row", h.scheduler.members.nodes[0].breaker.open, true)
 }
 
+// Guards against a node that is ejected by a single failure after its restart, as failures from
+// before counted on.
+func TestRestartEndsRowOfFailures(t *testing.T) {
+	h := newHarness(t, testSettings(), nodeA)
+	for id := uint64(1); id <= 2; id++ {
+		h.handleAfter(10*ms, newArrival(id, withClass(1)))
+		h.endAttempt(id, Reset)
+	}
+	restarted := nodeA
+	restarted.Started = h.scheduler.now
+	h.handleAfter(10*ms, EndpointUpdate{Endpoints: []Endpoint{restarted}})
+	h.handleAfter(10*ms, newArrival(3, withClass(1)))
+	if h.attempts[3] == 0 {
+		t.Fatal("nothing was sent after the restart")
+	}
+	h.endAttempt(3, Reset)
+	assertEqual(t, "open after one failure", h.scheduler.members.nodes[0].breaker.open, false)
+}
+
 // A machine out of descriptors or memory holds up the attempts of its instance. Counted against the
 // nodes, that opened the breakers of healthy ones. The time that an attempt is stalled counts neither
 // as silence nor as latency, and its time-out not as one of the node.
--- a/scheduler/membership.go
+++ b/scheduler/membership.go
@@ -122,7 +122,7 @@
 		return
 	}
 	n.window, n.observations, n.lastResponseAt = 1, observations{}, s.now
-	n.breaker.open = false
+	n.breaker.close()
 	s.beginSlowStart(n)
 }
 
--- a/scheduler/reference_test.go
+++ b/scheduler/reference_test.go
@@ -516,7 +516,8 @@
 		restart := e.Started != n.Started && e.State == Serving
 		n.Endpoint = e
 		if restart { // what was learned of it is void
-			n.window, n.observations, n.open, n.lastResponseAt = 1, observations{}, false, h.now
+			n.window, n.observations, n.lastResponseAt = 1, observations{}, h.now
+			n.open, n.trialInterval, n.consecutiveFailures = false, 0, 0
 			h.beginSlowStart(n)
 		}
 	}
