scheduler, gateway: the line request names the send rule that held a rejected request

Change: the scheduler notes, as it ends a request that expired or can never be sent, what its send rules say of it (ExpiryReason, valid up to the next call of Handle). The gateway asks as it carries the decision out; the line request and the span's report have wait_reason. No decision changes: the recorded histories are as they were.

Failed before: TestRejectionNamesSendRule (the field is new). It and TestGoldenHistories pass.

--- a/internal/daemon/observer.go
+++ b/internal/daemon/observer.go
@@ -70,7 +70,7 @@
 		slog.String("request", s.Request), traceID(s), slog.String("client", s.Client),
 		slog.String("method", s.Method), slog.String("path", s.Path), slog.String("volume", s.Volume), slog.String("class", s.Class),
 		slog.String("outcome", s.Outcome.String()), slog.Int("status", s.Status), slog.Int("attempts", s.Attempts),
-		slog.Duration("took", s.End-s.Start), slog.String("reason", s.Reason))
+		slog.Duration("took", s.End-s.Start), slog.String("reason", s.Reason), slog.String("wait_reason", s.WaitReason))
 }
 
 // attemptOutcomes are the names of outcomes in logs and spans.
--- a/internal/gateway/local_response.go
+++ b/internal/gateway/local_response.go
@@ -14,6 +14,14 @@
 	reasonTimedOut = "no answer in time; whether the request took effect is not known"
 )
 
+// noteExpiryReason notes, for the report, what kept a request from being sent that the scheduler
+// has decided to end.
+func (g *Gateway) noteExpiryReason(id uint64) {
+	if req := g.requests.byID[id]; req != nil {
+		req.response.waitReason = g.scheduler.expiryReason(id)
+	}
+}
+
 // reject ends a request with 503: it was not executed, or a repeat does no harm, and the client may
 // retry it, after retryAfter if that is not 0.
 func (g *Gateway) reject(req *request, retryAfter time.Duration) {
--- a/internal/gateway/node_failure_test.go
+++ b/internal/gateway/node_failure_test.go
@@ -236,3 +236,35 @@
 		})
 	}
 }
+
+// Guards against rejections that cannot be told apart in the log: the report of a request that was
+// not sent in time names the send rule that held it back.
+func TestRejectionNamesSendRule(t *testing.T) {
+	for _, test := range []struct {
+		want    string
+		prepare func(h *harness)
+	}{
+		{"no-node", func(h *harness) { h.gateway.SetNodes(h.now, nil) }},
+		{"breaker-open", func(h *harness) { // the node takes what its window allows, and is silent
+			for i := range 10 {
+				h.connectClient(getRequest(fmt.Sprint("/feed-a/held/", i)))
+			}
+		}},
+	} {
+		t.Run(test.want, func(t *testing.T) {
+			h := newHarness(t, "")
+			test.prepare(h)
+			h.connectClient(getRequest("/feed-a/s/x"))
+			h.advanceTime(1100 * time.Millisecond)
+			var got string
+			for _, span := range h.spans {
+				if span.Node == "" && span.Path == "/feed-a/s/x" {
+					got = span.WaitReason
+				}
+			}
+			if got != test.want {
+				t.Errorf("%q, want %q", got, test.want)
+			}
+		})
+	}
+}
--- a/internal/gateway/observer.go
+++ b/internal/gateway/observer.go
@@ -53,6 +53,7 @@
 	Node           string // of an attempt; empty for a request
 	AttemptOutcome scheduler.Outcome
 	Reason         string // why the gateway itself responded to a request; empty: it did not
+	WaitReason     string // what kept a request from being sent that was rejected or failed; empty: nothing did
 }
 
 // Observer is notified of what the gateway has done. It must not keep a span after the call.
@@ -153,6 +154,9 @@
 		Attempts: req.attempts.count,
 		Reason:   req.response.reason,
 	}
+	if req.response.waitReason != scheduler.ReasonAllowed {
+		g.span.WaitReason = req.response.waitReason.String()
+	}
 	if req.client != nil {
 		g.span.Client = req.client.remote.String()
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -4,6 +4,7 @@
 	"maddergap/internal/config"
 	"maddergap/internal/http1"
 	"maddergap/internal/route"
+	"maddergap/scheduler"
 )
 
 // request is a request of a client, from its header to its final response. When it is
@@ -79,6 +80,8 @@
 	outputStart int64
 	status      int
 	reason      string // why the gateway itself responded; empty: it did not
+	// waitReason is what kept the request from being sent when the scheduler ended it.
+	waitReason scheduler.Reason
 }
 
 // decide makes a response of the gateway's own the final one. The client gets it unless the
--- a/internal/gateway/scheduler_client.go
+++ b/internal/gateway/scheduler_client.go
@@ -19,6 +19,11 @@
 	wakeAt  Time // when the scheduler's timer fires
 }
 
+// expiryReporter is a Scheduler that says what kept a request from being sent that it has ended.
+type expiryReporter interface {
+	ExpiryReason(id uint64) scheduler.Reason
+}
+
 func newSchedulerClient(s Scheduler) schedulerClient {
 	return schedulerClient{impl: s, wakeAt: never}
 }
@@ -43,6 +48,15 @@
 // hasEvents reports whether decide has to be called.
 func (s *schedulerClient) hasEvents() bool { return len(s.pending) > 0 }
 
+// expiryReason returns what kept a request from being sent that a decision of the last call of
+// decide has ended.
+func (s *schedulerClient) expiryReason(id uint64) scheduler.Reason {
+	if reporter, ok := s.impl.(expiryReporter); ok {
+		return reporter.ExpiryReason(id)
+	}
+	return scheduler.ReasonAllowed
+}
+
 // decide hands the events to the scheduler and returns its decisions, which are valid
 // until the next call.
 func (s *schedulerClient) decide(now Time) []scheduler.Action {
--- a/scheduler/deadlines.go
+++ b/scheduler/deadlines.go
@@ -44,6 +44,7 @@
 // endExpired gives the requests of a queue that expire within expiryMargin their final response.
 func (s *Scheduler) endExpired(queue *requestQueue) {
 	for _, r := range queue.RemoveExpired(s.now+expiryMargin+1, extendExpiry) {
+		s.expired[r.ID] = s.WaitReason(r.ID)
 		s.rejectOrFail(r)
 	}
 }
--- a/scheduler/requests.go
+++ b/scheduler/requests.go
@@ -127,6 +127,7 @@
 	s.setDeadlines(r)
 	s.requests[a.ID] = r
 	if r.volume.limitNeverAllows(a.Units) {
+		s.expired[r.ID] = ReasonTenantLimit
 		s.rejectOrFail(r)
 		return
 	}
--- a/scheduler/status.go
+++ b/scheduler/status.go
@@ -88,6 +88,11 @@
 	return s.sendBlockedBy(r)
 }
 
+// ExpiryReason returns what kept a request from being sent that the last call of Handle rejected or
+// failed. It is ReasonAllowed where nothing did: others went first, or its last attempt had failed
+// and no further one was allowed.
+func (s *Scheduler) ExpiryReason(id uint64) Reason { return s.expired[id] }
+
 // sendBlockedBy asks all send rules about a ready request.
 func (s *Scheduler) sendBlockedBy(r *request) Reason {
 	n := r.node
