soak: SIGTERM comes in series with SIGHUP around it, and some runs have a crowd

Change: each planned restart draws its signals (SIGHUP just before, just after, one to three SIGTERM 300 ms apart) and one run of four holds idle connections at every head from the start, from a stream of random numbers of their own, so that the other faults at a seed are as before.

--- a/cmd/maddergap/soak.go
+++ b/cmd/maddergap/soak.go
@@ -30,9 +30,7 @@
 			return usageError{err}
 		}
 		if c.Script {
-			for _, fault := range soak.DrawPlan(o).Faults {
-				fmt.Fprintln(io.out, fault)
-			}
+			soak.DrawPlan(o).Write(io.out)
 			continue
 		}
 		passed, err := c.runSeed(o, io)
--- a/internal/soak/client_faults.go
+++ b/internal/soak/client_faults.go
@@ -43,6 +43,15 @@
 	return nil
 }
 
+// crowdUntil holds many connections without requests until a time, and opens new ones for those
+// that the instance closes.
+func (g *clientGroup) crowdUntil(end time.Time) {
+	const renewInterval = time.Second
+	for time.Now().Before(end) {
+		g.holdIdleConns(min(renewInterval, time.Until(end)))
+	}
+}
+
 // holdIdleConns opens many connections, sends nothing on them and closes them after a while.
 func (g *clientGroup) holdIdleConns(duration time.Duration) {
 	var conns []net.Conn
--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 )
 
@@ -83,9 +84,34 @@
 	// Target is the index of a node, or of the instance with which an agent or clients are; or
 	// allAgents.
 	Target int
+	// Signals are those of InstanceTerminate.
+	Signals SignalSeries
+}
+
+// SignalSeries is what the process of an instance is sent as it is terminated.
+type SignalSeries struct {
+	ReloadBefore bool // SIGHUP, with a new address of discovery, just before the first SIGTERM
+	ReloadAfter  bool // the same just after it
+	FurtherTerms int  // how often SIGTERM follows within a second
+}
+
+// String returns the signals in their order.
+func (s SignalSeries) String() string {
+	text := "SIGTERM"
+	if s.ReloadBefore {
+		text = "SIGHUP " + text
+	}
+	if s.ReloadAfter {
+		text += " SIGHUP"
+	}
+	return text + strings.Repeat(" SIGTERM", s.FurtherTerms)
 }
 
 // String returns the fault as a line of a printed plan, with its start in seconds.
 func (f Fault) String() string {
-	return fmt.Sprintf("%7.3f %v, %d, for %v", f.Start.Seconds(), f.Kind, f.Target, f.Duration.Round(time.Millisecond))
+	text := fmt.Sprintf("%7.3f %v, %d, for %v", f.Start.Seconds(), f.Kind, f.Target, f.Duration.Round(time.Millisecond))
+	if f.Kind == InstanceTerminate {
+		text += ", by " + f.Signals.String()
+	}
+	return text
 }
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -119,7 +119,7 @@
 			i.mu.Lock()
 			defer i.mu.Unlock()
 			if i.checkExited(); !i.stopped {
-				i.terminate()
+				i.terminate(SignalSeries{})
 			}
 		})
 	}
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -13,6 +13,9 @@
 // when the options' duration is over. Faults may go on after that.
 func (f *fleet) inject(plan *Plan) {
 	start := time.Now()
+	if plan.Crowd {
+		f.holdCrowds(start.Add(f.options.Duration))
+	}
 	for _, fault := range plan.Faults {
 		time.Sleep(time.Until(start.Add(fault.Start)))
 		f.checkExited()
@@ -21,6 +24,13 @@
 	time.Sleep(time.Until(start.Add(f.options.Duration)))
 }
 
+// holdCrowds holds idle connections at every instance until a time.
+func (f *fleet) holdCrowds(end time.Time) {
+	for _, i := range f.instances {
+		f.injecting.Go(func() { i.clients.crowdUntil(end) })
+	}
+}
+
 // injectFault injects a fault and returns when it is over.
 func (f *fleet) injectFault(fault Fault) {
 	switch fault.Kind.component() {
@@ -117,7 +127,7 @@
 	}
 	switch fault.Kind {
 	case InstanceTerminate:
-		i.terminate()
+		i.terminate(fault.Signals)
 		time.Sleep(fault.Duration)
 		i.restart()
 	case InstanceKill:
--- a/internal/soak/instance.go
+++ b/internal/soak/instance.go
@@ -24,6 +24,9 @@
 	killDelay       = 700 * time.Millisecond
 	maxKillDeadline = 3 * time.Second
 
+	// furtherTermInterval is the time between two SIGTERM of a series.
+	furtherTermInterval = 300 * time.Millisecond
+
 	// startTimeout is the time in which a process has to be ready.
 	startTimeout      = 10 * time.Second
 	readyPollInterval = 10 * time.Millisecond
@@ -135,12 +138,25 @@
 	return err == nil && string(got) == want
 }
 
-// terminate ends the process as in a planned restart: by SIGTERM, and by SIGKILL at the earliest
-// time at which the platform sends it.
-func (i *instance) terminate() {
+// terminate ends the process as in a planned restart: by SIGTERM, with further signals around it,
+// and by SIGKILL at the earliest time at which the platform sends it.
+func (i *instance) terminate(signals SignalSeries) {
 	i.stopped = true
+	if signals.ReloadBefore {
+		i.reload()
+	}
 	i.process.Signal(syscall.SIGTERM)
-	if !i.process.ExitsWithin(min(i.deployment.longestDeadline(), maxKillDeadline) + killDelay) {
+	killAt := time.Now().Add(min(i.deployment.longestDeadline(), maxKillDeadline) + killDelay)
+	if signals.ReloadAfter {
+		i.reload()
+	}
+	for range signals.FurtherTerms {
+		if i.process.ExitsWithin(furtherTermInterval) {
+			return
+		}
+		i.process.Signal(syscall.SIGTERM)
+	}
+	if !i.process.ExitsWithin(time.Until(killAt)) {
 		i.process.Kill()
 	}
 }
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"fmt"
+	"io"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -13,6 +15,8 @@
 	// SyscallFaults is the table of failing system calls of each instance's process, in the form
 	// that syscalls.ParseFaultTable reads.
 	SyscallFaults []string
+	// Crowd: idle connections are held at every instance from the start to the end.
+	Crowd bool
 }
 
 // Times without new faults at the beginning and at the end of a run: the fleet starts without
@@ -31,8 +35,29 @@
 	extraOutageEvery = 6
 )
 
-// planStream is the stream of random numbers, at a seed, that plans are drawn from.
-const planStream = 0x736f616b
+// Write prints the plan, a line for each event.
+func (p *Plan) Write(w io.Writer) {
+	if p.Crowd {
+		fmt.Fprintln(w, "  0.000 clients crowd at every head, to the end")
+	}
+	for _, fault := range p.Faults {
+		fmt.Fprintln(w, fault)
+	}
+}
+
+// Streams of random numbers, at a seed. Signals and crowds have one of their own, so that drawing
+// them changes nothing else of the plan at a seed.
+const (
+	planStream   = 0x736f616b
+	signalStream = 0x73696773
+)
+
+const (
+	// crowdEvery: one run in so many has a crowd from the start.
+	crowdEvery = 4
+	// maxFurtherTerms bounds how often SIGTERM is repeated.
+	maxFurtherTerms = 2
+)
 
 // planner draws a plan.
 type planner struct {
@@ -59,9 +84,24 @@
 	for range o.Instances {
 		p.plan.SyscallFaults = append(p.plan.SyscallFaults, drawSyscallFaults(p.rand))
 	}
+	p.drawSignals(rand.New(rand.NewPCG(o.Seed, signalStream)))
 	return p.plan
 }
 
+// drawSignals draws the signals of each planned restart, and whether the run has a crowd.
+func (p *planner) drawSignals(r *rand.Rand) {
+	p.plan.Crowd = r.IntN(crowdEvery) == 0
+	for i := range p.plan.Faults {
+		if fault := &p.plan.Faults[i]; fault.Kind == InstanceTerminate {
+			fault.Signals = SignalSeries{
+				ReloadBefore: r.IntN(2) == 0,
+				ReloadAfter:  r.IntN(2) == 0,
+				FurtherTerms: r.IntN(maxFurtherTerms + 1),
+			}
+		}
+	}
+}
+
 func (p *planner) interval() time.Duration {
 	return time.Duration(p.rand.ExpFloat64() * float64(meanFaultInterval))
 }
--- a/internal/soak/plan_test.go
+++ b/internal/soak/plan_test.go
@@ -27,6 +27,8 @@
 // of failing system calls can be parsed.
 func TestPlans(t *testing.T) {
 	drawn := map[FaultKind]int{}
+	signals := map[SignalSeries]bool{}
+	crowds := 0
 	for seed := range uint64(50) {
 		o := testOptions
 		o.Seed = seed
@@ -37,10 +39,16 @@
 			if fault.Kind.component() != nodeComponent {
 				targets = o.Instances
 			}
+			if fault.Kind == InstanceTerminate {
+				signals[fault.Signals] = true
+			}
 			if fault.Start < quietStart || fault.Start > o.Duration || fault.Target >= targets || fault.String() == "" {
 				t.Fatalf("seed %d: %+v", seed, fault)
 			}
 		}
+		if plan.Crowd {
+			crowds++
+		}
 		for _, table := range plan.SyscallFaults {
 			if _, err := syscalls.ParseFaultTable(table); err != nil {
 				t.Fatalf("seed %d: %v", seed, err)
@@ -52,4 +60,10 @@
 			t.Errorf("%v is never drawn", kind)
 		}
 	}
+	if want := 2 * 2 * (maxFurtherTerms + 1); len(signals) != want {
+		t.Errorf("%d series of signals, want %d", len(signals), want)
+	}
+	if crowds == 0 || crowds == 50 {
+		t.Errorf("%d of 50 runs have a crowd", crowds)
+	}
 }
--- a/internal/soak/report.go
+++ b/internal/soak/report.go
@@ -41,9 +41,7 @@
 	}
 	writeLines(w, "fault", r.Failures)
 	writeLines(w, "found broken by a head", r.Violations)
-	for _, fault := range r.Plan.Faults {
-		fmt.Fprintln(w, fault)
-	}
+	r.Plan.Write(w)
 	fmt.Fprintf(w, "seed %d: BROKEN; again with: %s\n", r.Options.Seed, command)
 }
 
