gateway: outcomes local and dropped tell who ended a request

What operators saw: the gateway's own 404, 408, 413 and admission's 503 counted as served in the log, and a client that was cut off, for instance as it did not read its response, as one that left.

Cause: one outcome stood for every response that is no decision of the scheduler, and one for every request that ended before its response. Found by reading.

Change: AnsweredLocally ("local") and Dropped ("dropped") in log, traces and metric; the line stopped has dropped, a part of disconnected. The sums are as before.

Failed before: TestOutcomesNameWhoEndedRequest at four of six ends (the names are new; by the text before they are served, served, left and left). TestStateNames has both names.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -164,7 +164,7 @@
 func (d *Daemon) logStopped() {
 	n := d.gateway.Counts()
 	d.log.Info("stopped",
-		"received", n.Received, "served", n.Served, "rejected", n.Rejected, "failed", n.Failed, "disconnected", n.Disconnected,
+		"received", n.Received, "served", n.Served, "rejected", n.Rejected, "failed", n.Failed, "disconnected", n.Disconnected, "dropped", n.Dropped,
 		"attempts", n.Attempts, "connections_rejected", total(n.ConnectionsRejected[:]), "preempted", n.Preempted,
 		"malformed", n.Malformed, "local", n.Local,
 		"withheld", total(n.Invariants.Withheld[:]), "invariants_violated", total(n.Invariants.Violated[:]),
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -73,7 +73,7 @@
 // The metrics keep the names and label values that dashboards know; some of them are older
 // than the terms of the code.
 var (
-	requestsDesc         = newDesc("maddergap_requests_total", "Requests received, by outcome; left: the client disconnected before its response.", "outcome")
+	requestsDesc         = newDesc("maddergap_requests_total", "Requests received, by outcome; left: the client disconnected before its response; dropped: the gateway ended its connection; local: the gateway itself responded.", "outcome")
 	attemptsDesc         = newDesc("maddergap_attempts_total", "Attempts sent to nodes.")
 	malformedDesc        = newDesc("maddergap_malformed_total", "Requests rejected as malformed or too slow.")
 	rejectedDesc         = newDesc("maddergap_turned_away_total", "Connections and requests rejected by admission, by the limit that rejected them.", "reason")
@@ -116,7 +116,9 @@
 	counter(requestsDesc, c.Served, gateway.Served.String())
 	counter(requestsDesc, c.Rejected, gateway.Rejected.String())
 	counter(requestsDesc, c.Failed, gateway.Failed.String())
-	counter(requestsDesc, c.Disconnected, gateway.ClientDisconnected.String())
+	counter(requestsDesc, c.Disconnected-c.Dropped, gateway.ClientDisconnected.String())
+	counter(requestsDesc, c.Dropped, gateway.Dropped.String())
+	counter(requestsDesc, c.Local, gateway.AnsweredLocally.String())
 	counter(attemptsDesc, c.Attempts)
 	counter(malformedDesc, c.Malformed)
 	counter(preemptedDesc, c.Preempted)
--- a/internal/daemon/observer.go
+++ b/internal/daemon/observer.go
@@ -59,7 +59,7 @@
 // Request logs a request that has ended and writes its span.
 func (o *observer) Request(s *gateway.Span) {
 	failure := ""
-	if s.Outcome != gateway.Served {
+	if s.Outcome != gateway.Served && s.Outcome != gateway.AnsweredLocally {
 		failure = s.Outcome.String()
 	}
 	o.spans.write(s, trace.SpanKindServer, s.Method, failure, attribute.String("client.address", s.Client), attribute.Int("maddergap.attempts", s.Attempts))
--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -64,7 +64,7 @@
 // idle, or has a request that was not submitted.
 func (g *Gateway) preempt(c *clientConn) {
 	g.counts.Preempted++
-	g.dropClient(c, Close)
+	g.dropClient(c, Close, Dropped)
 }
 
 // recordRejection counts and reports a connection that was not admitted, or a request that
--- a/internal/gateway/client_conn.go
+++ b/internal/gateway/client_conn.go
@@ -130,7 +130,7 @@
 	case c.phase >= clientDiscarding, c.req == nil && len(c.pending()) == 0 && !c.inReadyClients:
 		g.closeConn(c, Close)
 	case c.req != nil && c.peer == peerDisconnected:
-		g.dropClient(c, Close) // nobody reads the response
+		g.dropClient(c, Close, ClientDisconnected) // nobody reads the response
 	case c.req != nil && !c.req.body.complete:
 		g.rejectMalformedBody(c, c.req, errBodyCutOff)
 	default: // a half-close: the response is still due
@@ -140,14 +140,14 @@
 func (c *clientConn) handleClosed(g *Gateway) {
 	c.peer = peerDisconnected
 	g.removeConn(c, true)
-	g.cancelClientRequest(c)
+	g.cancelClientRequest(c, ClientDisconnected)
 }
 
 func (c *clientConn) handleTimer(g *Gateway) {
 	req := c.req
 	switch {
 	case c.phase >= clientDiscarding, len(c.pending()) > 0 && g.clock.now >= c.readBy: // the client does not read its response
-		g.dropClient(c, Abort)
+		g.dropClient(c, Abort, Dropped)
 	case req != nil && !req.body.complete && !req.response.final:
 		g.uploadTimedOut(c, req)
 	case len(c.pending()) > 0: // the timer was that of the body
@@ -182,10 +182,10 @@
 // submitted is cancelled, and the client is answered here.
 func (g *Gateway) uploadTimedOut(c *clientConn, req *request) {
 	if req.id != 0 {
-		g.cancelRequest(req)
+		g.cancelRequest(req, AnsweredLocally)
 	}
 	if req.response.source != nil {
-		g.dropClient(c, Abort)
+		g.dropClient(c, Abort, Dropped)
 		return
 	}
 	c.enter(clientClosing)
@@ -210,23 +210,23 @@
 	g.writeLocalResponse(req, 408, []byte(reason+"\n"), nil)
 }
 
-// dropClient closes a client connection by op, and ends its request.
-func (g *Gateway) dropClient(c *clientConn, op Op) {
+// dropClient closes a client connection by op, and ends its request with the outcome.
+func (g *Gateway) dropClient(c *clientConn, op Op, outcome Outcome) {
 	if !c.closed {
 		g.closeConn(c, op)
-		g.cancelClientRequest(c)
+		g.cancelClientRequest(c, outcome)
 	}
 }
 
 // cancelClientRequest ends the request of a client connection that is closed.
-func (g *Gateway) cancelClientRequest(c *clientConn) {
+func (g *Gateway) cancelClientRequest(c *clientConn, outcome Outcome) {
 	req := c.req
 	if req == nil {
 		return
 	}
 	c.req, req.client = nil, nil
 	if !req.response.final {
-		g.cancelRequest(req)
+		g.cancelRequest(req, outcome)
 	}
 	g.recycle(req)
 }
--- a/internal/gateway/listing.go
+++ b/internal/gateway/listing.go
@@ -113,13 +113,13 @@
 }
 
 // cancelListing ends a listing before its response, and its parts; see cancelRequest.
-func (g *Gateway) cancelListing(req *request) {
+func (g *Gateway) cancelListing(req *request, outcome Outcome) {
 	req.listing.parent = nil
 	req.response.final = true
 	for i, part := range req.listing.parts {
 		if part != nil && !part.response.final {
 			req.listing.parts[i] = nil
-			g.cancelRequest(part)
+			g.cancelRequest(part, outcome)
 			g.recycle(part)
 		}
 	}
--- a/internal/gateway/local_response.go
+++ b/internal/gateway/local_response.go
@@ -60,7 +60,7 @@
 	case req.client == nil:
 		g.recycle(req)
 	case req.response.source != nil: // the header of a node's response was sent; only a reset can tell the client that the rest is missing
-		g.dropClient(req.client, Abort)
+		g.dropClient(req.client, Abort, Dropped)
 	default:
 		g.writeLocalResponse(req, req.response.status, []byte(req.response.reason+"\n"), func(b []byte) []byte {
 			return g.protocol.appendRetryAfter(b, retryAfter)
@@ -96,7 +96,7 @@
 	req.response.status = status
 	req.response.final = true
 	if req.id == 0 {
-		g.reportRequestEnd(req, Served)
+		g.reportRequestEnd(req, AnsweredLocally)
 	}
 	if c == nil {
 		g.recycle(req)
--- a/internal/gateway/observer.go
+++ b/internal/gateway/observer.go
@@ -13,24 +13,29 @@
 // Outcome is how a request ended.
 type Outcome uint8
 
-// Outcomes. The first three are those of the final response.
+// Outcomes.
 const (
-	// Served: a response was sent that is neither a rejection nor a failure by the
-	// scheduler: a node's, or the gateway's own. The latter may be an error, such as 408,
-	// 413, or the 503 for a request that was not admitted.
+	// Served: a node's response was passed on.
 	Served Outcome = iota
 	// Rejected: the scheduler, or AbortRemaining, rejected the request, which was not
 	// executed and may be retried.
 	Rejected
 	// Failed: it is not known whether the request was executed.
 	Failed
-	// ClientDisconnected: the request was cancelled before its final response, as its client
-	// left, or for one of the other causes that cancelRequest lists.
+	// ClientDisconnected: the client left before the final response.
 	ClientDisconnected
+	// Dropped: the gateway ended the client's connection before the final response, for
+	// instance as the client did not read it.
+	Dropped
+	// AnsweredLocally: the gateway itself responded, without a decision of the scheduler. That may
+	// be an error, such as 408, 413, or the 503 for a request that was not admitted.
+	AnsweredLocally
 )
 
 // String returns the outcome as it stands in metric labels.
-func (o Outcome) String() string { return [...]string{"served", "refused", "failed", "left"}[o] }
+func (o Outcome) String() string {
+	return [...]string{"served", "refused", "failed", "left", "dropped", "local"}[o]
+}
 
 // Span describes an attempt or a request.
 type Span struct {
@@ -72,10 +77,10 @@
 
 // Counts are counters since the start, and gauges.
 type Counts struct {
-	// Requests submitted to the scheduler, and how they ended. Served counts nodes' responses
-	// alone, unlike the Outcome of that name. Disconnected counts the requests that
-	// cancelRequest ended.
+	// Requests submitted to the scheduler, and how they ended. Disconnected counts the requests
+	// that cancelRequest ended.
 	Received, Served, Rejected, Failed, Disconnected uint64
+	Dropped                                          uint64 // of Disconnected: the gateway ended them, not the client
 
 	Attempts  uint64 // attempts, those included that ended before anything was sent
 	Local     uint64 // requests that the gateway answered without the scheduler
--- a/internal/gateway/request_lifecycle.go
+++ b/internal/gateway/request_lifecycle.go
@@ -176,12 +176,12 @@
 //   - when the body is malformed or too slow, which the gateway answers itself;
 //   - for the parts of a listing whose parent is cancelled.
 //
-// The scheduler, the observer and the counts do not distinguish these: all of them are
-// notified that the client has disconnected.
-func (g *Gateway) cancelRequest(req *request) {
+// The outcome says which. The scheduler does not distinguish these: it is notified that the
+// client has disconnected.
+func (g *Gateway) cancelRequest(req *request, outcome Outcome) {
 	if req.id == 0 {
 		if req.listing != nil {
-			g.cancelListing(req)
+			g.cancelListing(req, outcome)
 		}
 		return
 	}
@@ -190,7 +190,10 @@
 	req.response.final = true
 	req.cancelledAt = g.clock.now
 	g.counts.Disconnected++
-	g.reportRequestEnd(req, ClientDisconnected)
+	if outcome != ClientDisconnected {
+		g.counts.Dropped++
+	}
+	g.reportRequestEnd(req, outcome)
 }
 
 // errBodyCutOff is the error of a body whose client has closed its sending side within it.
@@ -201,7 +204,7 @@
 func (g *Gateway) rejectMalformedBody(c *clientConn, req *request, err error) {
 	g.counts.Malformed++
 	if req.id != 0 && !req.response.final {
-		g.cancelRequest(req)
+		g.cancelRequest(req, AnsweredLocally)
 	}
 	c.enter(clientClosing)
 	req.body.complete = true
@@ -211,7 +214,7 @@
 		g.writeLocalResponse(req, malformed.Status, []byte(malformed.Reason+"\n"), nil)
 		return
 	}
-	g.dropClient(c, Abort)
+	g.dropClient(c, Abort, Dropped)
 }
 
 // rejectMalformedHeader answers a request whose header is malformed. What follows it
