discovery: a watch that the service may hold is no silence in the log

What operators saw: with a polled service, "discovery unavailable" a second after each list, while the service held the watch as nothing changed, and "discovery recovered" at its end.

Cause: the log counts silence from the last list; a watch may be held for 12 to 18 s. Found by reading.

Change: the client says up to when the first watch since the last list may be held; a failed call ends that. A service that falls silent under a watch is logged a second after the hold.

Failed before: the new row "a watch is held" of TestOutageLogHasOneLineForEachChange (its other rows are as they were). TestHeldWatchIsNoSilence guards the client's part.

--- a/internal/daemon/discovery_log.go
+++ b/internal/daemon/discovery_log.go
@@ -9,7 +9,8 @@
 	"maddergap/internal/gateway"
 )
 
-// outageAfter is how long discovery has to be silent before that is logged as an outage.
+// outageAfter is how long discovery has to be silent before that is logged as an outage. A watch
+// that it may hold is no silence.
 const outageAfter = time.Second
 
 // outageLog logs when discovery becomes unavailable, why its responses are rejected, and when it
@@ -28,7 +29,7 @@
 func (o *outageLog) update(now time.Duration, status discovery.Status) {
 	lastResponse := max(status.LastResponseAt, o.startedAt)
 	switch {
-	case !o.unavailable && now-lastResponse >= outageAfter:
+	case !o.unavailable && now-max(lastResponse, status.WatchHeldUntil) >= outageAfter:
 		o.begin(lastResponse, status)
 		o.log.Warn("discovery unavailable; the last good list stays in effect",
 			"version", status.Version, "error", o.lastError, "since", now-lastResponse)
--- a/internal/daemon/discovery_log_test.go
+++ b/internal/daemon/discovery_log_test.go
@@ -32,6 +32,9 @@
 		{"a good one", 10 * time.Second, func() { status.LastResponseAt = time.Hour + 10*time.Second }, `msg="discovery recovered"`},
 		{"all is well", 10900 * time.Millisecond, nil, ""},
 		{"silent again", 11 * time.Second, nil, "discovery unavailable"},
+		{"a good one again", 12 * time.Second, func() { status.LastResponseAt = time.Hour + 12*time.Second }, `msg="discovery recovered"`},
+		{"a watch is held", 20 * time.Second, func() { status.WatchHeldUntil = time.Hour + 24*time.Second }, ""},
+		{"beyond its hold", 25 * time.Second, nil, "discovery unavailable"},
 	} {
 		if step.change != nil {
 			step.change()
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -47,6 +47,9 @@
 	CallsSent      int   // requests that were written
 	CallsAbandoned int   // calls that ended without a response, by a deadline or for another call
 	LastResponseAt Time  // when the last usable list was complete; 0: there was none
+	// WatchHeldUntil is up to when the server may hold the first watch since the last response,
+	// while nothing changes. A call that fails ends that. 0: there was no watch.
+	WatchHeldUntil Time
 	LastError      error // of the last call that ended; nil: it brought a usable list
 }
 
@@ -148,6 +151,9 @@
 	k.deadline = now + c.schedule.timeout(k.kind, hold)
 	k.response.list.zones = c.zones
 	c.status.CallsSent++
+	if k.kind == watchRequest && c.status.WatchHeldUntil <= c.status.LastResponseAt {
+		c.status.WatchHeldUntil = now + hold
+	}
 	if k.startedAt == 0 { // on a reused connection
 		k.startedAt = now
 		c.schedule.callStarted(now)
--- a/internal/discovery/events.go
+++ b/internal/discovery/events.go
@@ -73,6 +73,7 @@
 // callFailed records why a call that has ended brought no list, and plans what follows.
 func (c *Client) callFailed(now Time, k *call, cause error) {
 	c.list.callFailed(k.sent(), cause)
+	c.status.WatchHeldUntil = min(c.status.WatchHeldUntil, now)
 	c.status.LastError = fmt.Errorf("discovery at %s: %w", c.addr, cause)
 	c.schedule.callFailed(now, k.startedAt)
 }
--- a/internal/discovery/poll_test.go
+++ b/internal/discovery/poll_test.go
@@ -120,3 +120,22 @@
 		t.Fatalf("%d calls within 10 s", rejected)
 	}
 }
+
+// Guards against an outage that is none in the log: while a polled service holds a watch as nothing
+// changes, it is not silent. The hold counts once, so that a service that does not respond after
+// it, or whose connection is lost, is.
+func TestHeldWatchIsNoSilence(t *testing.T) {
+	h := newHarness(t, New("10.0.0.1:1", nil, true, 1))
+	h.respond(listJSON(42, true, endpointJSON("a", "up")), 1<<20)
+	heldUntil := h.client.Status().WatchHeldUntil
+	if least := h.now + pollPolicy.watchHold - callSpacing; heldUntil < least {
+		t.Fatalf("held for %v after the list, want %v at least", heldUntil-h.now, pollPolicy.watchHold)
+	}
+	h.advance(time.Second)
+	h.resetConn(h.lastConn)
+	lostAt := h.now
+	h.advance(5 * time.Second)
+	if status := h.client.Status(); status.WatchHeldUntil > lostAt || status.CallsSent < 3 {
+		t.Errorf("held for %v after its connection was lost; %d calls", status.WatchHeldUntil-lostAt, status.CallsSent)
+	}
+}
