http1: a malformed status line is reported as one

What operators saw: "discovery at ...: 400: the request line is not METHOD SP TARGET SP VERSION" of a response whose status line had a bad version, as if a client were at fault.

Cause: the version's parser has the errors of a request line. Found by reading.

Change: whatever is wrong with a status line is its own error, with status 502.

Failed before: TestMalformedStatusLine for two of its six lines (HTTQ/1.1, HTTP/2.0).

--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -107,6 +107,19 @@
 	}
 }
 
+// Guards against a node's mistake that is reported as one of a request: whatever is wrong with a
+// status line, the error names that line and is the gateway's 502.
+func TestMalformedStatusLine(t *testing.T) {
+	for _, line := range []string{"nonsense", "HTTP/1.1 2x0 OK", "HTTP/1.1 099 Low", "HTTQ/1.1 200 OK", "HTTP/2.0 200 OK", "HTTP/1.1200 OK ok"} {
+		var r Response
+		err := ParseResponse([]byte(line+"\r\n\r\n"), &r, "GET", DefaultLimits)
+		var malformed *Error
+		if !errors.As(err, &malformed) || malformed.Status != 502 || !strings.Contains(malformed.Reason, "status line") {
+			t.Errorf("%q: %v", line, err)
+		}
+	}
+}
+
 // The status, the method and the fields tell how long a response's body is.
 func TestResponseBodies(t *testing.T) {
 	for _, c := range []struct {
--- a/internal/http1/response.go
+++ b/internal/http1/response.go
@@ -40,7 +40,7 @@
 		return errStatusLine
 	}
 	if r.MinorVersion, err = parseVersion(line[:versionEnd]); err != nil {
-		return err
+		return errStatusLine
 	}
 	for _, c := range line[statusStart:statusEnd] {
 		if c < '0' || c > '9' {
