cmd: a supervisor that cannot duplicate a listener closes those that it has

What callers would see: connections that the kernel takes and nobody accepts, between the failure and the end of the process. Found by reading; harmless but for that moment.

Cause: the listeners and the duplicates made so far were left open on the error's path.

Change: both are closed.

Failed before: TestInheritableFilesAreClosedOnError ("the listener is still open").

--- a/cmd/maddergap/serve_workers.go
+++ b/cmd/maddergap/serve_workers.go
@@ -27,6 +27,12 @@
 	}
 	queues := listeners.ListenQueues()
 	files, err := inheritableFiles(queues)
+	// While the parent holds the listeners, the kernel goes on to take connections.
+	closeListeners := sync.OnceFunc(func() {
+		listeners.Close()
+		closeFiles(files)
+	})
+	defer closeListeners()
 	if err != nil {
 		return err
 	}
@@ -36,14 +42,6 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	// While the parent holds the listeners, the kernel goes on to take connections.
-	closeListeners := sync.OnceFunc(func() {
-		listeners.Close()
-		for _, f := range files {
-			f.Close()
-		}
-	})
-	defer closeListeners()
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGHUP)
 	defer signal.Stop(signals)
@@ -64,12 +62,14 @@
 	}, signals)
 }
 
-// inheritableFiles duplicates the descriptors of listen queues for workers to inherit.
+// inheritableFiles duplicates the descriptors of listen queues for workers to inherit. On an error
+// none is left open.
 func inheritableFiles(queues []eventloop.ListenQueue) ([]*os.File, error) {
 	var files []*os.File
 	for _, queue := range queues {
 		fd, err := syscall.Dup(queue.FD)
 		if err != nil {
+			closeFiles(files)
 			return nil, err
 		}
 		syscall.CloseOnExec(fd)
@@ -83,6 +83,12 @@
 	return files, nil
 }
 
+func closeFiles(files []*os.File) {
+	for _, f := range files {
+		f.Close()
+	}
+}
+
 // formatQueues is the value of --queues: for each inherited listen queue its descriptor in the
 // worker, the key of its address, and whether it is the one of known clients.
 func formatQueues(queues []eventloop.ListenQueue) string {
--- a/cmd/maddergap/serve_workers_test.go
+++ b/cmd/maddergap/serve_workers_test.go
@@ -16,6 +16,7 @@
 	"testing"
 	"time"
 
+	"maddergap/internal/eventloop"
 	"maddergap/internal/fakenode"
 	"maddergap/internal/loopback"
 	"maddergap/internal/supervisor"
@@ -227,3 +228,27 @@
 	}
 	return string(states)
 }
+
+// Guards against listeners that stay open where one of them cannot be duplicated for the workers:
+// the kernel would go on to take connections that nobody accepts.
+func TestInheritableFilesAreClosedOnError(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	file, err := listener.(*net.TCPListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	const notOpen = -1
+	queues := []eventloop.ListenQueue{{FD: int(file.Fd())}, {FD: notOpen}}
+	if files, err := inheritableFiles(queues); err == nil || files != nil {
+		t.Fatalf("%v, %v", files, err)
+	}
+	file.Close()
+	listener.Close()
+	if c, err := net.Dial("tcp", listener.Addr().String()); err == nil {
+		c.Close()
+		t.Error("the listener is still open")
+	}
+}
