gateway, eventloop: a partial lack of descriptors no longer opens a node's breaker

What callers saw: with descriptors short but not gone, requests to a node that is well were rejected, as its breaker was open.

Cause: a dial that waits for a descriptor until it times out counted against its node if other connections came up meanwhile, since the resources were then taken to be there.

Change: the loop tells a lack of descriptors, memory or ports (DialShort) apart from other local failures; a dial that times out after one is never counted against its node. Refusals count, and so does a time-out after ENETUNREACH beside other connections, as before.

--- a/internal/e2e/platform_syscall_faults_test.go
+++ b/internal/e2e/platform_syscall_faults_test.go
@@ -147,3 +147,26 @@
 		t.Errorf("%v; the instance's log:\n%s", err, instance.log.String())
 	}
 }
+
+// Guards against a faultless node that is ejected by a shortage on this machine: descriptors are
+// short, so that some dials come through and others wait until they time out.
+func TestPartialShortageOpensNoBreaker(t *testing.T) {
+	node := startNodeClosing(t)
+	instance := startPlatform(t, startDiscovery(t, node).addr, platformOptions{syscallFaults: "socket EMFILE chance 0.9 from 300ms"})
+	within(t, 2*time.Second, instance.ready)
+	var clients sync.WaitGroup
+	deadline := time.Now().Add(3 * time.Second)
+	for range 8 {
+		clients.Go(func() {
+			for time.Now().Before(deadline) {
+				instance.roundTrip(instance.newRead(0, "1200m").text)
+			}
+		})
+	}
+	clients.Wait()
+	instance.stop()
+	log := instance.log.String()
+	if opened := strings.Count(log, "breaker_open=true"); opened > 0 {
+		t.Errorf("the breaker of a faultless node was open at %d looks of %d", opened, strings.Count(log, "breaker_open="))
+	}
+}
--- a/internal/eventloop/dial.go
+++ b/internal/eventloop/dial.go
@@ -1,6 +1,7 @@
 package eventloop
 
 import (
+	"cmp"
 	"errors"
 	"net/netip"
 	"slices"
@@ -16,6 +17,7 @@
 type delayedDials struct {
 	waiting []gateway.Action
 	backoff backoff
+	err     error // of the last dial that was delayed
 }
 
 // remove gives up the dial of a connection, if it waits.
@@ -36,7 +38,7 @@
 func (l *Loop) dial(a gateway.Action) {
 	if len(l.dials.waiting) > 0 && l.Now() < l.dials.backoff.retryAt { // it would fail as those did
 		l.dials.waiting = append(l.dials.waiting, a)
-		l.Gateway.Stalled(l.Now(), a.Conn)
+		l.reportDelay(a.Conn)
 		return
 	}
 	address, family, err := parseSockaddr(a.Addr)
@@ -46,7 +48,7 @@
 	}
 	fd, err := l.calls.Socket(family)
 	if err != nil {
-		l.delayDial(a)
+		l.delayDial(a, err)
 		return
 	}
 	unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
@@ -55,7 +57,7 @@
 	if !underWay {
 		unix.Close(fd)
 		if isLocal(err) {
-			l.delayDial(a)
+			l.delayDial(a, err)
 		} else {
 			l.Gateway.Closed(l.Now(), a.Conn)
 		}
@@ -73,7 +75,7 @@
 	case err != nil || code != 0 && isLocal(code):
 		a := gateway.Action{Op: gateway.Dial, Conn: id, Addr: s.address}
 		l.closeSocket(s, false)
-		l.delayDial(a)
+		l.delayDial(a, cmp.Or(err, error(code)))
 		return
 	case code != 0:
 		l.connectionFailed(id)
@@ -88,12 +90,21 @@
 	l.Gateway.Connected(l.Now(), id)
 }
 
-// delayDial has a dial retried later and tells the gateway that the peer is not
-// the cause.
-func (l *Loop) delayDial(a gateway.Action) {
+// delayDial has a dial that failed with a local error retried later.
+func (l *Loop) delayDial(a gateway.Action, err error) {
 	l.dials.waiting = append(l.dials.waiting, a)
 	l.dials.backoff.extend(l.Now())
-	l.Gateway.Stalled(l.Now(), a.Conn)
+	l.dials.err = err
+	l.reportDelay(a.Conn)
+}
+
+// reportDelay tells the gateway that a dial is delayed, and whether the peer may be the cause.
+func (l *Loop) reportDelay(id gateway.ConnID) {
+	if isShortage(l.dials.err) {
+		l.Gateway.DialShort(l.Now(), id)
+	} else {
+		l.Gateway.Stalled(l.Now(), id)
+	}
 }
 
 // retryDials begins the delayed dials once their time has come, up to the first
--- a/internal/eventloop/retry.go
+++ b/internal/eventloop/retry.go
@@ -31,6 +31,12 @@
 	return false
 }
 
+// isShortage tells whether a local error is a lack of descriptors, memory or ports, which no peer
+// can cause. An unreachable network, which is local too, may be that of one peer alone.
+func isShortage(err error) bool {
+	return isLocal(err) && !errors.Is(err, unix.ENETUNREACH) && !errors.Is(err, unix.ENETDOWN)
+}
+
 // outOfMemory tells whether the kernel had no memory or buffer for a read or write.
 func outOfMemory(err error) bool {
 	return errors.Is(err, unix.ENOBUFS) || errors.Is(err, unix.ENOMEM)
--- a/internal/gateway/conn_events.go
+++ b/internal/gateway/conn_events.go
@@ -65,6 +65,15 @@
 	}
 }
 
+// DialShort is Stalled for a dial that is deferred as descriptors, memory or ports are short. No
+// peer can cause that.
+func (g *Gateway) DialShort(now Time, id ConnID) {
+	g.Stalled(now, id)
+	if c, ok := g.conns.find(id).(*nodeConn); ok {
+		c.dialShort = true
+	}
+}
+
 // Stalled is called when a system call on a connection (dialing, reading or writing)
 // failed for lack of local resources, such as descriptors, ports or memory, and is retried
 // later. The peer is not to blame for the delay. Only this is called a stall here: a peer
--- a/internal/gateway/node_conn.go
+++ b/internal/gateway/node_conn.go
@@ -31,7 +31,8 @@
 	incarnation Time   // of the node that it leads to; see node.started
 	state       nodeConnState
 	attempt     *nodeAttempt // nil: none
-	dialStalled bool         // dialing was deferred for lack of local resources
+	dialStalled bool         // dialing was deferred for a failure of this machine or its network
+	dialShort   bool         // it was for a lack of descriptors, memory or ports
 
 	idleSince   Time          // when it was last made idle, also while it is reused; 0: never
 	idleElement *list.Element // in nodeTable.idleByAge; nil: it is not idle
@@ -147,6 +148,8 @@
 	switch {
 	case c.state == nodeReadingBody && attempt.outcome != scheduler.OK:
 		return attempt.outcome
+	case c.state == nodeDialing && c.dialShort: // the dial was made in the end, and refused
+		return scheduler.ConnectFailed
 	case c.state == nodeDialing:
 		return g.dialFailureOutcome(c, attempt)
 	case !attempt.firstByteWritten: // an idle connection was closed just then: the request was not executed
@@ -158,11 +161,12 @@
 }
 
 // dialFailureOutcome returns the outcome of an attempt whose connection was not
-// established. That is a fault of the node, unless dialing was deferred for lack of local
-// resources. If other connections were established meanwhile, the resources were there,
-// and it is the node's fault all the same, for instance because there is no route to it.
+// established. That is a fault of the node, unless dialing was deferred for a failure of this
+// machine or its network. If other connections were established meanwhile, it is the node's
+// fault all the same, for instance because there is no route to it. A lack of resources, of which
+// others may have got the last, never is.
 func (g *Gateway) dialFailureOutcome(c *nodeConn, attempt *nodeAttempt) scheduler.Outcome {
-	if c.dialStalled && g.nodes.lastConnected <= attempt.startedAt {
+	if c.dialShort || c.dialStalled && g.nodes.lastConnected <= attempt.startedAt {
 		return scheduler.NotSent
 	}
 	return scheduler.ConnectFailed
