cmd: the process test reads what its nodes executed under their lock

Cause: nodes may still serve as the test counts executions; the race detector found it in 4 of 100 runs beside load. The check is the same, on a copy.

--- a/cmd/maddergap/misbehaving_peers_test.go
+++ b/cmd/maddergap/misbehaving_peers_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -39,6 +40,13 @@
 	return n, nil
 }
 
+// executions returns how often each write was executed.
+func (n *misbehavingNode) executions() map[string]int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return maps.Clone(n.written)
+}
+
 func (n *misbehavingNode) draw(count int) int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/cmd/maddergap/misbehaving_test.go
+++ b/cmd/maddergap/misbehaving_test.go
@@ -96,7 +96,7 @@
 		t.Error(v)
 	}
 	for _, n := range nodes {
-		for path, count := range n.written {
+		for path, count := range n.executions() {
 			if count > 1 {
 				t.Errorf("%s was executed %d times", path, count)
 			}
