--- a/internal/e2e/platform_discovery_test.go
+++ b/internal/e2e/platform_discovery_test.go
@@ -49,16 +49,12 @@
 	one, two := startNodeResponding(t, "one"), startNodeResponding(t, "two")
 	before, after := startDiscovery(t, one), startDiscovery(t, two)
 	instance := startPlatformReady(t, before, platformOptions{})
-	read := func() string {
-		_, body := instance.roundTrip(instance.newRead(0, "1200m").text)
-		return body
-	}
 	instance.configChange = strings.NewReplacer(`"fleetSize":1`, `"fleetSize":2`)
 	instance.writeConfig(after.addr)
 	instance.daemon.Reload()
 	within(t, time.Second, func() bool { return strings.Contains(instance.log.String(), "reload rejected") })
 	time.Sleep(200 * time.Millisecond)
-	if got := read(); got != "one" || strings.Contains(instance.log.String(), "discovery address changed") {
+	if got := instance.readBody(); got != "one" || strings.Contains(instance.log.String(), "discovery address changed") {
 		t.Errorf("%q after a configuration that was rejected", got)
 	}
 }
@@ -68,14 +64,10 @@
 func TestPlatformReloadNamesWhatNeedsRestart(t *testing.T) {
 	before, after := startDiscovery(t, startNodeResponding(t, "one")), startDiscovery(t, startNodeResponding(t, "two"))
 	instance := startPlatformReady(t, before, platformOptions{})
-	read := func() string {
-		_, body := instance.roundTrip(instance.newRead(0, "1200m").text)
-		return body
-	}
 	instance.configChange = strings.NewReplacer(`"connectTimeout":250000`, `"connectTimeout":300000`, `"zones":["z0"]`, `"zones":["z0","z1"]`)
 	instance.writeConfig(after.addr)
 	instance.daemon.Reload()
-	within(t, time.Second, func() bool { return read() == "two" })
+	within(t, time.Second, func() bool { return instance.readBody() == "two" })
 	if want := `msg="needs a restart" settings="settings.limits.connectTimeout, settings.zones"`; !strings.Contains(instance.log.String(), want) {
 		t.Errorf("the log does not say %s", want)
 	}
--- a/internal/e2e/platform_harness_test.go
+++ b/internal/e2e/platform_harness_test.go
@@ -100,6 +100,12 @@
 	}
 }
 
+// readBody sends a read and returns the body of its response.
+func (i *platformInstance) readBody() string {
+	_, body := i.roundTrip(i.newRead(0, "1200m").text)
+	return body
+}
+
 func (i *platformInstance) ready() bool {
 	status, _ := i.roundTrip("GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n")
 	return status == 200
