gateway: a client that is cut off in a node's response is dropped, not answered locally

Cause: the outcome of a request whose body is malformed, late or cut off was local, also where a part of a node's response had been written and the client gets no other.

Change: such a request is dropped. Failed before: the new row of TestOutcomesNameWhoEndedRequest.

Measured: gateway tests pass.

--- a/internal/gateway/http_test.go
+++ b/internal/gateway/http_test.go
@@ -211,6 +211,10 @@
 		{"unknown volume", getRequest("/feed-z/x"), func(*harness, ConnID) {}, AnsweredLocally},
 		{"slow header", "GET ", func(h *harness, _ ConnID) { h.advanceTime(3 * time.Second) }, AnsweredLocally},
 		{"cut off body", begun, func(h *harness, c ConnID) { h.gateway.EOF(h.now, c) }, AnsweredLocally},
+		{"cut off body, in the response", begun, func(h *harness, c ConnID) {
+			h.deliver(h.nodeConn(0), sizedHeader+"hello")
+			h.gateway.EOF(h.now, c)
+		}, Dropped},
 		{"unread response", getRequest("/feed-a/s/x"), func(h *harness, c ConnID) {
 			h.blocked[c] = true
 			h.deliver(h.nodeConn(0), sizedHeader+"hello")
--- a/internal/gateway/request_lifecycle.go
+++ b/internal/gateway/request_lifecycle.go
@@ -187,6 +187,9 @@
 	}
 	g.scheduler.notify(scheduler.ClientDisconnected{ID: req.id})
 	g.cancelAttempts(req)
+	if outcome == AnsweredLocally && req.response.source != nil { // a part of a node's response was written
+		outcome = Dropped
+	}
 	req.response.final = true
 	req.cancelledAt = g.clock.now
 	g.counts.Disconnected++
