gateway: a response that nobody waits for is read as long as any, where they are buffered

Cause: with, a response to a client that had left was dropped under the limit for streams (64 KiB) on a platform too, and without the time limit of buffered responses. Longer ones cost their connection.

Change: how much is read of such a response, and for how long, is the protocol's (maxDiscardedBytes, beginUnwantedResponse), as it was before.

Failed before: TestConnectionOutlivesUnwantedResponse on ("closed by abort"); it holds on and now. Gateway tests pass.

--- a/internal/gateway/buffered_protocol.go
+++ b/internal/gateway/buffered_protocol.go
@@ -49,15 +49,21 @@
 // beginResponse begins to buffer a response. A response without a length is complete when
 // its node ends the connection in order; after a reset, or while nothing comes, it is not.
 func (b bufferedProtocol) beginResponse(g *Gateway, _ *request, attempt *nodeAttempt) bool {
-	if limit, _ := b.p.MaxResponseBytes(); attempt.conn.response.ContentLength > limit {
+	if !b.beginUnwantedResponse(attempt) {
 		return false
 	}
-	attempt.bufferResponse = true
 	attempt.responseBody = g.buffers.get()
-	attempt.noProgressTimeout = b.p.ResponseNoProgressTimeout()
 	return true
 }
 
+// beginUnwantedResponse sets the same limits as beginResponse, and buffers nothing.
+func (b bufferedProtocol) beginUnwantedResponse(attempt *nodeAttempt) bool {
+	attempt.bufferResponse = true
+	attempt.noProgressTimeout = b.p.ResponseNoProgressTimeout()
+	limit, _ := b.p.MaxResponseBytes()
+	return attempt.conn.response.ContentLength <= limit
+}
+
 func (b bufferedProtocol) responseData(g *Gateway, _ *request, attempt *nodeAttempt, data []byte) bool {
 	limit, totalLimit := b.p.MaxResponseBytes()
 	g.buffers.responseBytes += int64(len(data)) // given back when the attempt ends
@@ -79,6 +85,13 @@
 	g.responseQueued(req)
 }
 
+// maxDiscardedBytes is the limit of any response: connections to nodes are scarce, and one that is
+// closed has to be made again.
+func (b bufferedProtocol) maxDiscardedBytes() int64 {
+	limit, _ := b.p.MaxResponseBytes()
+	return limit
+}
+
 // A node executes only a complete request, so that one it received in part was not executed.
 func (bufferedProtocol) truncatedRequestOutcome() scheduler.Outcome { return scheduler.ConnectFailed }
 
--- a/internal/gateway/connection_reuse_test.go
+++ b/internal/gateway/connection_reuse_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"strings"
 	"testing"
 	"time"
 )
@@ -166,3 +167,28 @@
 	h.deliver(m, okResponse("its own"))
 	h.wantContains("the response", h.takeWritten(c), "200 OK", "its own")
 }
+
+// longResponses is a protocol whose responses may be longer than a stream's that is discarded.
+type longResponses struct{ fakeProtocol }
+
+func (longResponses) MaxResponseBytes() (one, all int64) { return 1 << 18, 1 << 20 }
+
+// Guards against connections that are closed since their client has left: with messages that are
+// buffered, a whole response that nobody waits for is read to its end, and its connection serves
+// the next request.
+func TestConnectionOutlivesUnwantedResponse(t *testing.T) {
+	h := newProtocolHarness(t)
+	h.gateway.SetProtocol(longResponses{})
+	c := h.connectClient(requestWithID("a"))
+	n := h.nodeConn(0)
+	h.gateway.EOF(h.now, c)
+	h.runActions()
+	h.deliver(n, okResponse(strings.Repeat("x", 1<<18)))
+	if op, closed := h.closedBy[n]; closed {
+		t.Errorf("closed by %v", op)
+	}
+	h.connectClient(requestWithID("b"))
+	if len(h.dialed) != 1 {
+		t.Errorf("%d connections, want 1", len(h.dialed))
+	}
+}
--- a/internal/gateway/node_response.go
+++ b/internal/gateway/node_response.go
@@ -5,10 +5,6 @@
 	"maddergap/scheduler"
 )
 
-// maxDiscardedBytes is how much of a response that is not passed on is read, so that its
-// connection can be reused. A longer response ends the connection.
-const maxDiscardedBytes = 64 << 10
-
 // consumeNodeData uses the bytes of a node and returns those that cannot be used yet.
 func (g *Gateway) consumeNodeData(c *nodeConn, data []byte) []byte {
 	g.attemptUnstalled(c.attempt)
@@ -82,7 +78,7 @@
 	}
 	req := attempt.req.live()
 	if req == nil {
-		return true
+		return g.protocol.beginUnwantedResponse(attempt)
 	}
 	return g.protocol.beginResponse(g, req, attempt)
 }
@@ -112,7 +108,7 @@
 	}
 	req := attempt.responseConsumer()
 	if req == nil {
-		if attempt.discardedBytes += int64(len(data)); attempt.discardedBytes > maxDiscardedBytes {
+		if attempt.discardedBytes += int64(len(data)); attempt.discardedBytes > g.protocol.maxDiscardedBytes() {
 			g.abortNodeConn(attempt.conn, attempt.outcome)
 		}
 		return
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -23,6 +23,10 @@
 	// parseResponse reads the header of a node's response.
 	parseResponse(r *http1.Response) ResponseInfo
 
+	// beginUnwantedResponse begins a response to a request that has its final response or whose
+	// client has left. It is read and dropped. Where it returns false, the attempt ends with
+	// brokenResponseOutcome.
+	beginUnwantedResponse(attempt *nodeAttempt) bool
 	// beginResponse, responseData and endResponse pass a response on whose outcome is OK, to a
 	// request that has no final response. They are not called once it has one. Where the first
 	// two return false, the attempt ends with brokenResponseOutcome.
@@ -30,6 +34,9 @@
 	responseData(g *Gateway, req *request, attempt *nodeAttempt, data []byte) bool
 	endResponse(g *Gateway, req *request, attempt *nodeAttempt)
 
+	// maxDiscardedBytes returns how much of a response that is not passed on is read, so that its
+	// connection can be reused. A longer response ends the connection.
+	maxDiscardedBytes() int64
 	// truncatedRequestOutcome is the outcome of an attempt of which only a part was
 	// written when its connection was lost.
 	truncatedRequestOutcome() scheduler.Outcome
--- a/internal/gateway/webdav_protocol.go
+++ b/internal/gateway/webdav_protocol.go
@@ -158,6 +158,8 @@
 	return true
 }
 
+func (webdavProtocol) beginUnwantedResponse(*nodeAttempt) bool { return true }
+
 // writeResponseHeader sends the header of a node's response to a client.
 func (g *Gateway) writeResponseHeader(c *clientConn, req *request, r *http1.Response) {
 	req.response.outputStart = c.outputEnd()
@@ -218,6 +220,9 @@
 	g.responseQueued(req)
 }
 
+// maxDiscardedBytes is little beside what a stream may bring.
+func (webdavProtocol) maxDiscardedBytes() int64 { return 64 << 10 }
+
 func (webdavProtocol) truncatedRequestOutcome() scheduler.Outcome { return scheduler.Reset }
 
 func (webdavProtocol) brokenResponseOutcome() scheduler.Outcome { return scheduler.Reset }
