--- /dev/null
+++ b/review/lab/lab.go
@@ -0,0 +1,243 @@
+// Package lab has what the review's cases share: a record of what happened, a head started with
+// the command of the deploy file, and stand-ins for discovery, shelfs and clients. Every address
+// is a loopback address.
+package lab
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Exit codes of a case.
+const (
+	RuleHeld    = 0
+	RuleBroken  = 1
+	CouldNotRun = 2
+)
+
+// runLimit is the longest run of a case.
+const runLimit = 115 * time.Second
+
+// Record is the record of a run, written to record.txt. It is safe for concurrent use.
+type Record struct {
+	mu      sync.Mutex
+	file    *os.File
+	started time.Time
+}
+
+// Logf writes a line with the time since the start.
+func (r *Record) Logf(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	fmt.Fprintf(r.file, "%9.4f %s\n", time.Since(r.started).Seconds(), fmt.Sprintf(format, args...))
+}
+
+// Run runs a case with the record in dir/record.txt and exits with the code that it returns. trouble
+// is false if the environment has TROUBLE=0.
+func Run(dir string, body func(r *Record, trouble bool) int) {
+	file, err := os.Create(filepath.Join(dir, "record.txt"))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(CouldNotRun)
+	}
+	r := &Record{file: file, started: time.Now()}
+	trouble := os.Getenv("TROUBLE") != "0"
+	r.Logf("begins at %s, trouble: %v", r.started.UTC().Format(time.RFC3339), trouble)
+	time.AfterFunc(runLimit, func() {
+		r.Logf("the time of the run is over")
+		killAll()
+		os.Exit(CouldNotRun)
+	})
+	code := func() (code int) {
+		defer killAll()
+		defer func() {
+			if p := recover(); p != nil {
+				r.Logf("could not run: %v", p)
+				fmt.Fprintln(os.Stderr, "could not run:", p)
+				code = CouldNotRun
+			}
+		}()
+		return body(r, trouble)
+	}()
+	text := [...]string{"the rule held", "the rule was broken", "could not run"}[code]
+	r.Logf("result: %s", text)
+	fmt.Println(text)
+	os.Exit(code)
+}
+
+// Check panics if err is not nil; Run then reports that the case could not run.
+func Check(err error) {
+	if err != nil {
+		panic(err)
+	}
+}
+
+// processes holds the process ids of the heads that were started.
+var processes struct {
+	mu   sync.Mutex
+	cmds []*exec.Cmd
+}
+
+func killAll() {
+	processes.mu.Lock()
+	defer processes.mu.Unlock()
+	for _, cmd := range processes.cmds {
+		cmd.Process.Kill() // no effect on one that was waited for
+	}
+}
+
+// FreeAddr returns a loopback address with a port that is free now.
+func FreeAddr() string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Check(err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// Object is a JSON object.
+type Object = map[string]any
+
+// HeadOptions describes a head.
+type HeadOptions struct {
+	Name      string
+	Listen    string
+	Discovery string
+	MemoryMB  float64
+	Sockets   int
+	Known     Object
+	Settings  Object
+	LogPath   string // file for the head's log
+	Flags     string // further flags, for a look by hand
+}
+
+// Head is a head that was started.
+type Head struct {
+	Addr string
+	cmd  *exec.Cmd
+	done chan struct{}
+}
+
+// runLine finds the command of a head in the deploy file.
+var runLine = regexp.MustCompile(`(?m)^run = "([^"]*)"`)
+
+// StartHead starts a head with the command `run` of the deploy file and waits until it is ready.
+func StartHead(r *Record, o HeadOptions) *Head {
+	deploy, err := os.ReadFile("deploy/balancer.toml")
+	Check(err)
+	match := runLine.FindSubmatch(deploy)
+	if match == nil {
+		panic("the deploy file has no run")
+	}
+	command := string(match[1]) + o.Flags
+	dir, err := os.MkdirTemp("", "review")
+	Check(err)
+	config, err := json.Marshal(Object{
+		"name": o.Name, "listen": o.Listen, "discovery": o.Discovery,
+		"seed":   fmt.Sprintf("%016x", time.Now().UnixNano()),
+		"limits": Object{"cores": 1.0, "memory_mb": o.MemoryMB, "sockets": o.Sockets},
+		"known":  o.Known, "settings": o.Settings,
+	})
+	Check(err)
+	path := filepath.Join(dir, "config.json")
+	Check(os.WriteFile(path, config, 0o600))
+	cmd := exec.Command("/bin/sh", "-c", command)
+	cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+path, "ROUTER_NAME="+o.Name, "ROUTER_LISTEN="+o.Listen,
+		"ROUTER_DISCOVERY="+o.Discovery, "TMPDIR="+dir)
+	if o.LogPath != "" {
+		log, err := os.Create(o.LogPath)
+		Check(err)
+		defer log.Close()
+		cmd.Stdout, cmd.Stderr = log, log
+	}
+	Check(cmd.Start())
+	processes.mu.Lock()
+	processes.cmds = append(processes.cmds, cmd)
+	processes.mu.Unlock()
+	h := &Head{Addr: o.Listen, cmd: cmd, done: make(chan struct{})}
+	go func() {
+		err := cmd.Wait()
+		r.Logf("head %s (process %d) ended: %v", o.Name, cmd.Process.Pid, err)
+		os.RemoveAll(dir)
+		close(h.done)
+	}()
+	for begun := time.Now(); ; time.Sleep(20 * time.Millisecond) {
+		if time.Since(begun) > 30*time.Second {
+			panic("the head is not ready after 30 s")
+		}
+		select {
+		case <-h.done:
+			panic("the head ended before it was ready")
+		default:
+		}
+		response, err := http.Get("http://" + o.Listen + "/-/ready")
+		if err != nil {
+			continue
+		}
+		io.Copy(io.Discard, response.Body)
+		response.Body.Close()
+		if response.StatusCode == 200 {
+			break
+		}
+	}
+	http.DefaultClient.CloseIdleConnections()
+	r.Logf("head %s (process %d, command %q) is ready on %s", o.Name, cmd.Process.Pid, command, o.Listen)
+	return h
+}
+
+// Signal sends a signal to the head.
+func (h *Head) Signal(s syscall.Signal) { Check(h.cmd.Process.Signal(s)) }
+
+// Done returns a channel that is closed once the head has ended.
+func (h *Head) Done() <-chan struct{} { return h.done }
+
+// Memory returns a value of the head's /proc status in bytes, for example of VmRSS; 0 if there is none.
+func (h *Head) Memory(name string) int64 {
+	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", h.cmd.Process.Pid))
+	for line := range strings.SplitSeq(string(text), "\n") {
+		if value, ok := strings.CutPrefix(line, name+":"); ok {
+			n, _ := strconv.ParseInt(strings.TrimSpace(strings.TrimSuffix(strings.TrimSpace(value), "kB")), 10, 64)
+			return n << 10
+		}
+	}
+	return 0
+}
+
+// Request is a client's request.
+type Request struct {
+	ID, Class, Plan, Piece, Volume string
+	Units, Shard, Hosts            int
+	Remaining                      time.Duration
+	Write                          bool
+	Body                           []byte
+}
+
+// Bytes returns the request as a client writes it.
+func (q *Request) Bytes() []byte {
+	var b bytes.Buffer
+	method := "GET"
+	if q.Write {
+		method = "PUT"
+	}
+	fmt.Fprintf(&b, "%s /api HTTP/1.1\r\nHost: backend.local\r\nX-Txn: %s\r\nX-Lane: %s\r\nTier: %s\r\nPiece: %s\r\n",
+		method, q.ID, q.Class, q.Plan, q.Piece)
+	fmt.Fprintf(&b, "X-Remaining: %dm\r\n", q.Remaining.Milliseconds())
+	if q.Write {
+		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(q.Body))
+	}
+	fmt.Fprintf(&b, "IO-Info: volume=%s,units=%d,shard=%d,hosts=%d\r\n\r\n", q.Volume, q.Units, q.Shard, q.Hosts)
+	b.Write(q.Body)
+	return b.Bytes()
+}
