--- a/review/lab/shelf.go
+++ b/review/lab/shelf.go
@@ -2,12 +2,15 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -137,3 +140,97 @@
 	to.Close()
 	from.Close()
 }
+
+// Cut is a proxy to an address whose way can be cut: from then on bytes wait in both directions, as in the
+// send buffers of the machines, and new connections do not come up. Mending it lets the bytes through, but
+// not those of a connection that its sender has reset meanwhile.
+type Cut struct {
+	Addr string
+
+	mu     sync.Mutex
+	mended *sync.Cond
+	cut    bool
+}
+
+// NewCut starts a proxy to an address.
+func NewCut(to string) *Cut {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Check(err)
+	w := &Cut{Addr: l.Addr().String()}
+	w.mended = sync.NewCond(&w.mu)
+	go func() {
+		for {
+			w.wait()
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			d, err := net.Dial("tcp", to)
+			if err != nil {
+				reset(c)
+				continue
+			}
+			go w.carry(c, d)
+			go w.carry(d, c)
+		}
+	}()
+	return w
+}
+
+// Set cuts the way, or mends it.
+func (w *Cut) Set(cut bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cut = cut
+	w.mended.Broadcast()
+}
+
+// wait returns once the way is not cut.
+func (w *Cut) wait() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for w.cut {
+		w.mended.Wait()
+	}
+}
+
+func (w *Cut) carry(from, to net.Conn) {
+	var gone atomic.Bool // the sender has reset the connection
+	data := make(chan []byte, 1024)
+	go func() {
+		defer close(data)
+		for {
+			buffer := make([]byte, 32<<10)
+			n, err := from.Read(buffer)
+			if n > 0 {
+				data <- buffer[:n]
+			}
+			if err != nil {
+				gone.Store(!errors.Is(err, io.EOF))
+				return
+			}
+		}
+	}()
+	for p := range data {
+		w.wait()
+		if gone.Load() {
+			break
+		}
+		if _, err := to.Write(p); err != nil {
+			break
+		}
+	}
+	w.wait()
+	if gone.Load() {
+		reset(to)
+	}
+	to.Close()
+	from.Close()
+}
+
+func reset(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		tcp.SetLinger(0)
+	}
+	c.Close()
+}
