--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p bin/review
-go build -o bin/review/ ./review/foreign ./review/window ./review/pipeline
+go build -o bin/review/ ./review/foreign ./review/window ./review/stop
