--- a/review/lab/discovery.go
+++ b/review/lab/discovery.go
@@ -7,15 +7,11 @@
 	"net"
 	"net/http"
 	"strconv"
-	"sync"
 	"time"
 )
 
-// Shelf status on the list.
-const (
-	Up       = "up"
-	Draining = "draining"
-)
+// Up is the status of a shelf that serves.
+const Up = "up"
 
 // Entry is a shelf on discovery's list.
 type Entry struct {
@@ -29,22 +25,21 @@
 	Since   int64   `json:"since_ms"`
 }
 
-// Agent is discovery's agent on the head's machine. It answers at once with the whole list, and holds a
-// watch until there is a newer list.
-type Agent struct {
-	Addr string
+// listIndex is the version of the list, which never changes.
+const listIndex = 41
 
-	mu      sync.Mutex
-	index   int64
+// Agent is discovery's agent on the head's machine. It answers a call for the whole list at once, and a watch,
+// since nothing changes, with no entries at its end.
+type Agent struct {
+	Addr    string
 	entries []Entry
-	changed chan struct{} // closed at the next change
 }
 
 // NewAgent starts an agent with a list.
 func NewAgent(entries []Entry) *Agent {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	Check(err)
-	a := &Agent{Addr: l.Addr().String(), index: 41, entries: entries, changed: make(chan struct{})}
+	a := &Agent{Addr: l.Addr().String(), entries: entries}
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -57,21 +52,9 @@
 	return a
 }
 
-// Set replaces the list.
-func (a *Agent) Set(entries []Entry) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.index++
-	a.entries = entries
-	close(a.changed)
-	a.changed = make(chan struct{})
-}
-
 // List returns the whole list in discovery's form.
 func (a *Agent) List() Object {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return Object{"index": a.index, "snapshot": true, "endpoints": a.entries}
+	return Object{"index": listIndex, "snapshot": true, "endpoints": a.entries}
 }
 
 func (a *Agent) serve(c net.Conn) {
@@ -84,18 +67,11 @@
 		}
 		from, err := strconv.ParseInt(q.URL.Query().Get("from"), 10, 64)
 		hold, _ := strconv.Atoi(q.URL.Query().Get("hold_ms"))
-		a.mu.Lock()
-		index, changed := a.index, a.changed
-		a.mu.Unlock()
-		list := Object{"index": index, "snapshot": false, "endpoints": []Entry{}}
-		if err != nil || from != index {
+		list := Object{"index": listIndex, "snapshot": false, "endpoints": []Entry{}}
+		if err != nil || from != listIndex {
 			list = a.List()
 		} else {
-			select {
-			case <-changed:
-				list = a.List()
-			case <-time.After(time.Duration(hold) * time.Millisecond):
-			}
+			time.Sleep(time.Duration(hold) * time.Millisecond)
 		}
 		body, err := json.Marshal(list)
 		Check(err)
--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -12,10 +12,9 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"regexp"
-	"strconv"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -56,35 +55,32 @@
 	r := &Record{file: file, started: time.Now()}
 	trouble := os.Getenv("TROUBLE") != "0"
 	r.Logf("begins at %s, trouble: %v", r.started.UTC().Format(time.RFC3339), trouble)
-	time.AfterFunc(runLimit, func() {
-		r.Logf("the time of the run is over")
-		killAll()
-		os.Exit(CouldNotRun)
-	})
-	code := func() (code int) {
-		defer killAll()
-		defer func() {
-			if p := recover(); p != nil {
-				r.Logf("could not run: %v", p)
-				fmt.Fprintln(os.Stderr, "could not run:", p)
-				code = CouldNotRun
-			}
-		}()
-		return body(r, trouble)
-	}()
+	time.AfterFunc(runLimit, func() { fail("the time of the run is over") })
+	stops := make(chan os.Signal, 1)
+	signal.Notify(stops, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	go func() { fail(fmt.Sprint("stopped by ", <-stops)) }()
+	code := body(r, trouble)
+	killAll()
 	text := [...]string{"the rule held", "the rule was broken", "could not run"}[code]
 	r.Logf("result: %s", text)
 	fmt.Println(text)
 	os.Exit(code)
 }
 
-// Check panics if err is not nil; Run then reports that the case could not run.
+// Check ends the run as one that could not run if err is not nil.
 func Check(err error) {
 	if err != nil {
-		panic(err)
+		fail(err.Error())
 	}
 }
 
+// fail ends the heads and the program.
+func fail(reason string) {
+	fmt.Fprintln(os.Stderr, "could not run:", reason)
+	killAll()
+	os.Exit(CouldNotRun)
+}
+
 // processes holds the process ids of the heads that were started.
 var processes struct {
 	mu   sync.Mutex
@@ -119,8 +115,6 @@
 	Sockets   int
 	Known     Object
 	Settings  Object
-	LogPath   string // file for the head's log
-	Flags     string // further flags, for a look by hand
 }
 
 // Head is a head that was started.
@@ -139,9 +133,9 @@
 	Check(err)
 	match := runLine.FindSubmatch(deploy)
 	if match == nil {
-		panic("the deploy file has no run")
+		fail("the deploy file has no run")
 	}
-	command := string(match[1]) + o.Flags
+	command := string(match[1])
 	dir, err := os.MkdirTemp("", "review")
 	Check(err)
 	config, err := json.Marshal(Object{
@@ -156,12 +150,6 @@
 	cmd := exec.Command("/bin/sh", "-c", command)
 	cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+path, "ROUTER_NAME="+o.Name, "ROUTER_LISTEN="+o.Listen,
 		"ROUTER_DISCOVERY="+o.Discovery, "TMPDIR="+dir)
-	if o.LogPath != "" {
-		log, err := os.Create(o.LogPath)
-		Check(err)
-		defer log.Close()
-		cmd.Stdout, cmd.Stderr = log, log
-	}
 	Check(cmd.Start())
 	processes.mu.Lock()
 	processes.cmds = append(processes.cmds, cmd)
@@ -175,11 +163,11 @@
 	}()
 	for begun := time.Now(); ; time.Sleep(20 * time.Millisecond) {
 		if time.Since(begun) > 30*time.Second {
-			panic("the head is not ready after 30 s")
+			fail("the head is not ready after 30 s")
 		}
 		select {
 		case <-h.done:
-			panic("the head ended before it was ready")
+			fail("the head ended before it was ready")
 		default:
 		}
 		response, err := http.Get("http://" + o.Listen + "/-/ready")
@@ -203,18 +191,6 @@
 // Done returns a channel that is closed once the head has ended.
 func (h *Head) Done() <-chan struct{} { return h.done }
 
-// Memory returns a value of the head's /proc status in bytes, for example of VmRSS; 0 if there is none.
-func (h *Head) Memory(name string) int64 {
-	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", h.cmd.Process.Pid))
-	for line := range strings.SplitSeq(string(text), "\n") {
-		if value, ok := strings.CutPrefix(line, name+":"); ok {
-			n, _ := strconv.ParseInt(strings.TrimSpace(strings.TrimSuffix(strings.TrimSpace(value), "kB")), 10, 64)
-			return n << 10
-		}
-	}
-	return 0
-}
-
 // Request is a client's request.
 type Request struct {
 	ID, Class, Plan, Piece, Volume string
