--- a/review/lab/shelf.go
+++ b/review/lab/shelf.go
@@ -142,8 +142,9 @@
 }
 
 // Cut is a proxy to an address whose way can be cut: from then on bytes wait in both directions, as in the
-// send buffers of the machines, and new connections do not come up. Mending it lets the bytes through, but
-// not those of a connection that its sender has reset meanwhile.
+// send buffers of the machines. Mending it lets the bytes through, but not those of a connection that its
+// sender has reset meanwhile. A connection that is made while the way is cut stays silent and is reset
+// when it is mended.
 type Cut struct {
 	Addr string
 
@@ -160,11 +161,17 @@
 	w.mended = sync.NewCond(&w.mu)
 	go func() {
 		for {
-			w.wait()
 			c, err := l.Accept()
 			if err != nil {
 				return
 			}
+			if w.isCut() {
+				go func() {
+					w.wait()
+					reset(c)
+				}()
+				continue
+			}
 			d, err := net.Dial("tcp", to)
 			if err != nil {
 				reset(c)
@@ -185,6 +192,12 @@
 	w.mended.Broadcast()
 }
 
+func (w *Cut) isCut() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.cut
+}
+
 // wait returns once the way is not cut.
 func (w *Cut) wait() {
 	w.mu.Lock()
--- a/review/window/main.go
+++ b/review/window/main.go
@@ -115,7 +115,8 @@
 	}
 	runs := s.runs[a.ID]
 	s.mu.Unlock()
-	s.r.Logf("the shelf got %s whole, %.3f s after its first attempt, told X-Remaining %s; it runs: %v, runs so far: %d", a.ID, after.Seconds(), a.Remaining, run, runs)
+	s.r.Logf("the shelf got %s whole, %.3f s after its first attempt, told X-Remaining %s, connection %s; it runs: %v, runs so far: %d",
+		a.ID, after.Seconds(), a.Remaining, c.RemoteAddr(), run, runs)
 	time.Sleep(25 * time.Millisecond)
 	if again {
 		lab.Answer(c, "made for "+a.ID)
