--- a/review/foreign/main.go
+++ b/review/foreign/main.go
@@ -142,6 +142,7 @@
 		if n%3 == 2 {
 			q.Class, q.Write, q.Remaining, q.Body = "segment-write", true, 2*time.Second, []byte("data of "+q.ID)
 		}
+		r.Logf("client %d sends %s %s", i, q.Class, q.ID)
 		c.Write(q.Bytes())
 		status, body, closing, err := c.Read(time.Now().Add(q.Remaining + time.Second))
 		r.Logf("client %d: %s %s is answered %d %q %v", i, q.Class, q.ID, status, strings.TrimSpace(body), err)
--- a/review/stop/main.go
+++ b/review/stop/main.go
@@ -110,6 +110,7 @@
 		core.Lock()
 		time.Sleep(time.Duration(25+rand.IntN(16)) * time.Millisecond)
 		core.Unlock()
+		r.Logf("%s ran %s and answers", name, a.ID)
 		lab.Answer(c, "made for "+a.ID)
 		return true
 	}
@@ -125,6 +126,7 @@
 	q := lab.Request{ID: id, Class: "segment-write", Plan: "priority", Piece: fmt.Sprintf("%016x", rand.Uint64()),
 		Volume: fmt.Sprintf("%016x", i%16+1), Units: 1, Shard: i % shelfs, Hosts: 1, Remaining: deadline, Write: true, Body: make([]byte, bodyBytes)}
 	out := q.Bytes()
+	r.Logf("%s: begins to send, %d bytes in %d pieces", id, len(out), pieces)
 	for p := range pieces {
 		time.Sleep(time.Until(begun.Add(end.Sub(begun) * time.Duration(p) / (pieces - 1))))
 		if _, err = c.Write(out[len(out)*p/pieces : len(out)*(p+1)/pieces]); err != nil {
--- a/review/window/main.go
+++ b/review/window/main.go
@@ -145,8 +145,8 @@
 		Volume: "00000003b4d60021", Units: 1, Hosts: 1, Remaining: 1200 * time.Millisecond}
 	if write {
 		q.Class, q.Write, q.Body, q.Remaining = "segment-write", true, []byte("data of "+id), deadline
-		r.Logf("the client sends the write %s", id)
 	}
+	r.Logf("a client sends %s %s", q.Class, id)
 	c.Write(q.Bytes())
 	status, _, _, err := c.Read(time.Now().Add(q.Remaining + time.Second))
 	r.Logf("%s is answered %d %v", id, status, err)
