Review: a stopped stand-in ends its heads also when its output is closed

Need: a stand-in that was stopped while its output pipe was closed died of SIGPIPE at its message, before it had killed its head, and two heads were left running. Change: heads are killed and reaped first, SIGPIPE is ignored.

--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -30,6 +30,9 @@
 // runLimit is the longest run of a case.
 const runLimit = 115 * time.Second
 
+// reapTime is how long the end of a killed head is waited for.
+const reapTime = 3 * time.Second
+
 // Record is the record of a run, written to record.txt. It is safe for concurrent use.
 type Record struct {
 	mu      sync.Mutex
@@ -56,6 +59,7 @@
 	trouble := os.Getenv("TROUBLE") != "0"
 	r.Logf("begins at %s, trouble: %v", r.started.UTC().Format(time.RFC3339), trouble)
 	time.AfterFunc(runLimit, func() { fail("the time of the run is over") })
+	signal.Ignore(syscall.SIGPIPE) // else a closed standard output would end the program before its heads
 	stops := make(chan os.Signal, 1)
 	signal.Notify(stops, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
 	go func() { fail(fmt.Sprint("stopped by ", <-stops)) }()
@@ -74,24 +78,31 @@
 	}
 }
 
-// fail ends the heads and the program.
+// fail ends the heads, and then the program.
 func fail(reason string) {
-	fmt.Fprintln(os.Stderr, "could not run:", reason)
 	killAll()
+	fmt.Fprintln(os.Stderr, "could not run:", reason)
 	os.Exit(CouldNotRun)
 }
 
-// processes holds the process ids of the heads that were started.
-var processes struct {
-	mu   sync.Mutex
-	cmds []*exec.Cmd
+// started holds the heads that were started.
+var started struct {
+	mu    sync.Mutex
+	heads []*Head
 }
 
+// killAll kills the heads that still run, and waits until all are reaped.
 func killAll() {
-	processes.mu.Lock()
-	defer processes.mu.Unlock()
-	for _, cmd := range processes.cmds {
-		cmd.Process.Kill() // no effect on one that was waited for
+	started.mu.Lock()
+	defer started.mu.Unlock()
+	for _, h := range started.heads {
+		h.cmd.Process.Kill() // no effect on one that was waited for
+	}
+	for _, h := range started.heads {
+		select {
+		case <-h.done:
+		case <-time.After(reapTime):
+		}
 	}
 }
 
@@ -150,11 +161,14 @@
 	cmd := exec.Command("/bin/sh", "-c", command)
 	cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+path, "ROUTER_NAME="+o.Name, "ROUTER_LISTEN="+o.Listen,
 		"ROUTER_DISCOVERY="+o.Discovery, "TMPDIR="+dir)
-	Check(cmd.Start())
-	processes.mu.Lock()
-	processes.cmds = append(processes.cmds, cmd)
-	processes.mu.Unlock()
 	h := &Head{Addr: o.Listen, cmd: cmd, done: make(chan struct{})}
+	started.mu.Lock()
+	err = cmd.Start()
+	if err == nil {
+		started.heads = append(started.heads, h)
+	}
+	started.mu.Unlock()
+	Check(err)
 	go func() {
 		err := cmd.Wait()
 		r.Logf("head %s (process %d) ended: %v", o.Name, cmd.Process.Pid, err)
