--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -111,7 +111,7 @@
 	// RequestsPerConn is the maximum number of requests on one client connection; 0 (the default) for
 	// no limit.
 	RequestsPerConn int
-	// ConnsPerNode is the maximum number of connections to one node. Default 64.
+	// ConnsPerNode is the maximum number of connections to one node. Default 1024.
 	ConnsPerNode int
 	// NodeConns is the maximum number of connections to all nodes; 0 (the default) for no limit.
 	NodeConns int
@@ -182,7 +182,7 @@
 		},
 		Limits: Limits{
 			Clients:      8192,
-			ConnsPerNode: 64,
+			ConnsPerNode: 1024,
 			ConnBuffer:   256 << 10,
 			BodyBuffer:   256 << 10,
 			ListingBytes: 8 << 20,
--- a/internal/gateway/admission_test.go
+++ b/internal/gateway/admission_test.go
@@ -80,6 +80,7 @@
 	if got := h.takeWritten(c); strings.Contains(got, "Connection: close") {
 		t.Errorf("%q", got)
 	}
+	h.advanceTime(reuseDelay)
 	h.deliver(c, getRequest("/feed-a/s/x"))
 	h.deliver(h.nodeConn(0), okResponse("two"))
 	h.wantContains("the last response", h.takeWritten(c), "two", "Connection: close")
@@ -159,6 +160,7 @@
 	if n := h.gateway.Counts().BufferedBytes; n != 0 {
 		t.Errorf("%d bytes are still accounted for, want 0", n)
 	}
+	h.advanceTime(reuseDelay)
 	laterClient := h.acceptFrom("1.1.1.4:1")
 	h.deliver(laterClient, getRequest("/feed-a/s/x"))
 	for i := range 2 {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -169,8 +169,8 @@
 
 // cancelAttempt ends an attempt whose request is about to end, unless the complete request
 // was written: then the node may be executing it, and its outcome is awaited. A node never
-// executes an incomplete request. A connection that is still being dialed is kept for the
-// next request.
+// executes an incomplete request. A connection that is still being dialed, or that cannot be
+// reused yet, is kept for the next request.
 func (g *Gateway) cancelAttempt(attempt *nodeAttempt) {
 	c := attempt.conn
 	switch {
@@ -178,6 +178,8 @@
 	case c.state == nodeDialing:
 		c.attempt = nil
 		g.endAttempt(attempt, scheduler.NotSent)
+	case c.state == nodeCooldown:
+		g.withholdAttempt(c)
 	default:
 		g.abortNodeConn(c, scheduler.Cancelled)
 	}
--- a/internal/gateway/client_disconnect_test.go
+++ b/internal/gateway/client_disconnect_test.go
@@ -46,6 +46,7 @@
 	h.advanceTime(50 * time.Millisecond)
 	h.deliver(n, okResponse("x"))
 	h.wantOutcomes(map[Outcome]int{ClientDisconnected: 1})
+	h.advanceTime(reuseDelay)
 	h.connectClient(getRequest("/feed-a/s/y"))
 	if len(h.dialed) != 1 {
 		t.Error("the connection to the node was not reused")
@@ -76,6 +77,7 @@
 	h.runActions()
 	n := h.nodeConn(0)
 	h.deliver(n, okResponse("one"))
+	h.advanceTime(reuseDelay)
 	h.deliver(n, okResponse("two"))
 	h.wantContains("the responses", h.takeWritten(c), "one", "two")
 	if _, closed := h.closedBy[c]; !closed {
--- a/internal/gateway/fake_protocol_test.go
+++ b/internal/gateway/fake_protocol_test.go
@@ -51,6 +51,12 @@
 	return h
 }
 
+// harnessesByProtocol holds a constructor of a harness for each protocol.
+var harnessesByProtocol = map[string]func(*testing.T) *harness{
+	"WebDAV":   func(t *testing.T) *harness { return newHarness(t, "") },
+	"buffered": newProtocolHarness,
+}
+
 func requestWithID(id string) string { return getRequest("/", "id: "+id) }
 
 // setNodeState replaces the endpoint list by n0, in the given state, and n2.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -35,6 +35,7 @@
 		t.Errorf("spans %+v, want the attempt at n0, and then the request with the client's span as parent", h.spans)
 	}
 	// Both connections are reused for the next request.
+	h.advanceTime(reuseDelay)
 	h.deliver(c, getRequest("/feed-a/s/y"))
 	if len(h.dialed) != 1 {
 		t.Errorf("%d connections to nodes, want 1, which is reused", len(h.dialed))
--- a/internal/gateway/idle_conns.go
+++ b/internal/gateway/idle_conns.go
@@ -4,62 +4,62 @@
 	"container/list"
 	"slices"
 	"time"
-
-	"maddergap/scheduler"
 )
 
-// reuseDelay is how long a connection is left idle before it is reused, if another one can be
-// used instead. It guards against nodes that send a second response to a request some
-// milliseconds after the first. On a reused connection, that would be taken for the response to
-// the next request; on an idle connection it is recognized as unsolicited. 20 ms is several
-// times that delay, and short compared with Timeouts.NodeIdle, so that connections are still
-// reused.
+// reuseDelay is how long a connection is left unused after a response before the next request is
+// sent on it. HTTP/1.1 responses do not name their request. If a node sends a second response some
+// milliseconds after the first, a connection that already carries the next request would deliver
+// it to the wrong client. On an idle connection it is recognized as unsolicited, and the
+// connection is closed. 20 ms is several times that delay.
 const reuseDelay = 20 * time.Millisecond
 
-// selectIdleConn returns the idle connection to a node on which a request is sent, or nil if
-// the request needs a new connection. It selects the most recently used of the connections
-// that have been idle for reuseDelay, so that surplus connections reach their idle timeout. If
-// there is none, it selects the connection that has been idle longest. A connection that is
-// still open after reuseDelay also proves that the node keeps connections open, which is
-// recorded here.
-//
-// Until that is known of the node, a non-idempotent request gets a new connection, if one can
-// be added, instead of a connection that has been idle for less than reuseDelay. This guards
-// against nodes that close a connection right after a response: the next request on it would
-// fail with a reset, and it would be unknown whether the request was executed.
-func (g *Gateway) selectIdleConn(req *request, n *node) *nodeConn {
-	if n == nil || len(n.idleConns) == 0 {
-		return nil
-	}
-	if c := n.reusableIdleConn(g.clock.now); c != nil {
-		n.keepsConnsOpen = true
-		return c
-	}
-	if !n.keepsConnsOpen && g.class(req).Effect == scheduler.NonIdempotent && g.canAddConn(n) {
-		return nil
-	}
-	return n.idleConns[0]
-}
-
-// reusableIdleConn returns the most recently used of the connections that have been idle for
-// reuseDelay, or nil if there is none.
+// reusableIdleConn returns the idle connection to a node on which the next request is sent: the
+// most recently used of those that may be reused, so that surplus connections reach their idle
+// timeout. If there is none it returns nil; see shouldAwaitIdleConn.
 func (n *node) reusableIdleConn(now Time) *nodeConn {
 	for _, c := range slices.Backward(n.idleConns) {
-		if now-c.idleSince >= reuseDelay {
+		if c.isReusable(now) {
 			return c
 		}
 	}
 	return nil
 }
 
-// recordEarlyClose is called when a connection to a node is lost. If that was less than
-// reuseDelay after the connection was last made idle, the node has closed it right after a
-// response, and is no longer assumed to keep connections open. As idleSince stays set when the
-// connection is reused, this includes a connection that is already carrying its next attempt.
-func (g *Gateway) recordEarlyClose(c *nodeConn) {
-	if c.idleSince > 0 && g.clock.now-c.idleSince < reuseDelay {
-		c.node.keepsConnsOpen = false
+// isReusable reports whether the connection had no response yet, or reuseDelay has passed since
+// the last one.
+func (c *nodeConn) isReusable(now Time) bool {
+	return c.respondedAt == 0 || now-c.respondedAt >= reuseDelay
+}
+
+// shouldAwaitIdleConn decides for a request, if none of its node's idle connections can be reused
+// yet, whether it waits for one of them or gets a new connection. A new connection is dear to the
+// node, so that a few requests wait. If requests follow each other more often, new connections are
+// opened, until there are enough for each to be idle for reuseDelay.
+func (g *Gateway) shouldAwaitIdleConn(n *node) bool {
+	if len(n.idleConns) == 0 {
+		return false
+	}
+	return !g.canAddConn(n) || n.reuseWaits.allow(g.clock.now)
+}
+
+// reuseWaitLimit limits how many requests wait for an idle connection of a node.
+type reuseWaitLimit struct {
+	since Time // begin of the present interval
+	count int  // number of requests that have waited since then
+}
+
+const (
+	reuseWaitInterval        = time.Second
+	reuseWaitsInEachInterval = 2
+)
+
+// allow counts a request and reports whether it may wait.
+func (l *reuseWaitLimit) allow(now Time) bool {
+	if now-l.since >= reuseWaitInterval {
+		*l = reuseWaitLimit{since: now}
 	}
+	l.count++
+	return l.count <= reuseWaitsInEachInterval
 }
 
 // canAddConn reports whether a connection to a node can be opened without closing another.
@@ -67,6 +67,12 @@
 	return n.conns < g.config.Limits.ConnsPerNode && g.belowNodeConnLimit()
 }
 
+// closeIdleConn closes an idle connection.
+func (g *Gateway) closeIdleConn(c *nodeConn) {
+	g.nodes.removeIdle(c)
+	g.closeConn(c, Close)
+}
+
 // belowNodeConnLimit reports whether the number of connections to all nodes is below its
 // limit. A limit of 0 means no limit.
 func (g *Gateway) belowNodeConnLimit() bool {
@@ -85,8 +91,7 @@
 	if oldest == nil {
 		return false
 	}
-	g.nodes.removeIdle(oldest)
-	g.closeConn(oldest, Close)
+	g.closeIdleConn(oldest)
 	return true
 }
 
@@ -99,14 +104,13 @@
 	}
 	g.resumeReading(c)
 	c.state = nodeIdle
-	g.nodes.addIdle(g.clock.now, c)
+	g.nodes.addIdle(c)
 	g.setDeadline(c, g.clock.now+g.config.Timeouts.NodeIdle)
 }
 
 // addIdle adds a connection to both lists of idle connections: its node's idleConns, and
 // idleByAge of the table. Both lists always contain the same connections.
-func (t *nodeTable) addIdle(now Time, c *nodeConn) {
-	c.idleSince = now
+func (t *nodeTable) addIdle(c *nodeConn) {
 	c.node.idleConns = append(c.node.idleConns, c)
 	t.idleByAge.add(c)
 }
--- a/internal/gateway/node_conn.go
+++ b/internal/gateway/node_conn.go
@@ -13,12 +13,13 @@
 const (
 	nodeDialing          nodeConnState = iota // the connection is not established yet
 	nodeIdle                                  // the connection is established and has no attempt
+	nodeCooldown                              // an attempt waits until reuseDelay has passed since the last response
 	nodeAwaitingResponse                      // a request is being sent, or its response header is incomplete
 	nodeReadingBody                           // the response body is being read
 )
 
 func (s nodeConnState) String() string {
-	return [...]string{"dialing", "idle", "awaiting response", "reading body"}[s]
+	return [...]string{"dialing", "idle", "cooldown", "awaiting response", "reading body"}[s]
 }
 
 // nodeConn is a connection to a storage node. It carries at most one attempt at a time. It
@@ -34,7 +35,7 @@
 	dialStalled          bool         // dialing was delayed by a local error; see Stalled
 	dialShortOfResources bool         // dialing was delayed because descriptors, memory or ports had run out
 
-	idleSince   Time          // when the connection last became idle, also while it is reused; 0: never
+	respondedAt Time          // when the last response on the connection was complete; 0: there was none
 	idleElement *list.Element // element of nodeTable.idleByAge; nil: the connection is not idle
 
 	response         http1.Response // header of the attempt's response, if state is nodeReadingBody
@@ -58,8 +59,7 @@
 	g.setDeadline(c, min(g.clock.now+g.config.Timeouts.Dial, attempt.identity.deadline))
 }
 
-// handleNodeConnected is called when a connection is established. It sends the connection's
-// attempt, unless the request has its final response or the time to start has passed.
+// handleNodeConnected is called when a connection is established.
 func (g *Gateway) handleNodeConnected(c *nodeConn) {
 	if c.state != nodeDialing {
 		return
@@ -69,6 +69,12 @@
 		g.makeIdle(c)
 		return
 	}
+	g.sendAttempt(c)
+}
+
+// sendAttempt sends the attempt of a connection that has become ready for it, unless the request
+// has its final response or the time to start has passed.
+func (g *Gateway) sendAttempt(c *nodeConn) {
 	c.state = nodeAwaitingResponse
 	startBefore := c.attempt.startBefore
 	req := c.attempt.req.live()
@@ -120,8 +126,7 @@
 
 func (c *nodeConn) handleEOF(g *Gateway) {
 	if c.attempt != nil && c.state == nodeReadingBody && c.responseBody.InputEnded() {
-		g.recordEarlyClose(c) // the body ends with the connection
-		g.handleResponseComplete(c)
+		g.handleResponseComplete(c) // the body ends with the connection
 		return
 	}
 	g.handleNodeConnLost(c, false)
@@ -132,7 +137,6 @@
 // handleNodeConnLost removes a connection that was lost, and ends its attempt. closedByDriver:
 // the driver has closed the connection already.
 func (g *Gateway) handleNodeConnLost(c *nodeConn, closedByDriver bool) {
-	g.recordEarlyClose(c)
 	attempt := c.attempt
 	if attempt == nil {
 		g.nodes.removeIdle(c)
@@ -179,8 +183,9 @@
 	attempt := c.attempt
 	switch {
 	case attempt == nil:
-		g.nodes.removeIdle(c)
-		g.closeConn(c, Close)
+		g.closeIdleConn(c)
+	case c.state == nodeCooldown:
+		g.sendAttempt(c)
 	case c.state == nodeDialing:
 		c.attempt = nil
 		g.closeConn(c, Abort)
--- a/internal/gateway/node_response.go
+++ b/internal/gateway/node_response.go
@@ -11,9 +11,9 @@
 	g.resumeStalledAttempt(c.attempt)
 	for more := true; more && len(data) > 0 && !c.closed; {
 		switch {
-		case c.attempt == nil: // an unsolicited response
-			g.nodes.removeIdle(c)
-			g.closeConn(c, Close)
+		case c.state == nodeIdle, c.state == nodeCooldown: // an unsolicited response
+			g.counts.UnsolicitedResponses++
+			g.handleNodeConnLost(c, false)
 			return nil
 		case c.state == nodeReadingBody:
 			data, more = g.consumeResponseBody(c, data)
@@ -147,6 +147,7 @@
 	attempt := c.attempt
 	c.attempt = nil
 	c.state = nodeIdle
+	c.respondedAt = g.clock.now
 	reusable := !c.response.Close && attempt.requestWritten()
 	if req := attempt.responseConsumer(); req != nil {
 		req.stopUpload(attempt)
--- a/internal/gateway/node_table.go
+++ b/internal/gateway/node_table.go
@@ -20,9 +20,8 @@
 
 	conns     int         // number of open connections, including those being dialed
 	idleConns []*nodeConn // connections without an attempt, most recently used last; see addIdle
-	// keepsConnsOpen is set when an idle connection is found open after reuseDelay, and
-	// cleared when a connection is lost sooner (see recordEarlyClose) or the node moves.
-	keepsConnsOpen bool
+
+	reuseWaits reuseWaitLimit
 }
 
 // nodeTable holds the storage nodes, and the counts and lists that cover all of them.
@@ -32,6 +31,7 @@
 	byName          map[string]*node
 	idleByAge       idleList // idle connections of all nodes, longest idle first
 	conns           int      // number of open connections to all nodes
+	connsOpened     uint64   // number of connections opened since the start
 	lastConnected   Time     // when a connection to any node was last established
 }
 
@@ -43,6 +43,7 @@
 func (t *nodeTable) connOpened(n *node) {
 	n.conns++
 	t.conns++
+	t.connsOpened++
 }
 
 // connClosed counts the end of a connection to a node. It removes a node that is no longer
@@ -78,9 +79,6 @@
 	n.zone = change.Endpoint.Zone
 	n.shard = change.Endpoint.Shard
 	n.listed = n.state != scheduler.Removed
-	if change.AddressChanged {
-		n.keepsConnsOpen = false
-	}
 	return n
 }
 
--- a/internal/gateway/observer.go
+++ b/internal/gateway/observer.go
@@ -92,6 +92,11 @@
 	Malformed uint64 // requests rejected as malformed, or as received too slowly
 	Preempted uint64 // client connections closed to make room for others
 
+	NodeConnsOpened uint64 // connections to nodes that were opened, established or not
+	// UnsolicitedResponses counts idle connections to nodes on which data arrived, such as a second
+	// response to a request. They are closed.
+	UnsolicitedResponses uint64
+
 	// ConnectionsRejected counts connections and requests that were not admitted.
 	ConnectionsRejected [admission.ReasonCount]uint64
 	Admitted            admission.Counts
@@ -106,6 +111,7 @@
 func (g *Gateway) Counts() Counts {
 	c := g.counts
 	c.Clients, c.NodeConns = g.clientConns, g.nodes.conns
+	c.NodeConnsOpened = g.nodes.connsOpened
 	c.BufferedBytes = g.buffers.clientBytes
 	c.Lag = g.lag.at(g.clock.now)
 	c.Admitted = g.admission.Counts()
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -14,24 +14,43 @@
 	}
 	attempt := g.newAttempt(req, nodeName, startBefore)
 	n := g.nodes.byName[nodeName]
-	idle := g.selectIdleConn(req, n)
-	switch {
-	case req.response.final: // it got its final response since the scheduler decided
-		g.endAttempt(attempt, scheduler.NotSent)
-	case !g.mayStartAttempt(attempt):
+	if req.response.final || !g.mayStartAttempt(attempt) { // the final response may have come since the scheduler decided
 		g.endAttempt(attempt, scheduler.NotSent)
-	case idle != nil:
-		g.nodes.removeIdle(idle)
-		idle.attempt = attempt
-		attempt.conn = idle
-		g.setDeadline(idle, req.deadline)
-		g.sendRequest(idle, req)
-	case n.conns >= g.config.Limits.ConnsPerNode || !g.ensureNodeConnCapacity():
+		return
+	}
+	if idle := n.reusableIdleConn(g.clock.now); idle != nil {
+		g.reuseConn(idle, req, attempt)
+		return
+	}
+	if g.shouldAwaitIdleConn(n) {
+		g.awaitReuse(n.idleConns[0], attempt)
+		return
+	}
+	if n.conns >= g.config.Limits.ConnsPerNode || !g.ensureNodeConnCapacity() {
 		// A limit of this instance was reached. That is no fault of the node.
 		g.endAttempt(attempt, scheduler.NotSent)
-	default:
-		g.dialNode(n, attempt)
+		return
 	}
+	g.dialNode(n, attempt)
+}
+
+// awaitReuse assigns an attempt to an idle connection that cannot be reused yet. Its request is sent
+// as soon as the connection can be reused.
+func (g *Gateway) awaitReuse(c *nodeConn, attempt *nodeAttempt) {
+	g.nodes.removeIdle(c)
+	c.attempt = attempt
+	attempt.conn = c
+	c.state = nodeCooldown
+	g.setDeadline(c, c.respondedAt+reuseDelay)
+}
+
+// reuseConn sends the request of an attempt on an idle connection.
+func (g *Gateway) reuseConn(c *nodeConn, req *request, attempt *nodeAttempt) {
+	g.nodes.removeIdle(c)
+	c.attempt = attempt
+	attempt.conn = c
+	g.setDeadline(c, req.deadline)
+	g.sendRequest(c, req)
 }
 
 // sendRequest sends the request of an attempt on its established connection: the header, and
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -13,6 +13,7 @@
 	idle := h.connectClient(getRequest("/feed-a/s/0"))
 	h.deliver(h.nodeConn(0), okResponse("zero"))
 	h.takeWritten(idle)
+	h.advanceTime(reuseDelay)
 	c := h.connectClient(getRequest("/feed-a/s/1") + getRequest("/feed-a/s/2"))
 	noRequest, fresh, partial := h.connectClient(""), h.connectClient(""), h.connectClient(getRequest("/feed-b/s/0"))
 	h.deliver(h.nodeConn(1), okResponse("zero"))
@@ -33,6 +34,7 @@
 		c    ConnID
 		text string
 	}{{fresh, getRequest("/feed-a/s/3")}, {partial, getRequest("/feed-a/s/4")[19:]}} {
+		h.advanceTime(reuseDelay)
 		h.deliver(late.c, late.text)
 		h.deliver(h.nodeConn(0), okResponse("late"))
 		h.wantContains("the response", h.takeWritten(late.c), "200 OK", "Connection: close")
