A reused connection to a node is read before the request is written

Cause: the 20 ms without a request were counted by the clock alone, so a process held up between epoll_wait and its decision found them passed while a second response was unread in the socket; and in WebDAV, where a node may respond early, a response counted that came before the connection had taken a byte of its request.

Now the gateway asks the driver to read a reused connection once, without waiting, before its request is written (action Read), and takes data before the first byte of a request for unsolicited: the connection is closed and the attempt ends as not sent. A node's close is noticed there too.

--- a/internal/eventloop/io.go
+++ b/internal/eventloop/io.go
@@ -40,6 +40,10 @@
 	switch a.Op {
 	case gateway.Flush:
 		l.write(s)
+	case gateway.Read:
+		if s.wanted&unix.EPOLLIN != 0 {
+			l.read(s)
+		}
 	case gateway.Pause:
 		l.setWanted(s, s.wanted&^readEvents)
 	case gateway.Resume:
--- a/internal/eventloop/loop_test.go
+++ b/internal/eventloop/loop_test.go
@@ -14,6 +14,7 @@
 	"maddergap/internal/config"
 	"maddergap/internal/gateway"
 	"maddergap/internal/nodelist"
+	"maddergap/internal/syscalls"
 )
 
 const testConfig = `listen 127.0.0.1:0
@@ -30,12 +31,18 @@
 // newLoop returns a loop, its gateway, and the addresses of listenerCount listeners. The gateway
 // has 64 client slots, 16 of them reserved for the known clients of 127.9.0.0/16.
 func newLoop(t *testing.T, listenerCount int) (*Loop, *gateway.Gateway, []string) {
+	t.Helper()
+	return newLoopWithCalls(t, syscalls.Linux{}, listenerCount)
+}
+
+// newLoopWithCalls is like newLoop but makes its system calls through calls.
+func newLoopWithCalls(t *testing.T, calls syscalls.Calls, listenerCount int) (*Loop, *gateway.Gateway, []string) {
 	t.Helper()
 	c, err := config.Parse("m.conf", []byte(testConfig))
 	if err != nil {
 		t.Fatal(err)
 	}
-	l, err := New(c.Limits.Clients+64, 4)
+	l, err := NewWithCalls(calls, c.Limits.Clients+64, 4)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/gateway/actions.go
+++ b/internal/gateway/actions.go
@@ -7,6 +7,7 @@
 const (
 	Dial       Op = iota // connect to Addr, then call Connected or Closed
 	Flush                // write the bytes that PendingOutput returns and call Wrote
+	Read                 // read once without waiting, and call Data, EOF or Closed if there is something to report
 	Pause                // stop reading
 	Resume               // start reading again
 	CloseWrite           // shut down the sending side
@@ -15,7 +16,7 @@
 )
 
 func (o Op) String() string {
-	return [...]string{"dial", "flush", "pause", "resume", "close-write", "close", "abort"}[o]
+	return [...]string{"dial", "flush", "read", "pause", "resume", "close-write", "close", "abort"}[o]
 }
 
 // Action is an operation on one connection. The driver carries out actions in the order in
--- a/internal/gateway/connection_reuse_test.go
+++ b/internal/gateway/connection_reuse_test.go
@@ -274,6 +274,49 @@
 	h.wantContains("the response", h.takeWritten(client), "of another node")
 }
 
+// Regression test: a node's second response that arrived while the process was held up, and was not read
+// yet, was served to the client of the next request on the connection.
+func TestDuplicateResponseIsReadBeforeReuse(t *testing.T) {
+	for name, harnessOf := range harnessesByProtocol {
+		h := harnessOf(t)
+		h.connectClient(getRequest("/feed-a/s/a", "id: a"))
+		oldConn := h.nodeConn(0)
+		h.takeWritten(oldConn)
+		h.deliver(oldConn, okResponse("made for a"))
+		h.advanceTime(reuseDelay)
+		h.arrived[oldConn] = okResponse("made for a")
+		client := h.connectClient(getRequest("/feed-a/s/b", "id: b"))
+		if got := h.takeWritten(oldConn); got != "" {
+			t.Errorf("%s: %q was sent on the connection with the second response, want nothing", name, got)
+		}
+		h.advanceTime(100 * time.Millisecond)
+		h.deliver(h.nodeConn(1), okResponse("made for b"))
+		h.wantContains(name+": the response", h.takeWritten(client), "made for b")
+	}
+}
+
+// Regression test: a response on a connection that had not taken a byte of its request yet was served to a
+// WebDAV client. It belongs to an earlier request.
+func TestResponseBeforeFirstByteIsNotForwarded(t *testing.T) {
+	for name, harnessOf := range harnessesByProtocol {
+		h := harnessOf(t)
+		h.connectClient(getRequest("/feed-a/s/a", "id: a"))
+		oldConn := h.nodeConn(0)
+		h.takeWritten(oldConn)
+		h.deliver(oldConn, okResponse("made for a"))
+		h.advanceTime(reuseDelay)
+		h.blocked[oldConn] = true
+		client := h.connectClient(getRequest("/feed-a/s/b", "id: b"))
+		h.deliver(oldConn, okResponse("made for a"))
+		if got := h.takeWritten(client); got != "" {
+			t.Errorf("%s: the client got %q, want nothing", name, got)
+		}
+		h.advanceTime(100 * time.Millisecond)
+		h.deliver(h.nodeConn(1), okResponse("made for b"))
+		h.wantContains(name+": the response", h.takeWritten(client), "made for b")
+	}
+}
+
 // Verifies that data on an idle connection closes it and is counted, so that operators see nodes
 // that respond twice.
 func TestUnsolicitedResponsesAreCounted(t *testing.T) {
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -54,9 +54,10 @@
 	next    Time // time by which Advance has to be called next
 
 	// Faults that a test can set.
-	deferConnects bool            // connections stay in the dialing state until the test calls Connected
-	refuseDials   bool            // dialed connections are refused
-	blocked       map[ConnID]bool // connections to which nothing can be written
+	deferConnects bool              // connections stay in the dialing state until the test calls Connected
+	refuseDials   bool              // dialed connections are refused
+	blocked       map[ConnID]bool   // connections to which nothing can be written
+	arrived       map[ConnID]string // bytes in the sockets of connections that were not read yet
 
 	// What the gateway did.
 	dialed      []ConnID                    // connections to nodes, in the order of their dials
@@ -95,6 +96,7 @@
 		t:           t,
 		now:         harnessStart,
 		blocked:     map[ConnID]bool{},
+		arrived:     map[ConnID]string{},
 		written:     map[ConnID]*strings.Builder{},
 		paused:      map[ConnID]bool{},
 		writeClosed: map[ConnID]bool{},
@@ -129,6 +131,8 @@
 		h.dial(a.Conn)
 	case Flush:
 		h.flush(a.Conn)
+	case Read:
+		h.read(a.Conn)
 	case Pause, Resume:
 		h.paused[a.Conn] = a.Op == Pause
 	case CloseWrite:
@@ -149,6 +153,14 @@
 	}
 }
 
+// read delivers the bytes that wait in a connection's socket.
+func (h *harness) read(id ConnID) {
+	if text := h.arrived[id]; text != "" {
+		delete(h.arrived, id)
+		h.gateway.Data(h.now, id, []byte(text))
+	}
+}
+
 // flush writes the pending output of a connection, unless the connection is blocked.
 func (h *harness) flush(id ConnID) {
 	p := h.gateway.PendingOutput(h.now, id)
--- a/internal/gateway/node_response.go
+++ b/internal/gateway/node_response.go
@@ -11,7 +11,7 @@
 	g.resumeStalledAttempt(c.attempt)
 	for more := true; more && len(data) > 0 && !c.closed; {
 		switch {
-		case c.state == nodeIdle, c.state == nodeCooldown: // an unsolicited response
+		case c.attempt == nil, !c.attempt.firstByteWritten: // an unsolicited response
 			g.counts.UnsolicitedResponses++
 			g.handleNodeConnLost(c, false)
 			return nil
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -67,6 +67,11 @@
 			g.resumeClientInput(client)
 		}
 	}
+	if c.respondedAt > 0 {
+		// The process may have been held up since the driver last looked for input. Without this, a
+		// second response that arrived meanwhile would be taken for the response to this request.
+		g.actions.add(Read, c.id)
+	}
 	g.flush(c)
 }
 
