--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -172,7 +172,7 @@
 		"received", n.Received, "served", n.Served, "rejected", n.Rejected, "failed", n.Failed, "disconnected", n.Disconnected, "dropped", n.Dropped,
 		"attempts", n.Attempts, "connections_rejected", total(n.ConnectionsRejected[:]), "preempted", n.Preempted,
 		"malformed", n.Malformed, "local", n.Local,
-		"node_connections_opened", n.NodeConnsOpened, "unsolicited_responses", n.UnsolicitedResponses,
+		"given_up", n.AttemptsGivenUp, "node_connections_opened", n.NodeConnsOpened, "unsolicited_responses", n.UnsolicitedResponses,
 		"withheld", total(n.Invariants.Withheld[:]), "invariants_violated", total(n.Invariants.Violated[:]),
 		"took", d.loop.Now()-d.shutdown.requestedAt)
 }
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -78,6 +78,7 @@
 	malformedDesc        = newDesc("maddergap_malformed_total", "Requests rejected as malformed or too slow.")
 	rejectedDesc         = newDesc("maddergap_turned_away_total", "Connections and requests rejected by admission, by the limit that rejected them.", "reason")
 	preemptedDesc        = newDesc("maddergap_connections_preempted_total", "Idle connections closed to make room.")
+	givenUpDesc          = newDesc("maddergap_attempts_given_up_total", "Attempts without a response when the nodes' deduplication window for their request ended.")
 	nodeConnsOpenedDesc  = newDesc("maddergap_node_connections_opened_total", "Connections to nodes that were opened, established or not.")
 	unsolicitedDesc      = newDesc("maddergap_unsolicited_responses_total", "Idle connections to nodes that were closed because data arrived on them, such as a second response.")
 	connectionsDesc      = newDesc("maddergap_connections", "Open connections, by kind: client, known (clients of these), node.", "kind")
@@ -94,7 +95,7 @@
 
 // Describe implements prometheus.Collector.
 func (*metricsServer) Describe(ch chan<- *prometheus.Desc) {
-	for _, desc := range []*prometheus.Desc{requestsDesc, attemptsDesc, malformedDesc, rejectedDesc, preemptedDesc, nodeConnsOpenedDesc, unsolicitedDesc, connectionsDesc, longestIterationDesc,
+	for _, desc := range []*prometheus.Desc{requestsDesc, attemptsDesc, malformedDesc, rejectedDesc, preemptedDesc, givenUpDesc, nodeConnsOpenedDesc, unsolicitedDesc, connectionsDesc, longestIterationDesc,
 		clientBuffersDesc, lagDesc, withheldDesc, violatedDesc, admissionEntriesDesc} {
 		ch <- desc
 	}
@@ -124,6 +125,7 @@
 	counter(attemptsDesc, c.Attempts)
 	counter(malformedDesc, c.Malformed)
 	counter(preemptedDesc, c.Preempted)
+	counter(givenUpDesc, c.AttemptsGivenUp)
 	counter(nodeConnsOpenedDesc, c.NodeConnsOpened)
 	counter(unsolicitedDesc, c.UnsolicitedResponses)
 	for r := admission.ReasonNone + 1; r < admission.ReasonCount; r++ {
--- a/internal/daemon/observer.go
+++ b/internal/daemon/observer.go
@@ -19,10 +19,11 @@
 )
 
 const (
-	// rejectionLinesPerSecond and violationLinesPerSecond limit the log lines about rejected
-	// connections and about violated invariants.
+	// rejectionLinesPerSecond, violationLinesPerSecond and givenUpLinesPerSecond limit the log lines
+	// about rejected connections, violated invariants and attempts that were given up.
 	rejectionLinesPerSecond = 5
 	violationLinesPerSecond = 5
+	givenUpLinesPerSecond   = 5
 	// maxNamedNodes is the maximum number of nodes named in a line about a membership change.
 	maxNamedNodes = 8
 )
@@ -35,6 +36,7 @@
 	spans            *spanWriter // nil if there is no trace file
 	rejectionLimiter lineLimiter
 	violationLimiter lineLimiter
+	givenUpLimiter   lineLimiter
 }
 
 var _ gateway.Observer = (*observer)(nil)
@@ -47,6 +49,7 @@
 		logRequests:      c.Telemetry.LogRequests,
 		rejectionLimiter: newLineLimiter(rejectionLinesPerSecond),
 		violationLimiter: newLineLimiter(violationLinesPerSecond),
+		givenUpLimiter:   newLineLimiter(givenUpLinesPerSecond),
 	}
 	if c.Telemetry.TraceFile == "" {
 		return o, nil
@@ -102,6 +105,18 @@
 		slog.String("outcome", failure), slog.Int("status", s.Status), slog.Duration("took", s.End-s.Start))
 }
 
+// AttemptGivenUp logs an attempt that had no response when the nodes' deduplication window for its request
+// ended.
+func (o *observer) AttemptGivenUp(requestID, node string, attempt int, age time.Duration) {
+	suppressed, ok := o.givenUpLimiter.allow()
+	if !ok {
+		return
+	}
+	o.log.LogAttrs(context.Background(), slog.LevelWarn, "attempt given up",
+		slog.String("request", requestID), slog.String("node", node), slog.Int("attempt", attempt),
+		slog.Duration("age", age), slog.Int("suppressed", suppressed))
+}
+
 func traceID(s *gateway.Span) slog.Attr { return slog.String("trace", fmt.Sprintf("%x", s.Trace)) }
 
 // ConnectionRejected logs a connection or request that admission rejected. responded reports whether the
--- a/internal/e2e/webdav_harness_test.go
+++ b/internal/e2e/webdav_harness_test.go
@@ -43,10 +43,16 @@
 // startWebDAV runs an instance with a node at each address: the first for shard 0, the second for
 // shard 1. moreConfig is appended to webdavConfig.
 func startWebDAV(t *testing.T, moreConfig string, nodeAddrs ...string) *webdavInstance {
+	t.Helper()
+	return startWebDAVWithConfig(t, webdavConfig+moreConfig, nodeAddrs...)
+}
+
+// startWebDAVWithConfig is like startWebDAV with the whole text of a configuration file.
+func startWebDAVWithConfig(t *testing.T, configText string, nodeAddrs ...string) *webdavInstance {
 	t.Helper()
 	i := &webdavInstance{newTestInstance(t)}
 	i.setNodes(nodeAddrs...)
-	i.writeConfig(webdavConfig + moreConfig)
+	i.writeConfig(configText)
 	c, err := config.Load(i.configFile())
 	if err != nil {
 		t.Fatal(err)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -19,11 +19,11 @@
 	nodeName string
 	// conn is nil if the attempt ended before it had a connection. While the attempt is in
 	// flight, conn.attempt is this attempt; afterwards the connection may carry another one.
-	conn        *nodeConn
-	spanID      [8]byte
-	startedAt   Time
-	startBefore Time // time before which the first byte has to be written; 0: no limit
-	ended       bool
+	conn         *nodeConn
+	spanID       [8]byte
+	startedAt    Time
+	arriveBefore Time // see scheduler.Send; 0: no limit
+	ended        bool
 
 	// State of the request on the connection.
 	fullyQueued      bool // the whole request is in the connection's output buffer, or was written
@@ -44,6 +44,14 @@
 	noProgressTimeout time.Duration // how long the response may make no progress, if bufferResponse
 }
 
+// responseDeadline returns the time at which the attempt is given up if its response has not begun.
+func (a *nodeAttempt) responseDeadline() Time {
+	if a.arriveBefore > 0 {
+		return min(a.identity.deadline, a.arriveBefore)
+	}
+	return a.identity.deadline
+}
+
 // requestWritten reports whether the whole request was written to the connection.
 func (a *nodeAttempt) requestWritten() bool {
 	return a.fullyQueued && len(a.conn.pending()) == 0
@@ -81,14 +89,14 @@
 
 // newAttempt begins an attempt of a request at a node, and counts it. The attempt has no
 // connection yet.
-func (g *Gateway) newAttempt(req *request, nodeName string, startBefore Time) *nodeAttempt {
+func (g *Gateway) newAttempt(req *request, nodeName string, arriveBefore Time) *nodeAttempt {
 	attempt := &nodeAttempt{
-		req:         refTo(req),
-		identity:    g.identityOf(req),
-		number:      req.attempts.count,
-		nodeName:    nodeName,
-		startedAt:   g.clock.now,
-		startBefore: startBefore,
+		req:          refTo(req),
+		identity:     g.identityOf(req),
+		number:       req.attempts.count,
+		nodeName:     nodeName,
+		startedAt:    g.clock.now,
+		arriveBefore: arriveBefore,
 	}
 	g.ids.fillRandom(attempt.spanID[:])
 	req.attempts.latest = attempt
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -175,7 +175,7 @@
 func (g *Gateway) applyDecision(action scheduler.Action) {
 	switch a := action.(type) {
 	case scheduler.Send:
-		g.startAttempt(g.requests.byID[a.ID], a.Node, a.StartBefore)
+		g.startAttempt(g.requests.byID[a.ID], a.Node, a.ArriveBefore)
 	case scheduler.Reject:
 		g.recordWaitReason(a.ID)
 		g.reject(g.requests.byID[a.ID], a.RetryAfter)
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -76,6 +76,8 @@
 func (h *harness) Request(s *Span) { h.spans = append(h.spans, *s) }
 func (h *harness) Attempt(s *Span) { h.spans = append(h.spans, *s) }
 
+func (h *harness) AttemptGivenUp(string, string, int, time.Duration) {}
+
 func (h *harness) MembersChanged([]membership.Change) {}
 
 func (h *harness) InvariantViolated(v invariant.Violation) { h.violations = append(h.violations, v) }
@@ -88,7 +90,13 @@
 // appended to harnessConfig.
 func newHarness(t *testing.T, moreConfig string) *harness {
 	t.Helper()
-	c, err := config.Parse("harness", []byte(harnessConfig+moreConfig))
+	return newHarnessWithConfig(t, harnessConfig+moreConfig)
+}
+
+// newHarnessWithConfig is like newHarness with the whole text of a configuration.
+func newHarnessWithConfig(t *testing.T, text string) *harness {
+	t.Helper()
+	c, err := config.Parse("harness", []byte(text))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/gateway/node_conn.go
+++ b/internal/gateway/node_conn.go
@@ -76,13 +76,13 @@
 // has its final response or the time to start has passed.
 func (g *Gateway) sendAttempt(c *nodeConn) {
 	c.state = nodeAwaitingResponse
-	startBefore := c.attempt.startBefore
+	arriveBefore := c.attempt.arriveBefore
 	req := c.attempt.req.live()
-	if req == nil || startBefore > 0 && g.clock.now >= startBefore {
+	if req == nil || arriveBefore > 0 && g.clock.now >= arriveBefore {
 		g.withholdAttempt(c)
 		return
 	}
-	g.setDeadline(c, c.attempt.identity.deadline)
+	g.setDeadline(c, c.attempt.responseDeadline())
 	g.sendRequest(c, req)
 }
 
@@ -135,7 +135,9 @@
 func (c *nodeConn) handleClosed(g *Gateway) { g.handleNodeConnLost(c, true) }
 
 // handleNodeConnLost removes a connection that was lost, and ends its attempt. closedByDriver:
-// the driver has closed the connection already.
+// the driver has closed the connection already. Otherwise the connection of an attempt is reset:
+// after a close in order, the kernel would go on sending the bytes that have not arrived yet, and
+// the node might run the attempt at any later time, also after a retry.
 func (g *Gateway) handleNodeConnLost(c *nodeConn, closedByDriver bool) {
 	attempt := c.attempt
 	if attempt == nil {
@@ -145,7 +147,11 @@
 	}
 	outcome := g.connLossOutcome(c, attempt)
 	c.attempt = nil
-	g.removeLost(c, closedByDriver)
+	if closedByDriver {
+		g.removeConn(c, true)
+	} else {
+		g.closeConn(c, Abort)
+	}
 	g.endAttempt(attempt, outcome)
 }
 
@@ -196,6 +202,9 @@
 		g.endAttempt(attempt, scheduler.NotSent)
 	case attempt.responseTimedOut(g.clock.now):
 		g.abortNodeConn(c, g.protocol.brokenResponseOutcome())
+	case g.clock.now < attempt.identity.deadline: // arriveBefore has passed without a response
+		g.reportGivenUp(attempt)
+		g.abortNodeConn(c, scheduler.Cancelled)
 	default: // the deadline of the request has passed, so that a later response is useless
 		if req := attempt.req.live(); req != nil {
 			req.attempts.timedOut = true
--- a/internal/gateway/node_response.go
+++ b/internal/gateway/node_response.go
@@ -57,6 +57,7 @@
 	}
 	c.state = nodeReadingBody
 	c.responseBody.Reset(&c.response.Message)
+	g.setDeadline(c, attempt.identity.deadline) // the request has arrived; see responseDeadline
 	if !g.beginResponse(attempt) {
 		g.abortNodeConn(c, g.protocol.brokenResponseOutcome())
 		return nil, false
--- a/internal/gateway/observer.go
+++ b/internal/gateway/observer.go
@@ -69,6 +69,9 @@
 	Request(*Span)
 	// Attempt is called at the end of each attempt.
 	Attempt(*Span)
+	// AttemptGivenUp is called when an attempt has no response by scheduler.Send's ArriveBefore.
+	// requestID is the id that the client knows.
+	AttemptGivenUp(requestID, node string, attempt int, age time.Duration)
 	// MembersChanged is called with the changes of the endpoint list.
 	MembersChanged([]membership.Change)
 	// InvariantViolated is called with an invariant that was violated, or that an attempt
@@ -92,6 +95,8 @@
 	Malformed uint64 // requests rejected as malformed, or as received too slowly
 	Preempted uint64 // client connections closed to make room for others
 
+	// AttemptsGivenUp counts attempts without a response by scheduler.Send's ArriveBefore.
+	AttemptsGivenUp uint64
 	NodeConnsOpened uint64 // connections to nodes that were opened, established or not
 	// UnsolicitedResponses counts idle connections to nodes on which data arrived, such as a second
 	// response to a request. They are closed.
@@ -145,6 +150,19 @@
 	g.observer.Attempt(&g.span)
 }
 
+// reportGivenUp notifies the observer of an attempt that has no response by its arriveBefore.
+func (g *Gateway) reportGivenUp(attempt *nodeAttempt) {
+	g.counts.AttemptsGivenUp++
+	if g.observer == nil {
+		return
+	}
+	requestID := g.ids.requestID(attempt.identity.id)
+	if req := attempt.req.live(); req != nil {
+		requestID = g.clientRequestID(req)
+	}
+	g.observer.AttemptGivenUp(requestID, attempt.nodeName, attempt.number, g.clock.now-attempt.startedAt)
+}
+
 // reportRequestEnd notifies the protocol and the observer of the end of a request. A second
 // call for a submitted request is recorded as a violated invariant.
 func (g *Gateway) reportRequestEnd(req *request, outcome Outcome) {
--- a/internal/gateway/races_test.go
+++ b/internal/gateway/races_test.go
@@ -192,7 +192,7 @@
 	h.wantOutcomes(map[Outcome]int{Rejected: 1})
 }
 
-// Verifies that an attempt is sent only if its connection is established before startBefore. The
+// Verifies that an attempt is sent only if its connection is established before arriveBefore. The
 // scheduler sets that limit to the end of the node's deduplication window for a retry of an
 // idempotent request.
 func TestAttemptStartsBeforeItsLimit(t *testing.T) {
@@ -202,7 +202,7 @@
 		h.connectClient(requestWithID("a"))
 		conn := h.nodeConn(0)
 		req := h.findNodeConn(conn).attempt.req.live()
-		h.findNodeConn(conn).attempt.startBefore = h.now + 100*time.Millisecond
+		h.findNodeConn(conn).attempt.arriveBefore = h.now + 100*time.Millisecond
 		h.now += 100*time.Millisecond + delay
 		h.gateway.Connected(h.now, conn)
 		if h.runActions(); req.attempts.inFlight == 0 && delay < 0 || h.takeWritten(conn) != "" && delay > 0 {
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -5,21 +5,21 @@
 	"maddergap/scheduler"
 )
 
-// startAttempt starts an attempt of a request at a node, as the scheduler decided. The first
-// byte must be written before startBefore, unless that is 0. An attempt that may not start,
-// or that gets no connection, ends at once as not sent, and the scheduler decides again.
-func (g *Gateway) startAttempt(req *request, nodeName string, startBefore Time) {
+// startAttempt starts an attempt of a request at a node, as the scheduler decided; see
+// scheduler.Send for arriveBefore. An attempt that may not start, or that gets no connection, ends
+// at once as not sent, and the scheduler decides again.
+func (g *Gateway) startAttempt(req *request, nodeName string, arriveBefore Time) {
 	if req == nil { // not expected: the scheduler sends no request that has its final response
 		return
 	}
-	attempt := g.newAttempt(req, nodeName, startBefore)
+	attempt := g.newAttempt(req, nodeName, arriveBefore)
 	n := g.nodes.byName[nodeName]
 	if req.response.final || !g.mayStartAttempt(attempt) { // the final response may have come since the scheduler decided
 		g.endAttempt(attempt, scheduler.NotSent)
 		return
 	}
 	if idle := n.reusableIdleConn(g.clock.now); idle != nil {
-		g.reuseConn(idle, req, attempt)
+		g.reuseConn(idle, attempt)
 		return
 	}
 	if g.shouldAwaitIdleConn(n) {
@@ -44,13 +44,12 @@
 	g.setDeadline(c, c.respondedAt+reuseDelay)
 }
 
-// reuseConn sends the request of an attempt on an idle connection.
-func (g *Gateway) reuseConn(c *nodeConn, req *request, attempt *nodeAttempt) {
+// reuseConn sends an attempt on an idle connection.
+func (g *Gateway) reuseConn(c *nodeConn, attempt *nodeAttempt) {
 	g.nodes.removeIdle(c)
 	c.attempt = attempt
 	attempt.conn = c
-	g.setDeadline(c, req.deadline)
-	g.sendRequest(c, req)
+	g.sendAttempt(c)
 }
 
 // sendRequest sends the request of an attempt on its established connection: the header, and
--- a/scheduler/actions.go
+++ b/scheduler/actions.go
@@ -13,10 +13,12 @@
 type Send struct {
 	ID   uint64
 	Node string
-	// StartBefore is the time before which the attempt has to reach the node, 0 for no bound. Later
-	// the node may have forgotten the idempotency key of an earlier attempt, and would run the request
-	// again. The caller does not send an attempt that is too late, and ends it as NotSent.
-	StartBefore Time
+	// ArriveBefore is the time before which the whole attempt has to arrive at the node, 0 for no
+	// bound. Later the node may have forgotten the idempotency key of an earlier attempt, and would run
+	// the request again. The caller does not begin to send an attempt that is too late, and ends it as
+	// NotSent. It gives up an attempt that has no response by then, so that bytes which are still on
+	// their way are discarded, and ends it as Cancelled: only a response proves the arrival.
+	ArriveBefore Time
 }
 
 // Reject gives a request a final response that tells the client that it may safely retry.
--- a/scheduler/attempts.go
+++ b/scheduler/attempts.go
@@ -42,7 +42,7 @@
 	s.attempts[attemptID{r.ID, uint64(r.attempts)}] = a
 	r.attempts++
 	r.inFlight++
-	s.emit(Send{ID: r.ID, Node: n.Node, StartBefore: r.deduplicationEnd()})
+	s.emit(Send{ID: r.ID, Node: n.Node, ArriveBefore: r.deduplicationEnd()})
 }
 
 // handleAttemptStalled stops counting an attempt's time in flight. Otherwise failures of this
--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -58,10 +58,10 @@
 	// Reset means that the connection ended before the response.
 	Reset
 	// Cancelled means that this instance gave the attempt up, for example because the client
-	// disconnected.
+	// disconnected, or because there was no response by Send.ArriveBefore.
 	Cancelled
 	// NotSent means that the attempt did not run, for a reason other than the node. For example, its
-	// time to start had passed (Send.StartBefore), its request was over, this instance could open no
+	// time to start had passed (Send.ArriveBefore), its request was over, this instance could open no
 	// further connection, or a reused connection was closed before the attempt was written to it.
 	NotSent
 )
--- a/scheduler/golden_test.go
+++ b/scheduler/golden_test.go
@@ -39,7 +39,7 @@
 func writeAction(w io.Writer, action Action) {
 	switch a := action.(type) {
 	case Send:
-		fmt.Fprintf(w, "send %d %q %d\n", a.ID, a.Node, int64(a.StartBefore))
+		fmt.Fprintf(w, "send %d %q %d\n", a.ID, a.Node, int64(a.ArriveBefore))
 	case Reject:
 		fmt.Fprintf(w, "reject %d %d\n", a.ID, int64(a.RetryAfter))
 	case Fail:
--- a/scheduler/reference_test.go
+++ b/scheduler/reference_test.go
@@ -770,11 +770,11 @@
 	ref.attempts[attemptID{r.ID, uint64(r.attempts)}] = a
 	r.attempts++
 	r.inFlight++
-	startBefore := Time(0)
+	arriveBefore := Time(0)
 	if r.mayHaveRunOn != nil && r.class.Effect == Idempotent {
-		startBefore = r.mayHaveRunSince + r.class.DeduplicationWindow
+		arriveBefore = r.mayHaveRunSince + r.class.DeduplicationWindow
 	}
-	ref.emit(Send{ID: r.ID, Node: n.Node, StartBefore: startBefore})
+	ref.emit(Send{ID: r.ID, Node: n.Node, ArriveBefore: arriveBefore})
 }
 
 func (ref *reference) completeExpired(queue []*request) []*request {
--- a/scheduler/retries.go
+++ b/scheduler/retries.go
@@ -80,9 +80,9 @@
 	return false
 }
 
-// deduplicationEnd returns the value of Send.StartBefore for the next attempt. Without it the
-// deduplication window could end while a connection is being made, and the node would run the request
-// a second time.
+// deduplicationEnd returns the value of Send.ArriveBefore for the next attempt. Without it the
+// deduplication window could end while a connection is being made, or while the attempt is on its way
+// through a network that is cut, and the node would run the request a second time.
 func (r *request) deduplicationEnd() Time {
 	if r.mayHaveRunOn == nil || r.class.Effect != Idempotent {
 		return 0
