scheduler: a stall no longer moves the deduplication window of an attempt

Cause: the time of a send, which moves forward by stalls so that nodes are not blamed, was also the window's start. Evidence: TestStallDoesNotMoveDeduplicationWindow, a bound of 5.1 s for a window of 5 s before. Now the stalls are counted beside the time of the send.

--- a/scheduler/attempts.go
+++ b/scheduler/attempts.go
@@ -1,6 +1,9 @@
 package scheduler
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // attemptID identifies an attempt by its request's id and its number, which counts from 0.
 type attemptID struct{ request, number uint64 }
@@ -9,9 +12,11 @@
 type attempt struct {
 	request *request
 	node    *node
-	// sentAt is the time of the send, moved forward by the length of each stall that has ended.
-	sentAt    Time
-	stalledAt Time // start of the current stall, 0 if there is none (see AttemptStalled)
+	sentAt  Time // also the start of the deduplication window, if the attempt may have run
+	// stalledFor is the length of all stalls that have ended (see AttemptStalled), and stalledAt the
+	// start of the current one, 0 if there is none.
+	stalledFor time.Duration
+	stalledAt  Time
 	// filledWindow reports whether the attempt left no room for another one in the node's window.
 	filledWindow bool
 }
@@ -20,9 +25,9 @@
 // moved forward by the length of its stalls, including the current one.
 func (a *attempt) stallAdjustedSentAt(now Time) Time {
 	if a.stalledAt > 0 {
-		return a.sentAt + now - a.stalledAt
+		return a.sentAt + a.stalledFor + now - a.stalledAt
 	}
-	return a.sentAt
+	return a.sentAt + a.stalledFor
 }
 
 // send sends a queued request to a node.
@@ -59,7 +64,7 @@
 func (s *Scheduler) handleAttemptResumed(e AttemptResumed) {
 	a := s.attempts[attemptID{e.ID, uint64(e.Attempt)}]
 	if a != nil && a.stalledAt > 0 {
-		a.sentAt, a.stalledAt = a.stallAdjustedSentAt(s.now), 0
+		a.stalledFor, a.stalledAt = a.stalledFor+s.now-a.stalledAt, 0
 	}
 }
 
--- a/scheduler/retries_test.go
+++ b/scheduler/retries_test.go
@@ -36,6 +36,23 @@
 	}
 }
 
+// Regression test: the deduplication window of an attempt that was stalled began when the stall had ended,
+// so that a retry could arrive when the nodes had forgotten the attempt.
+func TestStallDoesNotMoveDeduplicationWindow(t *testing.T) {
+	h := newHarness(t, testSettings(), nodeA)
+	h.handleAfter(0, newArrival(1, withClass(2)))
+	sentAt := h.now
+	h.handleAfter(0, AttemptStalled{ID: 1})
+	h.handleAfter(100*ms, AttemptResumed{ID: 1})
+	h.endAttempt(1, Reset)
+	h.runFor(400 * ms)
+	if h.attempts[1] != 2 {
+		t.Fatalf("%d attempts, want 2", h.attempts[1])
+	}
+	window := h.scheduler.settings.Classes[2].DeduplicationWindow
+	assertEqual(t, "the retry has to arrive before", h.sends[1].ArriveBefore, sentAt+window)
+}
+
 // Guards against an idempotent request that runs twice. Only the nodes of one deduplication scope drop
 // repeats, and only during the window, so a retry at another node or later could run again. The
 // request must then fail or, if a later retry by the client is harmless, be rejected.
--- a/scheduler/window.go
+++ b/scheduler/window.go
@@ -44,7 +44,7 @@
 // the increase that applies.
 func (s *Scheduler) adjustWindow(n *node, a *attempt, latencyFraction float64) {
 	switch {
-	case latencyFraction > windowDecreaseAbove && a.sentAt >= n.lastDecreaseAt:
+	case latencyFraction > windowDecreaseAbove && a.sentAt+a.stalledFor >= n.lastDecreaseAt:
 		n.window, n.lastDecreaseAt = max(min(1, n.window), n.window*windowDecreaseFactor), s.now
 	case latencyFraction < windowIncreaseBelow && a.filledWindow:
 		n.window += min(n.window, 1/n.window)
