A shutdown that aborts requests resets the connections of their attempts

Cause: the attempt stayed out, and when the process exits the kernel goes on sending what a cut network has not let through. Evidence: TestAbortedWriteDoesNotArriveAfterExit, on sockets: the write arrived after the exit on a platform and in WebDAV. Now AbortRemaining resets the connection of each attempt in flight; a stop that ends before its time waits for them, as before.

--- a/internal/e2e/deduplication_test.go
+++ b/internal/e2e/deduplication_test.go
@@ -91,3 +91,38 @@
 		t.Errorf("the write arrived %d times, want once: the second one after the window", n)
 	}
 }
+
+// Regression test: a write that was on its way when its request was aborted by a shutdown arrived after the
+// process had ended, because the kernel went on sending it.
+func TestAbortedWriteDoesNotArriveAfterExit(t *testing.T) {
+	test := func(t *testing.T, node *forgetfulNode, instance *testInstance, write string) {
+		node.link.setHeld(true)
+		_, responses := instance.send(write)
+		time.Sleep(50 * time.Millisecond)
+		if err := instance.stop(); err == nil {
+			t.Error("the instance stopped without an error, want that a request was aborted")
+		}
+		if response, _, err := readResponse(responses, http.MethodPut); err != nil || response.StatusCode != http.StatusBadGateway {
+			t.Errorf("response %v, error %v; want 502", response, err)
+		}
+		node.link.setHeld(false)
+		time.Sleep(100 * time.Millisecond)
+		if n := node.writesArrived(); n != 0 {
+			t.Errorf("the write arrived %d times after the exit, want never", n)
+		}
+	}
+	t.Run("platform", func(t *testing.T) {
+		node := startForgetfulNode(t)
+		d := startDiscovery(t)
+		d.setEndpoints(node.endpoint())
+		instance := startPlatformReady(t, d, platformOptions{})
+		instance.readBody()
+		test(t, node, instance.testInstance, instance.newWrite(0, "30000m").text)
+	})
+	t.Run("WebDAV", func(t *testing.T) {
+		node := startForgetfulNode(t)
+		instance := startWebDAVWithConfig(t, strings.Replace(webdavConfig, "stop-time 5s", "stop-time 300ms", 1), node.link.addr)
+		instance.roundTrip(getRequest("/feed-a/x"))
+		test(t, node, instance.testInstance, putRequest("/feed-a/x", "payload"))
+	})
+}
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -45,7 +45,8 @@
 }
 
 // AbortRemaining ends every submitted request that has no final response yet. The request is
-// rejected if no attempt of it was made, and failed otherwise.
+// rejected if no attempt of it was made, and failed otherwise. It also aborts every attempt: when
+// the process exits, the kernel would go on sending the bytes that have not arrived yet.
 func (g *Gateway) AbortRemaining(now Time) {
 	g.clock.advance(now)
 	for _, id := range g.requests.sortedIDs() {
@@ -60,6 +61,11 @@
 			g.fail(req)
 		}
 	}
+	for _, conn := range g.conns.slots {
+		if c, ok := conn.(*nodeConn); ok && c.attempt != nil {
+			g.abortNodeConn(c, scheduler.Cancelled)
+		}
+	}
 }
 
 // Idle reports whether there is neither a submitted request nor a client connection.
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -61,6 +61,9 @@
 	h.runActions()
 	h.wantContains("the response to the request that was sent", h.takeWritten(sent), "HTTP/1.1 502 ", "Connection: close")
 	h.wantContains("the response to the request that waited", h.takeWritten(waiting), "HTTP/1.1 503 ", "Connection: close")
+	if op := h.closedBy[h.nodeConn(0)]; op != Abort {
+		t.Errorf("the connection of the attempt is closed by %v, want abort", op)
+	}
 	h.deliver(h.nodeConn(0), okResponse("too late"))
 	if got := h.takeWritten(sent); got != "" {
 		t.Errorf("second response %q, want none", got)
