--- a/internal/daemon/shutdown.go
+++ b/internal/daemon/shutdown.go
@@ -79,7 +79,9 @@
 	Counts() gateway.Counts
 	Drain(now time.Duration)
 	Shutdown(now time.Duration)
-	AbortRemaining(now time.Duration)
+	// AbortRemaining gives each request its final response. It returns the number of requests that
+	// were rejected while they were still arriving.
+	AbortRemaining(now time.Duration) (incomplete int)
 	// Idle reports whether no request is pending and no client is connected.
 	Idle() bool
 	EachPendingRequest(func(id, method, path string, age time.Duration))
@@ -197,15 +199,18 @@
 	return s.phase == phaseStopped
 }
 
-// abort makes the gateway respond to each pending request. Otherwise the exit of the process would close
-// the connections without a response, and clients could not tell whether to retry.
+// abort makes the gateway respond to each pending request, also to those that are still arriving. Otherwise
+// the exit of the process would close the connections without a response, and clients could not tell whether
+// to retry.
 func (s *shutdown) abort(now time.Duration) {
 	s.phase = phaseAborting
 	s.gateway.EachPendingRequest(func(id, method, path string, age time.Duration) {
 		s.aborted++
 		s.log.Error("request aborted at shutdown", "request", id, "method", method, "path", path, "age", age)
 	})
-	s.gateway.AbortRemaining(now)
+	if n := s.gateway.AbortRemaining(now); n > 0 {
+		s.log.Warn("incomplete requests rejected at shutdown", "requests", n)
+	}
 	s.exitAt = now + abortGrace
 	wakeAfter(s.loop, abortGrace+timerSlack)
 	s.loop.Wake() // the responses are written in the next iteration
--- a/internal/gateway/accept.go
+++ b/internal/gateway/accept.go
@@ -42,7 +42,7 @@
 	g.openConn(c)
 	g.clientConns++
 	firstRequestTimeout := g.config.Timeouts.Header
-	if g.intake == intakeClosed {
+	if g.intake >= intakeClosed {
 		firstRequestTimeout = firstRequestGrace
 	}
 	g.setDeadline(c, g.clock.now+firstRequestTimeout)
--- a/internal/gateway/client_conn.go
+++ b/internal/gateway/client_conn.go
@@ -151,7 +151,7 @@
 	case req != nil: // the scheduler's deadline for the request applies
 	case c.headerStartedAt > 0:
 		g.counts.Malformed++
-		g.respondHeaderTimeout(c)
+		g.respondWithoutHeader(c, 408, "the header did not come in time")
 	default: // the idle timeout
 		g.closeConn(c, Close)
 	}
@@ -211,7 +211,7 @@
 	if c.closed || c.req != nil {
 		return
 	}
-	if c.phase >= clientClosing || g.intake == intakeClosed || c.peer == peerDisconnected {
+	if c.phase >= clientClosing || g.intake >= intakeClosed || c.peer == peerDisconnected {
 		// No further request is read. Pipelined requests are discarded without a response; the
 		// client may repeat them on another connection (RFC 9112 section 9.3.2).
 		c.unread = c.unread[:0]
@@ -232,7 +232,7 @@
 func (g *Gateway) handleClientIdle(c *clientConn) {
 	switch {
 	case c.inReadyClients: // startNextRequest processes pipelined input first
-	case c.phase >= clientClosing, g.intake == intakeClosed, c.peer != peerConnected:
+	case c.phase >= clientClosing, g.intake >= intakeClosed, c.peer != peerConnected:
 		g.lingeringClose(c)
 	default:
 		g.setDeadline(c, g.clock.now+g.config.Timeouts.Idle)
--- a/internal/gateway/client_end.go
+++ b/internal/gateway/client_end.go
@@ -26,10 +26,9 @@
 	g.writeLocalResponse(req, 408, []byte("the body did not come in time\n"), nil)
 }
 
-// respondHeaderTimeout answers 408 to a client that has not sent the header of its request in
-// time, and ends the connection. As there is no request yet, it creates one for the response.
-func (g *Gateway) respondHeaderTimeout(c *clientConn) {
-	const reason = "the header did not come in time"
+// respondWithoutHeader answers a client that has not sent the complete header of its request, and
+// ends the connection. As there is no request yet, it creates one for the response.
+func (g *Gateway) respondWithoutHeader(c *clientConn, status int, reason string) {
 	req := g.requests.create()
 	req.client = c
 	c.req = req
@@ -38,7 +37,7 @@
 	req.header.MinorVersion = 1
 	req.headerReceivedAt = g.clock.now
 	c.advancePhase(clientClosing)
-	g.writeLocalResponse(req, 408, []byte(reason+"\n"), nil)
+	g.writeLocalResponse(req, status, []byte(reason+"\n"), nil)
 }
 
 // dropClient closes a client connection with op, which is Close or Abort, and ends its
--- a/internal/gateway/request_lifecycle.go
+++ b/internal/gateway/request_lifecycle.go
@@ -29,6 +29,10 @@
 	if g.isLastRequest(c, req) {
 		c.advancePhase(clientClosing)
 	}
+	if g.intake >= intakeAborted {
+		g.respondLocally(req, 503, reasonStopped)
+		return
+	}
 	// The response to the previous request may still be in the output buffer. Admission counts
 	// at most one request of a connection, so the previous one ends here.
 	g.reportAdmittedRequestEnd(c)
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -7,16 +7,23 @@
 )
 
 // intakePhase tells which requests an instance accepts. Drain advances it to
-// intakeDraining, and Shutdown to intakeClosed. It never goes back.
+// intakeDraining, Shutdown to intakeClosed, and AbortRemaining to intakeAborted. It never goes back.
 type intakePhase uint8
 
 const (
 	intakeOpen     intakePhase = iota
 	intakeDraining             // each response asks its client to close the connection; requests are still accepted
 	intakeClosed               // requests under way are answered; new ones are accepted for firstRequestGrace at most
+	intakeAborted              // every request is rejected at once, also before it is complete
 )
 
-func (p intakePhase) String() string { return [...]string{"open", "last requests", "closed"}[p] }
+func (p intakePhase) String() string {
+	return [...]string{"open", "last requests", "closed", "aborted"}[p]
+}
+
+// reasonStopped is the text of the response to a request that was not complete when the instance
+// aborted the remaining ones.
+const reasonStopped = "stopping; trying again does no harm"
 
 // Drain asks each client, in the next response to it, to close its connection. Requests are
 // still accepted: some may be on their way from clients that do not know yet that the
@@ -44,11 +51,15 @@
 	}
 }
 
-// AbortRemaining ends every submitted request that has no final response yet. The request is
-// rejected if no attempt of it was made, and failed otherwise. It also aborts every attempt: when
-// the process exits, the kernel would go on sending the bytes that have not arrived yet.
-func (g *Gateway) AbortRemaining(now Time) {
+// AbortRemaining ends every request that has no final response yet, shortly before the process
+// exits. A submitted request is rejected if no attempt of it was made, and failed otherwise. A request
+// that is still arriving is rejected at once: it could become complete up to the exit, when there is
+// no time left to have it executed and to respond. AbortRemaining also aborts every attempt: when the
+// process exits, the kernel would go on sending the bytes that have not arrived yet. It returns the
+// number of requests that were rejected while they arrived.
+func (g *Gateway) AbortRemaining(now Time) (incomplete int) {
 	g.clock.advance(now)
+	g.intake = intakeAborted
 	for _, id := range g.requests.sortedIDs() {
 		req := g.requests.byID[id]
 		if req.response.final {
@@ -62,10 +73,39 @@
 		}
 	}
 	for _, conn := range g.conns.slots {
-		if c, ok := conn.(*nodeConn); ok && c.attempt != nil {
-			g.abortNodeConn(c, scheduler.Cancelled)
+		switch c := conn.(type) {
+		case *nodeConn:
+			if c.attempt != nil {
+				g.abortNodeConn(c, scheduler.Cancelled)
+			}
+		case *clientConn:
+			if g.rejectIncompleteRequest(c) {
+				incomplete++
+			}
+		}
+	}
+	return incomplete
+}
+
+// rejectIncompleteRequest rejects the request that is arriving on a connection, if there is one. It
+// ends a connection on which no request has begun.
+func (g *Gateway) rejectIncompleteRequest(c *clientConn) (rejected bool) {
+	switch {
+	case c.phase >= clientClosing && c.req == nil: // its last response is being written, or was written
+		return false
+	case c.req != nil:
+		if c.req.id != 0 || c.req.body.complete || c.req.response.final {
+			return false // it was submitted, or is a listing whose parts were submitted
 		}
+		g.respondLocally(c.req, 503, reasonStopped)
+		return true
+	case c.headerStartedAt > 0:
+		g.respondWithoutHeader(c, 503, reasonStopped)
+		return true
+	case len(c.pending()) == 0:
+		g.lingeringClose(c)
 	}
+	return false
 }
 
 // Idle reports whether there is neither a submitted request nor a client connection.
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -70,3 +71,59 @@
 	}
 	h.wantOutcomes(map[Outcome]int{Failed: 1, Rejected: 1})
 }
+
+// Regression test: a request that became complete after the remaining ones had been aborted was sent to a
+// node, and the process exited before its response. A request that is still arriving then is rejected, so
+// that its client has a response whenever it sends the rest; so is one that begins later.
+func TestAbortRemainingRejectsIncompleteRequests(t *testing.T) {
+	for name, harnessOf := range harnessesByProtocol {
+		request := putRequest("/feed-a/s/a", "segment", "id: a")
+		for _, sent := range []int{10, len(request) - 3, len(request)} { // in the header, in the body, after the abort
+			h := harnessOf(t)
+			early := sent
+			if sent == len(request) {
+				early = 0
+			}
+			client := h.connectClient(request[:early])
+			h.gateway.Shutdown(h.now)
+			h.runActions()
+			incomplete := h.gateway.AbortRemaining(h.now)
+			h.runActions()
+			if want := min(early, 1); incomplete != want {
+				t.Errorf("%s, %d bytes: %d incomplete requests, want %d", name, early, incomplete, want)
+			}
+			if early == 0 {
+				client = h.connectClient(request)
+			}
+			h.wantContains(fmt.Sprintf("%s, %d bytes: the response", name, early), h.takeWritten(client), "HTTP/1.1 503 ", "Connection: close", reasonStopped)
+			if early > 0 {
+				h.deliver(client, request[early:])
+			}
+			h.advanceTime(100 * time.Millisecond)
+			if got := h.takeWritten(client); got != "" || len(h.dialed) > 0 {
+				t.Errorf("%s, %d bytes: second response %q, %d connections to nodes; want none", name, early, got, len(h.dialed))
+			}
+			h.wantLingeringClose(client)
+		}
+	}
+}
+
+// Verifies that AbortRemaining ends a connection on which no request has begun without a reset, and leaves
+// alone one whose last response is being written.
+func TestAbortRemainingEndsIdleConnections(t *testing.T) {
+	h := newHarness(t, "")
+	unread := h.connectClient(getRequest("/feed-a/s/1"))
+	h.blocked[unread] = true
+	h.deliver(h.nodeConn(0), okResponse("one"))
+	h.gateway.Shutdown(h.now)
+	h.runActions()
+	fresh := h.connectClient("")
+	h.gateway.AbortRemaining(h.now)
+	h.runActions()
+	h.wantLingeringClose(fresh)
+	h.blocked[unread] = false
+	h.flush(unread)
+	h.runActions()
+	h.wantContains("the response", h.takeWritten(unread), "200 OK", "one")
+	h.wantLingeringClose(unread)
+}
