--- /dev/null
+++ b/internal/gateway/conn_reuse.go
@@ -0,0 +1,80 @@
+package gateway
+
+import (
+	"slices"
+	"time"
+)
+
+// reuseDelay is how long a connection is left unused after a response before the next request is
+// sent on it. HTTP/1.1 responses do not name their request. If a node sends a second response some
+// milliseconds after the first, a connection that already carries the next request would deliver
+// it to the wrong client. On an idle connection it is recognized as unsolicited, and the
+// connection is closed. 20 ms is several times that delay.
+const reuseDelay = 20 * time.Millisecond
+
+// reusableIdleConn returns the idle connection to a node on which the next request is sent: the
+// most recently used of those that may be reused, so that surplus connections reach their idle
+// timeout. If there is none it returns nil; see shouldAwaitIdleConn.
+func (n *node) reusableIdleConn(now Time) *nodeConn {
+	for _, c := range slices.Backward(n.idleConns) {
+		if c.isReusable(now) {
+			return c
+		}
+	}
+	return nil
+}
+
+// isReusable reports whether the connection had no response yet, or reuseDelay has passed since
+// the last one.
+func (c *nodeConn) isReusable(now Time) bool {
+	return c.respondedAt == 0 || now-c.respondedAt >= reuseDelay
+}
+
+// shouldAwaitIdleConn decides for a request, if none of its node's idle connections can be reused
+// yet, whether it waits for one of them or gets a new connection. A new connection is dear to the
+// node, so that a few requests wait. If requests follow each other more often, new connections are
+// opened, until there are enough for each to be idle for reuseDelay.
+func (g *Gateway) shouldAwaitIdleConn(n *node) bool {
+	if len(n.idleConns) == 0 {
+		return false
+	}
+	return !g.canAddConn(n) || n.reuseWaits.allow(g.clock.now)
+}
+
+// reuseWaitLimit limits how many requests wait for an idle connection of a node.
+type reuseWaitLimit struct {
+	since Time // begin of the present interval
+	count int  // number of requests that have waited since then
+}
+
+const (
+	reuseWaitInterval        = time.Second
+	maxReuseWaitsPerInterval = 2
+)
+
+// allow counts a request and reports whether it may wait.
+func (l *reuseWaitLimit) allow(now Time) bool {
+	if now-l.since >= reuseWaitInterval {
+		*l = reuseWaitLimit{since: now}
+	}
+	l.count++
+	return l.count <= maxReuseWaitsPerInterval
+}
+
+// awaitReuse assigns an attempt to an idle connection that cannot be reused yet. Its request is sent
+// as soon as the connection can be reused.
+func (g *Gateway) awaitReuse(c *nodeConn, attempt *nodeAttempt) {
+	g.nodes.removeIdle(c)
+	c.attempt = attempt
+	attempt.conn = c
+	c.state = nodeCooldown
+	g.setDeadline(c, c.respondedAt+reuseDelay)
+}
+
+// reuseConn sends an attempt on an idle connection.
+func (g *Gateway) reuseConn(c *nodeConn, attempt *nodeAttempt) {
+	g.nodes.removeIdle(c)
+	c.attempt = attempt
+	attempt.conn = c
+	g.sendAttempt(c)
+}
--- a/internal/gateway/connection_reuse_test.go
+++ b/internal/gateway/connection_reuse_test.go
@@ -127,7 +127,7 @@
 // useUpReuseWaits makes requests for the first node get a new connection instead of waiting for one,
 // up to the end of the present interval.
 func (h *harness) useUpReuseWaits() {
-	h.gateway.nodes.byName["n0"].reuseWaits = reuseWaitLimit{since: h.now, count: reuseWaitsInEachInterval}
+	h.gateway.nodes.byName["n0"].reuseWaits = reuseWaitLimit{since: h.now, count: maxReuseWaitsPerInterval}
 }
 
 // Verifies that a connection is reused once it was idle for reuseDelay, and not before, by requests
@@ -157,11 +157,11 @@
 }
 
 // Verifies that requests which follow each other closely wait for an idle connection only
-// reuseWaitsInEachInterval times, and then get new connections, so that the throughput of a node is
+// maxReuseWaitsPerInterval times, and then get new connections, so that the throughput of a node is
 // not limited by reuseDelay.
 func TestFewRequestsWaitForConnection(t *testing.T) {
 	h := newHarness(t, "")
-	for i := range 2 * reuseWaitsInEachInterval {
+	for i := range 2 * maxReuseWaitsPerInterval {
 		client := h.connectClient(getRequest("/feed-a/s/x"))
 		h.advanceTime(reuseDelay)
 		conn := h.nodeConn(len(h.dialed) - 1)
@@ -274,24 +274,37 @@
 	h.wantContains("the response", h.takeWritten(client), "of another node")
 }
 
+// reusableConn returns a connection to a node that has responded to a request and was idle for reuseDelay.
+func (h *harness) reusableConn() ConnID {
+	h.connectClient(getRequest("/feed-a/s/a", "id: a"))
+	conn := h.nodeConn(0)
+	h.takeWritten(conn)
+	h.deliver(conn, okResponse("made for a"))
+	h.advanceTime(reuseDelay)
+	return conn
+}
+
+// wantServedOnNewConn checks that a client's request is sent again on a second connection, and that the
+// client gets the response from there.
+func (h *harness) wantServedOnNewConn(what string, client ConnID) {
+	h.t.Helper()
+	h.advanceTime(100 * time.Millisecond)
+	h.deliver(h.nodeConn(1), okResponse("made for b"))
+	h.wantContains(what+": the response", h.takeWritten(client), "made for b")
+}
+
 // Regression test: a node's second response that arrived while the process was held up, and was not read
 // yet, was served to the client of the next request on the connection.
 func TestDuplicateResponseIsReadBeforeReuse(t *testing.T) {
 	for name, harnessOf := range harnessesByProtocol {
 		h := harnessOf(t)
-		h.connectClient(getRequest("/feed-a/s/a", "id: a"))
-		oldConn := h.nodeConn(0)
-		h.takeWritten(oldConn)
-		h.deliver(oldConn, okResponse("made for a"))
-		h.advanceTime(reuseDelay)
+		oldConn := h.reusableConn()
 		h.arrived[oldConn] = okResponse("made for a")
 		client := h.connectClient(getRequest("/feed-a/s/b", "id: b"))
 		if got := h.takeWritten(oldConn); got != "" {
 			t.Errorf("%s: %q was sent on the connection with the second response, want nothing", name, got)
 		}
-		h.advanceTime(100 * time.Millisecond)
-		h.deliver(h.nodeConn(1), okResponse("made for b"))
-		h.wantContains(name+": the response", h.takeWritten(client), "made for b")
+		h.wantServedOnNewConn(name, client)
 	}
 }
 
@@ -300,20 +313,14 @@
 func TestResponseBeforeFirstByteIsNotForwarded(t *testing.T) {
 	for name, harnessOf := range harnessesByProtocol {
 		h := harnessOf(t)
-		h.connectClient(getRequest("/feed-a/s/a", "id: a"))
-		oldConn := h.nodeConn(0)
-		h.takeWritten(oldConn)
-		h.deliver(oldConn, okResponse("made for a"))
-		h.advanceTime(reuseDelay)
+		oldConn := h.reusableConn()
 		h.blocked[oldConn] = true
 		client := h.connectClient(getRequest("/feed-a/s/b", "id: b"))
 		h.deliver(oldConn, okResponse("made for a"))
 		if got := h.takeWritten(client); got != "" {
 			t.Errorf("%s: the client got %q, want nothing", name, got)
 		}
-		h.advanceTime(100 * time.Millisecond)
-		h.deliver(h.nodeConn(1), okResponse("made for b"))
-		h.wantContains(name+": the response", h.takeWritten(client), "made for b")
+		h.wantServedOnNewConn(name, client)
 	}
 }
 
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -34,24 +34,6 @@
 	g.dialNode(n, attempt)
 }
 
-// awaitReuse assigns an attempt to an idle connection that cannot be reused yet. Its request is sent
-// as soon as the connection can be reused.
-func (g *Gateway) awaitReuse(c *nodeConn, attempt *nodeAttempt) {
-	g.nodes.removeIdle(c)
-	c.attempt = attempt
-	attempt.conn = c
-	c.state = nodeCooldown
-	g.setDeadline(c, c.respondedAt+reuseDelay)
-}
-
-// reuseConn sends an attempt on an idle connection.
-func (g *Gateway) reuseConn(c *nodeConn, attempt *nodeAttempt) {
-	g.nodes.removeIdle(c)
-	c.attempt = attempt
-	attempt.conn = c
-	g.sendAttempt(c)
-}
-
 // sendRequest sends the request of an attempt on its established connection: the header, and
 // as much of the body as is buffered. The rest of the body is forwarded as it arrives.
 func (g *Gateway) sendRequest(c *nodeConn, req *request) {
