--- a/internal/gateway/deduplication_test.go
+++ b/internal/gateway/deduplication_test.go
@@ -8,12 +8,12 @@
 	"maddergap/scheduler"
 )
 
-// keyedWindow is the deduplication window of the harness of newKeyedHarness.
-const keyedWindow = 200 * time.Millisecond
+// idempotentWindow is the deduplication window of the harness of newIdempotentHarness.
+const idempotentWindow = 200 * time.Millisecond
 
-// newKeyedHarness returns a harness in which writes are idempotent within keyedWindow, and are sent with
+// newIdempotentHarness returns a harness in which writes are idempotent within idempotentWindow, and are sent with
 // the protocol. The first attempt of a write was lost by a reset, and the second one was sent on conn.
-func newKeyedHarness(t *testing.T, name string) (h *harness, client, conn ConnID, start Time) {
+func newIdempotentHarness(t *testing.T, name string) (h *harness, client, conn ConnID, start Time) {
 	t.Helper()
 	h = newHarnessWithConfig(t, strings.Replace(harnessConfig, "effect unsafe", "effect keyed window 200ms", 1))
 	if name == "buffered" {
@@ -33,8 +33,8 @@
 // of the window by a reset, which also discards the bytes that the kernel has not delivered yet.
 func TestRetryIsGivenUpAtDeduplicationEnd(t *testing.T) {
 	for name := range harnessesByProtocol {
-		h, client, conn, start := newKeyedHarness(t, name)
-		h.advanceTime(start + keyedWindow - 1 - h.now)
+		h, client, conn, start := newIdempotentHarness(t, name)
+		h.advanceTime(start + idempotentWindow - 1 - h.now)
 		if _, closed := h.closedBy[conn]; closed {
 			t.Errorf("%s: the retry was given up before the end of the window", name)
 		}
@@ -67,9 +67,9 @@
 // it has arrived in time.
 func TestRetryWithResponseOutlastsDeduplicationEnd(t *testing.T) {
 	for name := range harnessesByProtocol {
-		h, client, conn, start := newKeyedHarness(t, name)
+		h, client, conn, start := newIdempotentHarness(t, name)
 		response := okResponse("written")
-		h.advanceTime(start + keyedWindow - h.now - time.Millisecond)
+		h.advanceTime(start + idempotentWindow - h.now - time.Millisecond)
 		h.deliver(conn, response[:len(response)-3])
 		h.advanceTime(100 * time.Millisecond)
 		h.deliver(conn, response[len(response)-3:])
@@ -81,9 +81,9 @@
 // disconnected meanwhile.
 func TestRetryWithoutClientIsGivenUpAtDeduplicationEnd(t *testing.T) {
 	for name := range harnessesByProtocol {
-		h, client, conn, start := newKeyedHarness(t, name)
+		h, client, conn, start := newIdempotentHarness(t, name)
 		h.gateway.Closed(h.now, client)
-		h.advanceTime(start + keyedWindow - h.now)
+		h.advanceTime(start + idempotentWindow - h.now)
 		if op := h.closedBy[conn]; op != Abort {
 			t.Errorf("%s: the connection of the retry is closed by %v, want abort", name, op)
 		}
@@ -94,7 +94,7 @@
 // in order, so that the kernel went on sending the request, which could arrive after its retry.
 func TestLostAttemptIsAborted(t *testing.T) {
 	for name := range harnessesByProtocol {
-		h, _, conn, _ := newKeyedHarness(t, name)
+		h, _, conn, _ := newIdempotentHarness(t, name)
 		h.gateway.EOF(h.now, conn)
 		h.runActions()
 		if op := h.closedBy[conn]; op != Abort {
@@ -106,8 +106,8 @@
 // Verifies that a retry which a node answers with an error is not given up either while the body of that
 // error arrives.
 func TestRetryWithErrorOutlastsDeduplicationEnd(t *testing.T) {
-	h, client, conn, start := newKeyedHarness(t, "WebDAV")
-	h.advanceTime(start + keyedWindow - h.now - time.Millisecond)
+	h, client, conn, start := newIdempotentHarness(t, "WebDAV")
+	h.advanceTime(start + idempotentWindow - h.now - time.Millisecond)
 	h.deliver(conn, "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 6\r\n\r\nbro")
 	h.advanceTime(100 * time.Millisecond)
 	h.deliver(conn, "ken")
