--- a/internal/gateway/conn_reuse.go
+++ b/internal/gateway/conn_reuse.go
@@ -1,7 +1,7 @@
 package gateway
 
 import (
-	"slices"
+	"sort"
 	"time"
 )
 
@@ -15,13 +15,23 @@
 // reusableIdleConn returns the idle connection to a node on which the next request is sent: the
 // most recently used of those that may be reused, so that surplus connections reach their idle
 // timeout. If there is none it returns nil; see shouldAwaitIdleConn.
+//
+// Connections become idle as their responses arrive, so that the reusable ones come first in
+// idleConns. Only a connection without a response yet may follow others that cannot be reused; it is
+// found if it is the last.
 func (n *node) reusableIdleConn(now Time) *nodeConn {
-	for _, c := range slices.Backward(n.idleConns) {
-		if c.isReusable(now) {
-			return c
-		}
+	count := len(n.idleConns)
+	if count == 0 {
+		return nil
 	}
-	return nil
+	if last := n.idleConns[count-1]; last.isReusable(now) {
+		return last
+	}
+	reusable := sort.Search(count, func(i int) bool { return !n.idleConns[i].isReusable(now) })
+	if reusable == 0 {
+		return nil
+	}
+	return n.idleConns[reusable-1]
 }
 
 // isReusable reports whether the connection had no response yet, or reuseDelay has passed since
