gateway: one selection, one use and one removal of connections to nodes

What the change had written twice: awaitReuse and reuseConn (now useIdleConn, after one selectIdleConn), the removal of a lost connection beside removeLost (which now takes the operation), a count of dials beside Counts. The give-up in handleTimer says that it is for attempts without a response; it relied on no other state coming there. In tests: the protocols' harnesses stand in one table, a mutex that guarded nothing is gone, a body is read to its end and not by one Read. No behaviour and no assertion changes.

--- a/internal/e2e/shutdown_slow_clients_test.go
+++ b/internal/e2e/shutdown_slow_clients_test.go
@@ -77,14 +77,11 @@
 			return okResponse("fine")
 		})
 		instance := startPlatformReady(t, startDiscovery(t, node), platformOptions{})
-		var mu sync.Mutex
 		wantEachAnswered(t, &slowWriters{
 			instance: instance.testInstance,
 			// 0.5 s of draining, the longest deadline and 0.05 s.
 			abortsIn: 500*time.Millisecond + 1500*time.Millisecond + 50*time.Millisecond,
 			request: func(int) string {
-				mu.Lock()
-				defer mu.Unlock()
 				text := instance.newWrite(0, "1500m").text
 				return strings.Replace(text, "Content-Length: 7\r\n\r\npayload", fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body), 1)
 			},
--- a/internal/eventloop/reuse_test.go
+++ b/internal/eventloop/reuse_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -12,6 +13,7 @@
 	"golang.org/x/sys/unix"
 
 	"maddergap/internal/nodelist"
+	"maddergap/internal/scriptednode"
 	"maddergap/internal/syscalls"
 )
 
@@ -101,7 +103,7 @@
 }
 
 func writeResponse(c net.Conn, body string) {
-	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	io.WriteString(c, scriptednode.OK(body).Text)
 }
 
 // get sends a request and returns the body of the response.
@@ -114,7 +116,9 @@
 		t.Fatal(err)
 	}
 	defer response.Body.Close()
-	body := make([]byte, 64)
-	n, _ := response.Body.Read(body)
-	return string(body[:n])
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(body)
 }
--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -142,12 +142,13 @@
 }
 
 // removeLost removes a connection that was lost. closedByDriver is true after a reset or a
-// failed dial, when the driver has already closed the connection, and false after an EOF.
-func (g *Gateway) removeLost(c connection, closedByDriver bool) {
+// failed dial, when the driver has already closed the connection. It is false after an EOF, when
+// the driver closes the connection with op.
+func (g *Gateway) removeLost(c connection, closedByDriver bool, op Op) {
 	if closedByDriver {
 		g.removeConn(c, true)
 	} else {
-		g.closeConn(c, Close)
+		g.closeConn(c, op)
 	}
 }
 
--- a/internal/gateway/conn_reuse.go
+++ b/internal/gateway/conn_reuse.go
@@ -12,18 +12,15 @@
 // connection is closed. 20 ms is several times that delay.
 const reuseDelay = 20 * time.Millisecond
 
-// reusableIdleConn returns the idle connection to a node on which the next request is sent: the
-// most recently used of those that may be reused, so that surplus connections reach their idle
-// timeout. If there is none it returns nil; see shouldAwaitIdleConn.
+// reusableIdleConn returns the most recently used of a node's idle connections that may be reused, so
+// that surplus connections reach their idle timeout. It returns nil if there is none. The node has
+// idle connections.
 //
 // Connections become idle as their responses arrive, so that the reusable ones come first in
 // idleConns. Only a connection without a response yet may follow others that cannot be reused; it is
 // found if it is the last.
 func (n *node) reusableIdleConn(now Time) *nodeConn {
 	count := len(n.idleConns)
-	if count == 0 {
-		return nil
-	}
 	if last := n.idleConns[count-1]; last.isReusable(now) {
 		return last
 	}
@@ -40,15 +37,21 @@
 	return c.respondedAt == 0 || now-c.respondedAt >= reuseDelay
 }
 
-// shouldAwaitIdleConn decides for a request, if none of its node's idle connections can be reused
-// yet, whether it waits for one of them or gets a new connection. A new connection is dear to the
-// node, so that a few requests wait. If requests follow each other more often, new connections are
-// opened, until there are enough for each to be idle for reuseDelay.
-func (g *Gateway) shouldAwaitIdleConn(n *node) bool {
+// selectIdleConn returns the idle connection to a node that an attempt uses, or nil if it needs a new
+// one. If none can be reused yet, the attempt waits for one or needs a new one. A new connection is
+// dear to the node, so that a few attempts wait. If requests follow each other more often, new
+// connections are opened, until there are enough for each to be idle for reuseDelay.
+func (g *Gateway) selectIdleConn(n *node) *nodeConn {
 	if len(n.idleConns) == 0 {
-		return false
+		return nil
 	}
-	return !g.canAddConn(n) || n.reuseWaits.allow(g.clock.now)
+	if c := n.reusableIdleConn(g.clock.now); c != nil {
+		return c
+	}
+	if !g.canAddConn(n) || n.reuseWaits.allow(g.clock.now) {
+		return n.idleConns[0]
+	}
+	return nil
 }
 
 // reuseWaitLimit limits how many requests wait for an idle connection of a node.
@@ -71,20 +74,15 @@
 	return l.count <= maxReuseWaitsPerInterval
 }
 
-// awaitReuse assigns an attempt to an idle connection that cannot be reused yet. Its request is sent
-// as soon as the connection can be reused.
-func (g *Gateway) awaitReuse(c *nodeConn, attempt *nodeAttempt) {
+// useIdleConn sends an attempt on an idle connection, as soon as the connection can be reused.
+func (g *Gateway) useIdleConn(c *nodeConn, attempt *nodeAttempt) {
 	g.nodes.removeIdle(c)
 	c.attempt = attempt
 	attempt.conn = c
+	if c.isReusable(g.clock.now) {
+		g.sendAttempt(c)
+		return
+	}
 	c.state = nodeCooldown
 	g.setDeadline(c, c.respondedAt+reuseDelay)
 }
-
-// reuseConn sends an attempt on an idle connection.
-func (g *Gateway) reuseConn(c *nodeConn, attempt *nodeAttempt) {
-	g.nodes.removeIdle(c)
-	c.attempt = attempt
-	attempt.conn = c
-	g.sendAttempt(c)
-}
--- a/internal/gateway/connection_reuse_test.go
+++ b/internal/gateway/connection_reuse_test.go
@@ -96,7 +96,7 @@
 		for _, limit := range []int{1, 4} {
 			for _, waits := range []bool{true, false} {
 				t.Run(fmt.Sprintf("%s, %d connections, may wait %v", name, limit, waits), func(t *testing.T) {
-					h := harnessOf(t)
+					h := harnessOf(t, harnessConfig)
 					h.gateway.config.Limits.ConnsPerNode = limit
 					first := h.connectClient(getRequest("/feed-a/s/a", "id: a"))
 					oldConn := h.nodeConn(0)
@@ -239,7 +239,7 @@
 // and that the connection is kept for the next request.
 func TestClientDisconnectsWhileWaitingForConnection(t *testing.T) {
 	for name, harnessOf := range harnessesByProtocol {
-		h := harnessOf(t)
+		h := harnessOf(t, harnessConfig)
 		h.connectClient(getRequest("/feed-a/s/a", "id: a"))
 		conn := h.nodeConn(0)
 		h.takeWritten(conn)
@@ -297,7 +297,7 @@
 // yet, was served to the client of the next request on the connection.
 func TestDuplicateResponseIsReadBeforeReuse(t *testing.T) {
 	for name, harnessOf := range harnessesByProtocol {
-		h := harnessOf(t)
+		h := harnessOf(t, harnessConfig)
 		oldConn := h.reusableConn()
 		h.arrived[oldConn] = okResponse("made for a")
 		client := h.connectClient(getRequest("/feed-a/s/b", "id: b"))
@@ -312,7 +312,7 @@
 // WebDAV client. It belongs to an earlier request.
 func TestResponseBeforeFirstByteIsNotForwarded(t *testing.T) {
 	for name, harnessOf := range harnessesByProtocol {
-		h := harnessOf(t)
+		h := harnessOf(t, harnessConfig)
 		oldConn := h.reusableConn()
 		h.blocked[oldConn] = true
 		client := h.connectClient(getRequest("/feed-a/s/b", "id: b"))
--- a/internal/gateway/deduplication_test.go
+++ b/internal/gateway/deduplication_test.go
@@ -12,13 +12,10 @@
 const idempotentWindow = 200 * time.Millisecond
 
 // newIdempotentHarness returns a harness in which writes are idempotent within idempotentWindow, and are sent with
-// the protocol. The first attempt of a write was lost by a reset, and the second one was sent on conn.
+// the protocol of that name in harnessesByProtocol. The first attempt of a write was lost by a reset, and the second one was sent on conn.
 func newIdempotentHarness(t *testing.T, name string) (h *harness, client, conn ConnID, start Time) {
 	t.Helper()
-	h = newHarnessWithConfig(t, strings.Replace(harnessConfig, "effect unsafe", "effect keyed window 200ms", 1))
-	if name == "buffered" {
-		h.gateway.SetProtocol(fakeProtocol{})
-	}
+	h = harnessesByProtocol[name](t, strings.Replace(harnessConfig, "effect unsafe", "effect keyed window 200ms", 1))
 	start = h.now
 	client = h.connectClient(putRequest("/feed-a/s/a", "segment", "id: a"))
 	h.gateway.Closed(h.now, h.nodeConn(0))
--- a/internal/gateway/fake_protocol_test.go
+++ b/internal/gateway/fake_protocol_test.go
@@ -46,15 +46,18 @@
 
 // newProtocolHarness returns a harness whose gateway uses fakeProtocol.
 func newProtocolHarness(t *testing.T) *harness {
-	h := newHarness(t, "")
-	h.gateway.SetProtocol(fakeProtocol{})
-	return h
+	return harnessesByProtocol["buffered"](t, harnessConfig)
 }
 
-// harnessesByProtocol holds a constructor of a harness for each protocol.
-var harnessesByProtocol = map[string]func(*testing.T) *harness{
-	"WebDAV":   func(t *testing.T) *harness { return newHarness(t, "") },
-	"buffered": newProtocolHarness,
+// harnessesByProtocol holds a constructor of a harness for each protocol, which takes the text of a
+// configuration.
+var harnessesByProtocol = map[string]func(t *testing.T, text string) *harness{
+	"WebDAV": newHarnessWithConfig,
+	"buffered": func(t *testing.T, text string) *harness {
+		h := newHarnessWithConfig(t, text)
+		h.gateway.SetProtocol(fakeProtocol{})
+		return h
+	},
 }
 
 func requestWithID(id string) string { return getRequest("/", "id: "+id) }
--- a/internal/gateway/membership_source.go
+++ b/internal/gateway/membership_source.go
@@ -101,7 +101,7 @@
 
 // handleDiscoveryConnLost removes a connection that was lost, and notifies the source.
 func (g *Gateway) handleDiscoveryConnLost(c *discoveryConn, closedByDriver bool) {
-	g.removeLost(c, closedByDriver)
+	g.removeLost(c, closedByDriver, Close)
 	if g.membership.conns[c.sourceConnID] == c {
 		delete(g.membership.conns, c.sourceConnID)
 		g.membership.source.Closed(g.clock.now, c.sourceConnID)
--- a/internal/gateway/node_conn.go
+++ b/internal/gateway/node_conn.go
@@ -119,16 +119,12 @@
 	attempt := c.attempt
 	if attempt == nil {
 		g.nodes.removeIdle(c)
-		g.removeLost(c, closedByDriver)
+		g.removeLost(c, closedByDriver, Close)
 		return
 	}
 	outcome := g.connLossOutcome(c, attempt)
 	c.attempt = nil
-	if closedByDriver {
-		g.removeConn(c, true)
-	} else {
-		g.closeConn(c, Abort)
-	}
+	g.removeLost(c, closedByDriver, Abort)
 	g.endAttempt(attempt, outcome)
 }
 
@@ -166,7 +162,7 @@
 		g.endAttempt(attempt, scheduler.NotSent)
 	case attempt.responseTimedOut(g.clock.now):
 		g.abortNodeConn(c, g.protocol.brokenResponseOutcome())
-	case g.clock.now < attempt.identity.deadline: // arriveBefore has passed without a response
+	case c.state == nodeAwaitingResponse && g.clock.now < attempt.identity.deadline: // arriveBefore has passed
 		g.reportGivenUp(attempt)
 		g.abortNodeConn(c, scheduler.Cancelled)
 	default: // the deadline of the request has passed, so that a later response is useless
--- a/internal/gateway/node_dial.go
+++ b/internal/gateway/node_dial.go
@@ -10,6 +10,7 @@
 	g.openConn(c)
 	attempt.conn = c
 	g.nodes.connOpened(n)
+	g.counts.NodeConnsOpened++
 	g.actions.dial(c.id, n.addr)
 	g.setDeadline(c, min(g.clock.now+g.config.Timeouts.Dial, attempt.identity.deadline))
 }
--- a/internal/gateway/node_table.go
+++ b/internal/gateway/node_table.go
@@ -31,7 +31,6 @@
 	byName          map[string]*node
 	idleByAge       idleList // idle connections of all nodes, longest idle first
 	conns           int      // number of open connections to all nodes
-	connsOpened     uint64   // number of connections opened since the start
 	lastConnected   Time     // when a connection to any node was last established
 }
 
@@ -43,7 +42,6 @@
 func (t *nodeTable) connOpened(n *node) {
 	n.conns++
 	t.conns++
-	t.connsOpened++
 }
 
 // connClosed counts the end of a connection to a node. It removes a node that is no longer
--- a/internal/gateway/observer.go
+++ b/internal/gateway/observer.go
@@ -116,7 +116,6 @@
 func (g *Gateway) Counts() Counts {
 	c := g.counts
 	c.Clients, c.NodeConns = g.clientConns, g.nodes.conns
-	c.NodeConnsOpened = g.nodes.connsOpened
 	c.BufferedBytes = g.buffers.clientBytes
 	c.Lag = g.lag.at(g.clock.now)
 	c.Admitted = g.admission.Counts()
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -18,12 +18,8 @@
 		g.endAttempt(attempt, scheduler.NotSent)
 		return
 	}
-	if idle := n.reusableIdleConn(g.clock.now); idle != nil {
-		g.reuseConn(idle, attempt)
-		return
-	}
-	if g.shouldAwaitIdleConn(n) {
-		g.awaitReuse(n.idleConns[0], attempt)
+	if idle := g.selectIdleConn(n); idle != nil {
+		g.useIdleConn(idle, attempt)
 		return
 	}
 	if n.conns >= g.config.Limits.ConnsPerNode || !g.ensureNodeConnCapacity() {
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -79,7 +79,7 @@
 	for name, harnessOf := range harnessesByProtocol {
 		request := putRequest("/feed-a/s/a", "segment", "id: a")
 		for _, sent := range []int{10, len(request) - 3, len(request)} { // in the header, in the body, after the abort
-			h := harnessOf(t)
+			h := harnessOf(t, harnessConfig)
 			early := sent
 			if sent == len(request) {
 				early = 0
