--- /dev/null
+++ b/review/second/reload.go
@@ -0,0 +1,210 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+// reloadConfig is the configuration of a head of its own, after the demo's. Its arguments are the address to listen on
+// and the line of the second volume, which is empty where there is none.
+const reloadConfig = `listen %s
+clients 256
+nodes nodes.list
+log-requests no
+class read effect safe aim 150ms deadline 2s worth 2 late 0.2
+class write effect unsafe aim 300ms deadline 5s worth 2 late 0.2
+plan standard rate 200 reserve 100 weight 1
+volume feed-a plan standard shards 0-1
+%sroute GET,HEAD,PROPFIND class read
+route * class write
+units bytes 64k mean 1 most 64
+retry-after 1s
+`
+
+// reloadVolume is the line of the volume that joins and is rolled back.
+const reloadVolume = "volume feed-b plan standard shards 0-1\n"
+
+// reloadRun is the state of the case.
+type reloadRun struct {
+	rec      *record
+	dir      string
+	head     *process
+	addr     string
+	answered atomic.Int64 // requests with a final answer
+	lost     atomic.Int64 // requests that the head had taken and that have none
+	stop     atomic.Bool
+}
+
+// reloadCase: a volume joins, and the change is rolled back while clients list the volume.
+func reloadCase(rec *record, trouble bool) (verdict, error) {
+	dir, err := os.MkdirTemp("", "second-")
+	if err != nil {
+		return cannotRun, err
+	}
+	defer os.RemoveAll(dir)
+	run := &reloadRun{rec: rec, dir: dir}
+	var list strings.Builder
+	for shard := range 2 {
+		addr, err := freeAddr()
+		if err != nil {
+			return cannotRun, err
+		}
+		name := fmt.Sprintf("n%d", shard)
+		node, err := startProcess(dir, name, fmt.Sprintf("exec bin/maddergap node --listen %s --name %s --unit-time 20ms", addr, name))
+		if err != nil {
+			return cannotRun, err
+		}
+		defer node.kill()
+		fmt.Fprintf(&list, "node %s %s shard %d state serving\n", name, addr, shard)
+	}
+	if err := os.WriteFile(filepath.Join(dir, "nodes.list"), []byte(list.String()), 0o644); err != nil {
+		return cannotRun, err
+	}
+	if run.addr, err = freeAddr(); err != nil {
+		return cannotRun, err
+	}
+	file := filepath.Join(dir, "head.conf")
+	if err := run.configure(file, ""); err != nil {
+		return cannotRun, err
+	}
+	if run.head, err = startProcess(dir, "head", "exec bin/maddergap serve --config "+file); err != nil {
+		return cannotRun, err
+	}
+	defer run.head.kill()
+	if err := run.waitServing(); err != nil {
+		return cannotRun, err
+	}
+	return run.play(file, trouble)
+}
+
+// configure replaces the configuration file by a rename.
+func (m *reloadRun) configure(file, volume string) error {
+	if err := os.WriteFile(file+".new", fmt.Appendf(nil, reloadConfig, m.addr, volume), 0o644); err != nil {
+		return err
+	}
+	return os.Rename(file+".new", file)
+}
+
+// reload replaces the configuration file and has the head read it, as an operator does.
+func (m *reloadRun) reload(file, volume, what string) error {
+	if err := m.configure(file, volume); err != nil {
+		return err
+	}
+	m.rec.add("operator: %s, SIGHUP", what)
+	return m.head.command.Process.Signal(syscall.SIGHUP)
+}
+
+// waitServing waits until the head serves the first volume.
+func (m *reloadRun) waitServing() error {
+	for range 500 {
+		if status, err := m.exchange("MKCOL", "/feed-a/station-0/", "", 0); err == nil && (status == http.StatusCreated || status == http.StatusMethodNotAllowed) {
+			return nil
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return fmt.Errorf("the head does not serve: %s", m.head.log())
+}
+
+// play lists the second volume, with its change rolled back meanwhile, while others write to the first.
+func (m *reloadRun) play(file string, trouble bool) (verdict, error) {
+	var clients sync.WaitGroup
+	for i := range 6 {
+		clients.Go(func() { m.writeSegments(i) })
+	}
+	time.Sleep(time.Second)
+	if err := m.reload(file, reloadVolume, "feed-b joins"); err != nil {
+		return cannotRun, err
+	}
+	time.Sleep(time.Second)
+	if status, err := m.list(0); err != nil || status != http.StatusMultiStatus {
+		return cannotRun, fmt.Errorf("feed-b is not served after it has joined: %d, %v", status, err)
+	}
+	listed := make(chan struct{})
+	go func() {
+		defer close(listed)
+		m.list(time.Second)
+	}()
+	time.Sleep(500 * time.Millisecond)
+	if trouble {
+		if err := m.reload(file, "", "the change is rolled back"); err != nil {
+			return cannotRun, err
+		}
+	}
+	<-listed
+	time.Sleep(2 * time.Second)
+	m.stop.Store(true)
+	clients.Wait()
+	m.rec.add("requests with a final answer: %d, without one: %d", m.answered.Load(), m.lost.Load())
+	if m.head.hasEnded() {
+		log := m.head.log()
+		if i := strings.Index(log, "panic:"); i >= 0 {
+			log = log[i:min(len(log), i+1200)]
+		}
+		m.rec.add("the head has ended: %v: %s", m.head.err, log)
+		return broken, nil
+	}
+	if m.lost.Load() > 0 {
+		return broken, nil
+	}
+	return held, nil
+}
+
+// list lists the second volume with a PROPFIND whose body follows its header after the pause.
+func (m *reloadRun) list(pause time.Duration) (status int, err error) {
+	body := `<?xml version="1.0" encoding="utf-8"?><D:propfind xmlns:D="DAV:"><D:prop><D:resourcetype/></D:prop></D:propfind>`
+	return m.exchange("PROPFIND", "/feed-b/", body, pause)
+}
+
+// writeSegments writes one segment after the other to the first volume.
+func (m *reloadRun) writeSegments(client int) {
+	for n := 0; !m.stop.Load() && !m.head.hasEnded(); n++ {
+		m.exchange(http.MethodPut, fmt.Sprintf("/feed-a/station-0/segment-%d-%d", client, n), "samples", 0)
+	}
+}
+
+// exchange sends a request over a connection of its own and reads the answer. The body, if there is one, follows the
+// header after the pause.
+func (m *reloadRun) exchange(method, path, body string, pause time.Duration) (status int, err error) {
+	c, err := net.Dial("tcp", m.addr)
+	if err != nil {
+		return 0, err // the head is not there: nothing was taken
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(8 * time.Second))
+	header := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nDepth: 1\r\nConnection: close\r\nContent-Length: %d\r\n\r\n", method, path, m.addr, len(body))
+	if pause > 0 {
+		m.rec.add("client: the header of %s %s; the body follows in %v", method, path, pause)
+		if _, err := io.WriteString(c, header); err != nil {
+			return 0, err
+		}
+		time.Sleep(pause)
+		header = ""
+	}
+	if _, err = io.WriteString(c, header+body); err != nil {
+		return 0, err
+	}
+	response, err := http.ReadResponse(bufio.NewReader(c), &http.Request{Method: method})
+	if err == nil {
+		_, err = io.Copy(io.Discard, response.Body)
+	}
+	if err != nil {
+		m.lost.Add(1)
+		m.rec.add("client: %s %s was taken and has no answer: %v", method, path, err)
+		return 0, err
+	}
+	m.answered.Add(1)
+	if method != http.MethodPut {
+		m.rec.add("client: %s %s: %d", method, path, response.StatusCode)
+	}
+	return response.StatusCode, nil
+}
