--- a/review/second/main.go
+++ b/review/second/main.go
@@ -27,6 +27,7 @@
 var cases = map[string]func(rec *record, trouble bool) (verdict, error){
 	"memory": memoryCase,
 	"reload": reloadCase,
+	"join":   joinCase,
 }
 
 func main() {
--- a/review/second/reload.go
+++ b/review/second/reload.go
@@ -16,7 +16,7 @@
 )
 
 // reloadConfig is the configuration of a head of its own, after the demo's. Its arguments are the address to listen on
-// and the line of the second volume, which is empty where there is none.
+// and the lines of the volumes.
 const reloadConfig = `listen %s
 clients 256
 nodes nodes.list
@@ -24,17 +24,21 @@
 class read effect safe aim 150ms deadline 2s worth 2 late 0.2
 class write effect unsafe aim 300ms deadline 5s worth 2 late 0.2
 plan standard rate 200 reserve 100 weight 1
-volume feed-a plan standard shards 0-1
 %sroute GET,HEAD,PROPFIND class read
 route * class write
 units bytes 64k mean 1 most 64
 retry-after 1s
 `
 
-// reloadVolume is the line of the volume that joins and is rolled back.
-const reloadVolume = "volume feed-b plan standard shards 0-1\n"
+// Lines of volumes.
+const (
+	volumeA = "volume feed-a plan standard shards 0-1\n"
+	volumeB = "volume feed-b plan standard shards 0-1\n"
+	// volumeNew has its data on one node.
+	volumeNew = "volume feed-0 plan standard shards 0\n"
+)
 
-// reloadRun is the state of the case.
+// reloadRun is the state of a case with a head of its own, whose configuration changes.
 type reloadRun struct {
 	rec      *record
 	dir      string
@@ -47,6 +51,16 @@
 
 // reloadCase: a volume joins, and the change is rolled back while clients list the volume.
 func reloadCase(rec *record, trouble bool) (verdict, error) {
+	return withHead(rec, volumeA, func(m *reloadRun, file string) (verdict, error) { return m.playRollback(file, trouble) })
+}
+
+// joinCase: a volume joins while a client lists another.
+func joinCase(rec *record, trouble bool) (verdict, error) {
+	return withHead(rec, volumeB, func(m *reloadRun, file string) (verdict, error) { return m.playJoin(file, trouble) })
+}
+
+// withHead starts two nodes and a head with the volumes, and plays a case on them.
+func withHead(rec *record, volumes string, play func(m *reloadRun, file string) (verdict, error)) (verdict, error) {
 	dir, err := os.MkdirTemp("", "second-")
 	if err != nil {
 		return cannotRun, err
@@ -74,7 +88,7 @@
 		return cannotRun, err
 	}
 	file := filepath.Join(dir, "head.conf")
-	if err := run.configure(file, ""); err != nil {
+	if err := run.configure(file, volumes); err != nil {
 		return cannotRun, err
 	}
 	if run.head, err = startProcess(dir, "head", "exec bin/maddergap serve --config "+file); err != nil {
@@ -84,30 +98,30 @@
 	if err := run.waitServing(); err != nil {
 		return cannotRun, err
 	}
-	return run.play(file, trouble)
+	return play(run, file)
 }
 
 // configure replaces the configuration file by a rename.
-func (m *reloadRun) configure(file, volume string) error {
-	if err := os.WriteFile(file+".new", fmt.Appendf(nil, reloadConfig, m.addr, volume), 0o644); err != nil {
+func (m *reloadRun) configure(file, volumes string) error {
+	if err := os.WriteFile(file+".new", fmt.Appendf(nil, reloadConfig, m.addr, volumes), 0o644); err != nil {
 		return err
 	}
 	return os.Rename(file+".new", file)
 }
 
 // reload replaces the configuration file and has the head read it, as an operator does.
-func (m *reloadRun) reload(file, volume, what string) error {
-	if err := m.configure(file, volume); err != nil {
+func (m *reloadRun) reload(file, volumes, what string) error {
+	if err := m.configure(file, volumes); err != nil {
 		return err
 	}
 	m.rec.add("operator: %s, SIGHUP", what)
 	return m.head.command.Process.Signal(syscall.SIGHUP)
 }
 
-// waitServing waits until the head serves the first volume.
+// waitServing waits until the head answers.
 func (m *reloadRun) waitServing() error {
 	for range 500 {
-		if status, err := m.exchange("MKCOL", "/feed-a/station-0/", "", 0); err == nil && (status == http.StatusCreated || status == http.StatusMethodNotAllowed) {
+		if status, _, err := m.exchange(http.MethodOptions, "/", "", 0); err == nil && status == http.StatusOK {
 			return nil
 		}
 		time.Sleep(20 * time.Millisecond)
@@ -115,18 +129,21 @@
 	return fmt.Errorf("the head does not serve: %s", m.head.log())
 }
 
-// play lists the second volume, with its change rolled back meanwhile, while others write to the first.
-func (m *reloadRun) play(file string, trouble bool) (verdict, error) {
+// playRollback lists the second volume, with its change rolled back meanwhile, while others write to the first.
+func (m *reloadRun) playRollback(file string, trouble bool) (verdict, error) {
+	if status, _, err := m.exchange("MKCOL", "/feed-a/station-0/", "", 0); err != nil || status != http.StatusCreated {
+		return cannotRun, fmt.Errorf("MKCOL: %d, %v", status, err)
+	}
 	var clients sync.WaitGroup
 	for i := range 6 {
 		clients.Go(func() { m.writeSegments(i) })
 	}
 	time.Sleep(time.Second)
-	if err := m.reload(file, reloadVolume, "feed-b joins"); err != nil {
+	if err := m.reload(file, volumeA+volumeB, "feed-b joins"); err != nil {
 		return cannotRun, err
 	}
 	time.Sleep(time.Second)
-	if status, err := m.list(0); err != nil || status != http.StatusMultiStatus {
+	if status, _, err := m.list(0); err != nil || status != http.StatusMultiStatus {
 		return cannotRun, fmt.Errorf("feed-b is not served after it has joined: %d, %v", status, err)
 	}
 	listed := make(chan struct{})
@@ -136,7 +153,7 @@
 	}()
 	time.Sleep(500 * time.Millisecond)
 	if trouble {
-		if err := m.reload(file, "", "the change is rolled back"); err != nil {
+		if err := m.reload(file, volumeA, "the change is rolled back"); err != nil {
 			return cannotRun, err
 		}
 	}
@@ -159,8 +176,44 @@
 	return held, nil
 }
 
+// playJoin makes stations on the volume, and lists it while another volume joins. The listing has to name all stations.
+func (m *reloadRun) playJoin(file string, trouble bool) (verdict, error) {
+	const stations = 24
+	for i := range stations {
+		if status, _, err := m.exchange("MKCOL", fmt.Sprintf("/feed-b/station-%02d/", i), "", 0); err != nil || status != http.StatusCreated {
+			return cannotRun, fmt.Errorf("MKCOL: %d, %v", status, err)
+		}
+	}
+	status, answer, err := m.list(0)
+	if n := countStations(answer, stations); err != nil || status != http.StatusMultiStatus || n != stations {
+		return cannotRun, fmt.Errorf("the first listing: %d with %d of %d stations, %v", status, n, stations, err)
+	}
+	if trouble {
+		time.AfterFunc(500*time.Millisecond, func() { m.reload(file, volumeNew+volumeB, "feed-0 joins") })
+	}
+	status, answer, err = m.list(time.Second)
+	n := countStations(answer, stations)
+	m.rec.add("the listing names %d of %d stations, with status %d, error %v", n, stations, status, err)
+	if err != nil || status == http.StatusMultiStatus && n != stations {
+		return broken, nil
+	}
+	status, answer, err = m.list(0)
+	m.rec.add("the next listing names %d of %d stations, with status %d, error %v", countStations(answer, stations), stations, status, err)
+	return held, nil
+}
+
+// countStations returns how many of the stations a listing names.
+func countStations(listing string, stations int) (n int) {
+	for i := range stations {
+		if strings.Contains(listing, fmt.Sprintf("/feed-b/station-%02d/", i)) {
+			n++
+		}
+	}
+	return n
+}
+
 // list lists the second volume with a PROPFIND whose body follows its header after the pause.
-func (m *reloadRun) list(pause time.Duration) (status int, err error) {
+func (m *reloadRun) list(pause time.Duration) (status int, answer string, err error) {
 	body := `<?xml version="1.0" encoding="utf-8"?><D:propfind xmlns:D="DAV:"><D:prop><D:resourcetype/></D:prop></D:propfind>`
 	return m.exchange("PROPFIND", "/feed-b/", body, pause)
 }
@@ -174,10 +227,10 @@
 
 // exchange sends a request over a connection of its own and reads the answer. The body, if there is one, follows the
 // header after the pause.
-func (m *reloadRun) exchange(method, path, body string, pause time.Duration) (status int, err error) {
+func (m *reloadRun) exchange(method, path, body string, pause time.Duration) (status int, answer string, err error) {
 	c, err := net.Dial("tcp", m.addr)
 	if err != nil {
-		return 0, err // the head is not there: nothing was taken
+		return 0, "", err // the head is not there: nothing was taken
 	}
 	defer c.Close()
 	c.SetDeadline(time.Now().Add(8 * time.Second))
@@ -185,26 +238,27 @@
 	if pause > 0 {
 		m.rec.add("client: the header of %s %s; the body follows in %v", method, path, pause)
 		if _, err := io.WriteString(c, header); err != nil {
-			return 0, err
+			return 0, "", err
 		}
 		time.Sleep(pause)
 		header = ""
 	}
 	if _, err = io.WriteString(c, header+body); err != nil {
-		return 0, err
+		return 0, "", err
 	}
 	response, err := http.ReadResponse(bufio.NewReader(c), &http.Request{Method: method})
+	var text []byte
 	if err == nil {
-		_, err = io.Copy(io.Discard, response.Body)
+		text, err = io.ReadAll(response.Body)
 	}
 	if err != nil {
 		m.lost.Add(1)
 		m.rec.add("client: %s %s was taken and has no answer: %v", method, path, err)
-		return 0, err
+		return 0, "", err
 	}
 	m.answered.Add(1)
 	if method != http.MethodPut {
 		m.rec.add("client: %s %s: %d", method, path, response.StatusCode)
 	}
-	return response.StatusCode, nil
+	return response.StatusCode, string(text), nil
 }
