--- a/review/second/main.go
+++ b/review/second/main.go
@@ -25,9 +25,10 @@
 
 // cases are the cases by name. Each writes what happens to the record. An error means that it could not run.
 var cases = map[string]func(rec *record, trouble bool) (verdict, error){
-	"memory": memoryCase,
-	"reload": reloadCase,
-	"join":   joinCase,
+	"memory":  memoryCase,
+	"reload":  reloadCase,
+	"join":    joinCase,
+	"mistake": mistakeCase,
 }
 
 func main() {
--- a/review/second/reload.go
+++ b/review/second/reload.go
@@ -59,6 +59,11 @@
 	return withHead(rec, volumeB, func(m *reloadRun, file string) (verdict, error) { return m.playJoin(file, trouble) })
 }
 
+// mistakeCase: a head reads a configuration with a mistake.
+func mistakeCase(rec *record, trouble bool) (verdict, error) {
+	return withHead(rec, volumeA, func(m *reloadRun, file string) (verdict, error) { return m.playMistake(file, trouble) })
+}
+
 // withHead starts two nodes and a head with the volumes, and plays a case on them.
 func withHead(rec *record, volumes string, play func(m *reloadRun, file string) (verdict, error)) (verdict, error) {
 	dir, err := os.MkdirTemp("", "second-")
@@ -131,14 +136,10 @@
 
 // playRollback lists the second volume, with its change rolled back meanwhile, while others write to the first.
 func (m *reloadRun) playRollback(file string, trouble bool) (verdict, error) {
-	if status, _, err := m.exchange("MKCOL", "/feed-a/station-0/", "", 0); err != nil || status != http.StatusCreated {
-		return cannotRun, fmt.Errorf("MKCOL: %d, %v", status, err)
-	}
-	var clients sync.WaitGroup
-	for i := range 6 {
-		clients.Go(func() { m.writeSegments(i) })
+	finish, err := m.startWriters()
+	if err != nil {
+		return cannotRun, err
 	}
-	time.Sleep(time.Second)
 	if err := m.reload(file, volumeA+volumeB, "feed-b joins"); err != nil {
 		return cannotRun, err
 	}
@@ -158,22 +159,54 @@
 		}
 	}
 	<-listed
-	time.Sleep(2 * time.Second)
-	m.stop.Store(true)
-	clients.Wait()
-	m.rec.add("requests with a final answer: %d, without one: %d", m.answered.Load(), m.lost.Load())
-	if m.head.hasEnded() {
-		log := m.head.log()
-		if i := strings.Index(log, "panic:"); i >= 0 {
-			log = log[i:min(len(log), i+1200)]
-		}
-		m.rec.add("the head has ended: %v: %s", m.head.err, log)
-		return broken, nil
+	return finish(), nil
+}
+
+// playMistake has the head read a file with a mistake, while clients write. The file has to be rejected.
+func (m *reloadRun) playMistake(file string, trouble bool) (verdict, error) {
+	finish, err := m.startWriters()
+	if err != nil {
+		return cannotRun, err
 	}
-	if m.lost.Load() > 0 {
-		return broken, nil
+	line := "processes 1\n"
+	if trouble {
+		line = "processes 0\n" // the directive takes 1 to 256
 	}
-	return held, nil
+	if err := m.reload(file, volumeA+line, "the file has the line "+strings.TrimSpace(line)); err != nil {
+		return cannotRun, err
+	}
+	return finish(), nil
+}
+
+// startWriters starts six clients that write to the first volume, and waits a second. finish waits two more, ends the
+// clients, and tells whether the head still runs and has answered all.
+func (m *reloadRun) startWriters() (finish func() verdict, err error) {
+	if status, _, err := m.exchange("MKCOL", "/feed-a/station-0/", "", 0); err != nil || status != http.StatusCreated {
+		return nil, fmt.Errorf("MKCOL: %d, %v", status, err)
+	}
+	var clients sync.WaitGroup
+	for i := range 6 {
+		clients.Go(func() { m.writeSegments(i) })
+	}
+	time.Sleep(time.Second)
+	return func() verdict {
+		time.Sleep(2 * time.Second)
+		m.stop.Store(true)
+		clients.Wait()
+		m.rec.add("requests with a final answer: %d, without one: %d", m.answered.Load(), m.lost.Load())
+		if m.head.hasEnded() {
+			log := m.head.log()
+			if i := strings.Index(log, "panic:"); i >= 0 {
+				log = log[i:min(len(log), i+1200)]
+			}
+			m.rec.add("the head has ended: %v: %s", m.head.err, log)
+			return broken
+		}
+		if m.lost.Load() > 0 {
+			return broken
+		}
+		return held
+	}, nil
 }
 
 // playJoin makes stations on the volume, and lists it while another volume joins. The listing has to name all stations.
