review 10: a write begins at a shelf a second after its client has left

Change: a case in which the only shelf is cut off for 1.2 s and a client closes 0.25 s after its write, with a stand-in of the network that holds bytes back and drops those of a connection that was reset.

--- a/review/second/main.go
+++ b/review/second/main.go
@@ -29,6 +29,7 @@
 	"reload":  reloadCase,
 	"join":    joinCase,
 	"mistake": mistakeCase,
+	"leave":   leaveCase,
 }
 
 func main() {
--- a/review/second_test.go
+++ b/review/second_test.go
@@ -15,7 +15,7 @@
 	if output, err := exec.Command("./build-2.sh").CombinedOutput(); err != nil {
 		t.Fatalf("build-2.sh: %v: %s", err, output)
 	}
-	for _, name := range []string{"6", "7", "8", "9"} {
+	for _, name := range []string{"6", "7", "8", "9", "10"} {
 		t.Run(name, func(t *testing.T) {
 			if err := exec.Command("./" + name + "/run.sh").Run(); err != nil {
 				t.Errorf("case %s: %v; see its record.txt", name, err)
