--- a/review/second/memory.go
+++ b/review/second/memory.go
@@ -18,14 +18,14 @@
 const (
 	memoryShelfs  = 4
 	memoryRate    = 200 // requests a second
-	memorySeconds = 45
+	memorySeconds = 60
 	longBody      = 60000 // bytes of a long request or answer; the protocol allows 65,536
-	// memoryClients is the number of connections of clients. They may hold a third of the head's descriptors: 341.
-	memoryClients = 340
+	// memoryClients is the number of connections of clients. They may hold a third of the head's descriptors.
+	memoryClients = 224
 	spoiltEvery   = 2 // one of so many answers is spoilt
 )
 
-var memoryLimits = headLimits{memoryMB: 64, sockets: 1024}
+var memoryLimits = headLimits{memoryMB: 64, sockets: 672}
 
 // endlessChunks is a part of an answer that never ends.
 var endlessChunks = []byte(strings.Repeat("4000\r\n"+strings.Repeat("?", 0x4000)+"\r\n", 64))
