--- a/review/second/head.go
+++ b/review/second/head.go
@@ -8,8 +8,25 @@
 	"path/filepath"
 	"regexp"
 	"strings"
+	"sync"
+	"syscall"
 )
 
+// started are the processes that the case has started, for an early end of the script.
+var started struct {
+	sync.Mutex
+	processes []*process
+}
+
+// killStarted ends all processes that the case has started.
+func killStarted() {
+	started.Lock()
+	defer started.Unlock()
+	for _, p := range started.processes {
+		p.command.Process.Kill()
+	}
+}
+
 // process is a program of the project that a case has started.
 type process struct {
 	command *exec.Cmd
@@ -31,7 +48,8 @@
 	return string(match[1]), nil
 }
 
-// startProcess starts a command line by the shell, as the deploy page says. Its output goes to a log in dir.
+// startProcess starts a command line by the shell, as the deploy page says. Its output goes to a log in dir. It is called
+// on the main thread: the process is killed when that thread ends, however it does.
 func startProcess(dir, name, commandLine string, environment ...string) (*process, error) {
 	p := &process{command: exec.Command("/bin/sh", "-c", commandLine), logPath: filepath.Join(dir, name+".log"), ended: make(chan struct{})}
 	logFile, err := os.Create(p.logPath)
@@ -41,9 +59,13 @@
 	defer logFile.Close()
 	p.command.Env = append(os.Environ(), environment...)
 	p.command.Stdout, p.command.Stderr = logFile, logFile
+	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	started.Lock()
+	defer started.Unlock()
 	if err := p.command.Start(); err != nil {
 		return nil, err
 	}
+	started.processes = append(started.processes, p)
 	go func() {
 		p.err = p.command.Wait()
 		close(p.ended)
--- a/review/second/main.go
+++ b/review/second/main.go
@@ -10,8 +10,15 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"runtime"
+	"syscall"
+	"time"
 )
 
+// maxRun is how long a case may take.
+const maxRun = 110 * time.Second
+
 // verdict is the result of a case, and the exit code.
 type verdict int
 
@@ -32,11 +39,15 @@
 	"leave":   leaveCase,
 }
 
+// init keeps main on the main thread; see startProcess.
+func init() { runtime.LockOSThread() }
+
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: second CASE RECORD")
 		os.Exit(int(cannotRun))
 	}
+	go endEarly()
 	rec := newRecord()
 	result, err := cases[os.Args[1]](rec, os.Getenv("TROUBLE") != "0")
 	if err != nil {
@@ -50,3 +61,15 @@
 	}
 	os.Exit(int(result))
 }
+
+// endEarly ends the script and its processes at a signal, or when a case takes too long.
+func endEarly() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGPIPE)
+	select {
+	case <-signals:
+	case <-time.After(maxRun):
+	}
+	killStarted()
+	os.Exit(int(cannotRun))
+}
