review: records of each request; case 6 counts only what was taken before the kill

Need: a record has to hold what was sent, answered and run; those of cases 6, 7 and 9 had counts. Case 6 also counted a request as unanswered by when its client noticed the kill, not by whether it was written before it.

Change: a line for each request sent, answered and run, with the records of the nodes; case 6 counts what was written whole before the kill, and could not run where nothing was served. Checks, bounds and disruptions are as before.

--- a/review/second/memory.go
+++ b/review/second/memory.go
@@ -42,6 +42,7 @@
 	failed  atomic.Int64
 	lost    atomic.Int64 // requests without an answer
 	open    atomic.Int64 // requests that wait for their answer
+	killed  atomic.Bool  // set before the platform kills the head
 	stop    atomic.Bool
 }
 
@@ -109,18 +110,26 @@
 		}
 		if now > limit {
 			m.rec.add("the platform kills the head: %d KiB are over its limit of %d", now, limit)
+			m.killed.Store(true)
 			m.head.kill()
 			return broken
 		}
 	}
+	if m.served.Load() == 0 {
+		m.rec.add("no request was served")
+		return cannotRun
+	}
 	return held
 }
 
 // answer answers a request as a shelf: whole, or with an answer that never ends.
-func (m *memoryRun) answer(c net.Conn, r *http.Request, _ []byte) error {
+func (m *memoryRun) answer(c net.Conn, r *http.Request, received []byte) error {
+	id := r.Header.Get("X-Txn")
+	m.rec.add("shelf: runs %s %s, body %d", r.Method, id, len(received))
 	time.Sleep(10 * time.Millisecond)
 	if n := m.answers.Add(1); m.trouble && n%spoiltEvery == 0 {
 		m.spoilt.Add(1)
+		m.rec.add("shelf: answers %s without an end", id)
 		_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
 		for err == nil {
 			_, err = c.Write(endlessChunks)
@@ -128,8 +137,9 @@
 		return err
 	}
 	body := bytes.Repeat([]byte{'a'}, longBody)
-	copy(body, r.Header.Get("X-Txn"))
+	copy(body, id)
 	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\nX-Pressure: inflight=1\r\n\r\n%s", len(body), body)
+	m.rec.add("shelf: answers %s with 200", id)
 	return err
 }
 
@@ -144,11 +154,11 @@
 		next := time.Now().Add(pause)
 		switch n % 20 {
 		case 0, 3, 6, 9, 12, 15:
-			c = m.ask(c, request(http.MethodPut, id, "segment-write", shard, writeDeadline, body), writeDeadline)
+			c = m.ask(c, id, request(http.MethodPut, id, "segment-write", shard, writeDeadline, body), writeDeadline)
 		case 1, 8, 14:
-			c = m.ask(c, request(http.MethodGet, id, "archive-export", shard, exportDeadline, ""), exportDeadline)
+			c = m.ask(c, id, request(http.MethodGet, id, "archive-export", shard, exportDeadline, ""), exportDeadline)
 		default:
-			c = m.ask(c, request(http.MethodGet, id, "trace-read", shard, readDeadline, ""), readDeadline)
+			c = m.ask(c, id, request(http.MethodGet, id, "trace-read", shard, readDeadline, ""), readDeadline)
 		}
 		time.Sleep(time.Until(next))
 	}
@@ -159,7 +169,7 @@
 
 // ask sends a request over a connection, or over a new one if c is nil or the head has closed it, and counts the
 // answer. It returns the connection if the next request can use it.
-func (m *memoryRun) ask(c net.Conn, text string, deadline time.Duration) net.Conn {
+func (m *memoryRun) ask(c net.Conn, id, text string, deadline time.Duration) net.Conn {
 	m.open.Add(1)
 	defer m.open.Add(-1)
 	kept := c != nil
@@ -171,6 +181,8 @@
 	}
 	c.SetDeadline(time.Now().Add(deadline + 2*time.Second))
 	_, err := io.WriteString(c, text)
+	taken := err == nil && !m.killed.Load()
+	m.rec.add("client: sends %s, on a new connection: %t, error %v", id, !kept, err)
 	var response *http.Response
 	if err == nil {
 		response, err = http.ReadResponse(bufio.NewReader(c), nil)
@@ -180,12 +192,16 @@
 	}
 	if err != nil {
 		c.Close()
-		if kept && !m.head.hasEnded() {
-			return m.ask(nil, text, deadline) // the head has closed the connection between two requests
+		if kept && !m.killed.Load() && !m.head.hasEnded() {
+			return m.ask(nil, id, text, deadline) // the head has closed the connection between two requests
+		}
+		if taken {
+			m.lost.Add(1)
+			m.rec.add("client: %s was taken and has no answer: %v", id, err)
 		}
-		m.lost.Add(1)
 		return nil
 	}
+	m.rec.add("client: %s is answered with %d", id, response.StatusCode)
 	switch response.StatusCode {
 	case http.StatusOK:
 		m.served.Add(1)
--- a/review/second/reload.go
+++ b/review/second/reload.go
@@ -43,6 +43,7 @@
 	rec      *record
 	dir      string
 	head     *process
+	nodes    []*process
 	addr     string
 	answered atomic.Int64 // requests with a final answer
 	lost     atomic.Int64 // requests that the head had taken and that have none
@@ -79,11 +80,12 @@
 			return cannotRun, err
 		}
 		name := fmt.Sprintf("n%d", shard)
-		node, err := startProcess(dir, name, fmt.Sprintf("exec bin/maddergap node --listen %s --name %s --unit-time 20ms", addr, name))
+		node, err := startProcess(dir, name, fmt.Sprintf("exec bin/maddergap node --listen %s --name %s --unit-time 20ms --record %s", addr, name, filepath.Join(dir, name+".ran")))
 		if err != nil {
 			return cannotRun, err
 		}
 		defer node.kill()
+		run.nodes = append(run.nodes, node)
 		fmt.Fprintf(&list, "node %s %s shard %d state serving\n", name, addr, shard)
 	}
 	if err := os.WriteFile(filepath.Join(dir, "nodes.list"), []byte(list.String()), 0o644); err != nil {
@@ -103,9 +105,27 @@
 	if err := run.waitServing(); err != nil {
 		return cannotRun, err
 	}
+	defer run.addNodeRecords()
 	return play(run, file)
 }
 
+// addNodeRecords adds what the nodes have run. They write the rest of it when they are told to end.
+func (m *reloadRun) addNodeRecords() {
+	for _, node := range m.nodes {
+		node.command.Process.Signal(syscall.SIGTERM)
+		select {
+		case <-node.ended:
+		case <-time.After(3 * time.Second):
+		}
+	}
+	for _, name := range []string{"n0", "n1"} {
+		text, _ := os.ReadFile(filepath.Join(m.dir, name+".ran"))
+		for line := range strings.Lines(string(text)) {
+			m.rec.add("%s ran: %s", name, strings.TrimSpace(line))
+		}
+	}
+}
+
 // configure replaces the configuration file by a rename.
 func (m *reloadRun) configure(file, volumes string) error {
 	if err := os.WriteFile(file+".new", fmt.Appendf(nil, reloadConfig, m.addr, volumes), 0o644); err != nil {
@@ -279,6 +299,7 @@
 	if _, err = io.WriteString(c, header+body); err != nil {
 		return 0, "", err
 	}
+	m.rec.add("client: has sent %s %s", method, path)
 	response, err := http.ReadResponse(bufio.NewReader(c), &http.Request{Method: method})
 	var text []byte
 	if err == nil {
@@ -290,8 +311,6 @@
 		return 0, "", err
 	}
 	m.answered.Add(1)
-	if method != http.MethodPut {
-		m.rec.add("client: %s %s: %d", method, path, response.StatusCode)
-	}
+	m.rec.add("client: %s %s: %d", method, path, response.StatusCode)
 	return response.StatusCode, string(text), nil
 }
