review: a write to a closed connection no longer ends a script

A program that asks to be notified of SIGPIPE gets it for its sockets too, so a client's write to a connection that the head had just closed ended the script.

Change: the stand-ins are not notified of SIGPIPE; SIGINT, SIGTERM, SIGHUP and the time limit end a script as before.

--- a/review/second/main.go
+++ b/review/second/main.go
@@ -65,7 +65,7 @@
 // endEarly ends the script and its processes at a signal, or when a case takes too long.
 func endEarly() {
 	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGPIPE)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
 	select {
 	case <-signals:
 	case <-time.After(maxRun):
