--- a/internal/e2e/client_disconnect_test.go
+++ b/internal/e2e/client_disconnect_test.go
@@ -45,3 +45,35 @@
 		t.Errorf("read after twenty disconnects: status %d, %d bytes; want 200 and the whole file", status, len(body))
 	}
 }
+
+// Regression test: a write whose node was cut off for a moment stayed on its way after its client had
+// disconnected, and the node executed it when it could be reached again.
+func TestWriteDoesNotArriveAfterClientHasLeft(t *testing.T) {
+	test := func(t *testing.T, node *forgetfulNode, instance *testInstance, write string) {
+		node.link.setHeld(true)
+		c, _ := instance.send(write)
+		time.Sleep(100 * time.Millisecond)
+		c.(*net.TCPConn).SetLinger(0) // in WebDAV a client that only ends its sending side still reads
+		c.Close()
+		time.Sleep(100 * time.Millisecond)
+		node.link.setHeld(false)
+		time.Sleep(300 * time.Millisecond)
+		if n := node.writesArrived(); n != 0 {
+			t.Errorf("the write arrived %d times after its client had left, want never", n)
+		}
+	}
+	t.Run("platform", func(t *testing.T) {
+		node := startForgetfulNode(t)
+		d := startDiscovery(t)
+		d.setEndpoints(node.endpoint())
+		instance := startPlatformReady(t, d, platformOptions{})
+		instance.readBody()
+		test(t, node, instance.testInstance, instance.newWrite(0, "1500m").text)
+	})
+	t.Run("WebDAV", func(t *testing.T) {
+		node := startForgetfulNode(t)
+		instance := startWebDAVWithConfig(t, webdavConfig, node.link.addr)
+		instance.roundTrip(getRequest("/feed-a/x"))
+		test(t, node, instance.testInstance, putRequest("/feed-a/x", "payload"))
+	})
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -10,8 +10,8 @@
 // decides to send the request, and ends exactly once, with an outcome that is reported to
 // the scheduler.
 //
-// An attempt may outlive its request: if the node may be executing it, the gateway waits for
-// its outcome, and reads and discards the response; see requestRef.
+// An attempt may outlive its request: once its response has begun, the gateway reads and discards
+// the rest, so that the connection can be reused; see requestRef.
 type nodeAttempt struct {
 	req      requestRef
 	identity requestIdentity
@@ -57,6 +57,11 @@
 	return a.fullyQueued && len(a.conn.pending()) == 0
 }
 
+// awaitsResponse reports whether the whole request was written and no response has begun.
+func (a *nodeAttempt) awaitsResponse() bool {
+	return a.conn.state == nodeAwaitingResponse && a.requestWritten()
+}
+
 // responseConsumer returns the request that takes the attempt's response, or nil if the
 // response is read and discarded. A buffered response has a consumer until the request gets
 // its final response, a streamed one only while it is being forwarded.
@@ -109,6 +114,12 @@
 // endAttempt ends an attempt and reports its outcome to the scheduler and the observer. A
 // second call is ignored.
 func (g *Gateway) endAttempt(attempt *nodeAttempt, outcome scheduler.Outcome) {
+	g.endAttemptAwaiting(attempt, outcome, false)
+}
+
+// endAttemptAwaiting is like endAttempt. awaitedResponse reports whether the attempt was given up
+// while the gateway waited for its response; see scheduler.AttemptEnded.
+func (g *Gateway) endAttemptAwaiting(attempt *nodeAttempt, outcome scheduler.Outcome, awaitedResponse bool) {
 	if attempt.ended {
 		return
 	}
@@ -117,14 +128,15 @@
 	g.buffers.put(attempt.responseBody)
 	attempt.responseBody = nil
 	event := scheduler.AttemptEnded{
-		ID:            attempt.identity.id,
-		Attempt:       attempt.number,
-		Node:          attempt.nodeName,
-		Outcome:       outcome,
-		Duration:      g.clock.now - attempt.startedAt,
-		Responded:     true,
-		ReportedLoad:  attempt.reportedLoad,
-		HasLoadReport: attempt.hasLoadReport,
+		ID:             attempt.identity.id,
+		Attempt:        attempt.number,
+		Node:           attempt.nodeName,
+		Outcome:        outcome,
+		Duration:       g.clock.now - attempt.startedAt,
+		Responded:      true,
+		GivenUpWaiting: awaitedResponse,
+		ReportedLoad:   attempt.reportedLoad,
+		HasLoadReport:  attempt.hasLoadReport,
 	}
 	if req := attempt.req.live(); req != nil {
 		g.recordPossibleExecution(req, attempt, outcome)
@@ -155,8 +167,7 @@
 
 // cancelAttempts is called when a request is about to end without a complete response of a
 // node. It aborts an attempt that the node cannot execute because the body is incomplete,
-// and one whose response was being forwarded. An attempt that a node may be executing goes
-// on until it has an outcome, because it occupies the node's capacity until then.
+// and one whose response was being forwarded.
 func (g *Gateway) cancelAttempts(req *request) {
 	switch attempts := &req.attempts; {
 	case attempts.uploading != nil && !req.body.complete:
@@ -175,14 +186,14 @@
 	}
 }
 
-// cancelAttempt ends an attempt whose request is about to end, unless the complete request
-// was written: then the node may be executing it, and its outcome is awaited. A node never
-// executes an incomplete request. A connection that is still being dialed, or that cannot be
-// reused yet, is kept for the next request.
+// cancelAttempt ends an attempt whose request is about to end, unless its response has begun. Only a
+// response proves that the request has arrived: what the kernel has taken may still be on its way, and
+// the node would execute it long after the client has left. A reset discards it. A connection that is
+// still being dialed, or that cannot be reused yet, is kept for the next request.
 func (g *Gateway) cancelAttempt(attempt *nodeAttempt) {
 	c := attempt.conn
 	switch {
-	case attempt.ended || c == nil || attempt.requestWritten():
+	case attempt.ended || c == nil || c.state == nodeReadingBody:
 	case c.state == nodeDialing:
 		c.attempt = nil
 		g.endAttempt(attempt, scheduler.NotSent)
--- a/internal/gateway/node_conn.go
+++ b/internal/gateway/node_conn.go
@@ -202,13 +202,15 @@
 // the outcome from that header instead.
 func (g *Gateway) abortNodeConn(c *nodeConn, outcome scheduler.Outcome) {
 	attempt := c.attempt
-	c.attempt = nil
-	g.closeConn(c, Abort)
 	if attempt == nil {
+		g.closeConn(c, Abort)
 		return
 	}
+	awaitedResponse := outcome == scheduler.Cancelled && attempt.awaitsResponse()
+	c.attempt = nil
+	g.closeConn(c, Abort)
 	if attempt.outcome != scheduler.OK && c.state == nodeReadingBody {
 		outcome = attempt.outcome
 	}
-	g.endAttempt(attempt, outcome)
+	g.endAttemptAwaiting(attempt, outcome, awaitedResponse)
 }
--- a/scheduler/circuit_breaker.go
+++ b/scheduler/circuit_breaker.go
@@ -50,19 +50,39 @@
 	}
 }
 
-// checkResponsiveness opens the breaker of a node that has requests in flight and has not responded
-// for too long.
+// checkResponsiveness opens the breaker of a node that has requests in flight, or had until now, and
+// has not responded for too long.
 func (s *Scheduler) checkResponsiveness(n *node) {
-	if len(n.inFlight) == 0 {
+	waitingSince, waiting := n.waitingSince(s.now)
+	if !waiting {
 		return
 	}
 	responseTimeout := max(responseTimeoutObjectives*s.shortestObjective.Seconds(), responseTimeoutLatencies*n.latency)
-	sinceResponse := s.now - max(n.lastResponseAt, n.inFlight[0].stallAdjustedSentAt(s.now))
-	if sinceResponse.Seconds() >= responseTimeout {
+	if (s.now - waitingSince).Seconds() >= responseTimeout {
 		s.openBreaker(n)
 	}
 }
 
+// waitingSince returns since when the node has not responded although it had requests in flight.
+// waiting is false if it had none.
+func (n *node) waitingSince(now Time) (since Time, waiting bool) {
+	since = never
+	if len(n.inFlight) > 0 {
+		since = n.inFlight[0].stallAdjustedSentAt(now)
+	}
+	if n.givenUpSince > n.lastResponseAt {
+		since = min(since, n.givenUpSince)
+	}
+	return max(n.lastResponseAt, since), since < never
+}
+
+// recordSilence records that an attempt that was sent at the given time was given up without a response.
+func (n *node) recordSilence(sentAt Time) {
+	if n.givenUpSince <= n.lastResponseAt || sentAt < n.givenUpSince {
+		n.givenUpSince = sentAt
+	}
+}
+
 // openBreaker keeps requests from a node that hangs, is down, unreachable or restarting. The endpoint
 // list may report that late or never, and without the breaker each request in the node's queue would
 // be sent there and time out.
@@ -78,4 +98,5 @@
 		n.window = max(s.minWindow(), min(1, n.window)/2)
 		n.inFlight = nil
 	}
+	n.givenUpSince = 0
 }
--- a/scheduler/circuit_breaker_test.go
+++ b/scheduler/circuit_breaker_test.go
@@ -95,3 +95,25 @@
 	h.runFor(2 * time.Second)
 	assertEqual(t, "breaker open after the node itself did not respond", h.scheduler.members.nodes[0].breaker.open, true)
 }
+
+// Guards against a hung node that goes unnoticed because no client waits for it: attempts that are given
+// up while they wait for a response count as silence of the node.
+func TestBreakerOpensWhenClientsDoNotWait(t *testing.T) {
+	h := newHarness(t, testSettings(), nodeA)
+	for id := uint64(1); id <= 12; id++ {
+		h.handleAfter(0, newArrival(id), newArrival(id+100))
+		h.handleAfter(50*ms, ClientDisconnected{ID: id}, AttemptEnded{ID: id, Outcome: Cancelled, GivenUpWaiting: true})
+		h.handleAfter(0, ClientDisconnected{ID: id + 100}, AttemptEnded{ID: id + 100, Outcome: Cancelled, GivenUpWaiting: true})
+	}
+	if n := h.scheduler.members.nodes[0]; n.breaker.open {
+		t.Error("the breaker of a node that was idle between the requests is open")
+	}
+	h.handleAfter(0, newArrival(20))
+	for id := uint64(21); id <= 40; id++ { // there is always a request in flight
+		h.handleAfter(25*ms, newArrival(id))
+		h.handleAfter(25*ms, ClientDisconnected{ID: id - 1}, AttemptEnded{ID: id - 1, Outcome: Cancelled, GivenUpWaiting: true})
+	}
+	if n := h.scheduler.members.nodes[0]; !n.breaker.open {
+		t.Error("the breaker of a node that did not respond for a second is closed")
+	}
+}
--- a/scheduler/dispatch.go
+++ b/scheduler/dispatch.go
@@ -27,6 +27,9 @@
 		n.breaker.requestSent(s.now)
 		s.send(n, next)
 	}
+	if len(n.inFlight) == 0 {
+		n.givenUpSince = 0 // the node is idle from now on, which is no silence
+	}
 	s.setWakeTime(n)
 }
 
--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -128,6 +128,9 @@
 	Outcome  Outcome
 	// Responded reports whether the client was sent this attempt's response as the final response.
 	Responded bool
+	// GivenUpWaiting reports that a Cancelled attempt had been written whole and that no response had
+	// begun, so that its time in flight says something about the node.
+	GivenUpWaiting bool
 	// BodyConsumed reports whether the request's body is no longer available, so that the request
 	// cannot be sent again.
 	BodyConsumed bool
--- a/scheduler/membership.go
+++ b/scheduler/membership.go
@@ -39,6 +39,10 @@
 	pressure       float64      // estimated fraction of the latency objectives spent waiting, 0 to 1
 	lastResponseAt Time         // time of the last response, or when the node joined or restarted
 	breaker        breaker
+	// givenUpSince is when the oldest of the attempts was sent that were given up without a response
+	// since the last response. It is 0, or not after lastResponseAt, if there is none or if the node had
+	// nothing in flight since.
+	givenUpSince Time
 
 	slowStart tokenBucket // in units, valid while the node is warming up
 
--- a/scheduler/outcomes.go
+++ b/scheduler/outcomes.go
@@ -1,8 +1,8 @@
 package scheduler
 
 // recordOutcome updates the state of a node from an attempt's outcome: its estimated latency and
-// pressure, its concurrency window and its circuit breaker. Cancelled and NotSent attempts say nothing
-// about the node.
+// pressure, its concurrency window and its circuit breaker. NotSent attempts say nothing about the node,
+// and of the Cancelled ones only those that were given up while they waited for a response do.
 func (s *Scheduler) recordOutcome(n *node, a *attempt, e AttemptEnded) {
 	latency := (s.now - a.stallAdjustedSentAt(s.now)).Seconds()
 	switch e.Outcome {
@@ -14,6 +14,10 @@
 		s.recordConnectionFailure(n)
 	case TimedOut:
 		s.recordTimeout(n, a, latency)
+	case Cancelled:
+		if e.GivenUpWaiting {
+			s.recordGivenUp(n, a, latency)
+		}
 	}
 }
 
@@ -50,3 +54,16 @@
 	s.observeAtNode(n, observation{latency: latency, waitingFraction: 1})
 	s.collapseWindow(n)
 }
+
+// recordGivenUp counts an attempt that was given up without a response, for example because its client
+// disconnected. The latency of its response would have been longer still. Without this, a slow or hung
+// node would look well while clients do not wait for it.
+func (s *Scheduler) recordGivenUp(n *node, a *attempt, latency float64) {
+	n.recordSilence(a.stallAdjustedSentAt(s.now))
+	s.checkResponsiveness(n)
+	if latency > n.latency {
+		objective := a.request.class.LatencyObjective.Seconds()
+		waiting := latency - s.estimates.unitServiceTime*a.request.Units
+		s.observeAtNode(n, observation{latency: latency, waitingFraction: waiting / objective})
+	}
+}
