--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -209,6 +209,36 @@
 	return bound
 }
 
+// Limits on the size of all buffers, as multiples of Buffers.TotalBytes. Memory for requests that are
+// still arriving is the first to run out: such a request can be rejected without harm. Memory for
+// responses is the last, since their requests have run.
+const (
+	receivingDivisor = 2
+	responseMultiple = 2
+)
+
+// ReceivingExceeded reports whether the requests that are still arriving occupy too much memory, so that
+// the caller has to reject the oldest of them. They get a part of TotalBytes only, so that slow clients
+// do not keep others from beginning a request.
+func (a *Admission) ReceivingExceeded(receiving int64) bool {
+	total := a.config.Buffers.TotalBytes
+	return total > 0 && receiving > total/receivingDivisor
+}
+
+// MayBufferPipelined reports whether requests that follow the one under way may be buffered, given the
+// size of all buffers in bytes.
+func (a *Admission) MayBufferPipelined(buffered int64) bool {
+	total := a.config.Buffers.TotalBytes
+	return total <= 0 || buffered < total
+}
+
+// MayBufferResponse reports whether a node's response may be buffered further, given the size of all
+// buffers in bytes.
+func (a *Admission) MayBufferResponse(buffered int64) bool {
+	total := a.config.Buffers.TotalBytes
+	return total <= 0 || buffered <= responseMultiple*total
+}
+
 // RequestAccepted reports that the request on a connection was accepted for processing.
 // From now on the connection is not preempted, as that would lose the response.
 func (a *Admission) RequestAccepted(now Time, id uint64) {
--- a/internal/admission/config.go
+++ b/internal/admission/config.go
@@ -72,10 +72,13 @@
 	MaxLearned int
 }
 
-// Buffers limits the memory of all client connections.
+// Buffers limits the memory of all buffers: those of clients and nodes, in both directions, in use and
+// free, by their capacity.
 type Buffers struct {
-	TotalBytes   int64 // maximum size of the buffers of all connections; 0 for no limit
-	MinConnBytes int   // minimum that every connection may use, even past TotalBytes
+	// TotalBytes is the size from which on no request begins; 0 for no limit. Requests that are still
+	// arriving get a part of it; see ReceivingExceeded. Responses may exceed it; see MayBufferResponse.
+	TotalBytes   int64
+	MinConnBytes int // minimum that every connection may use, even past TotalBytes
 }
 
 // Preemption configures when connections of unknown clients are closed to make room.
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -83,7 +83,7 @@
 	unsolicitedDesc      = newDesc("maddergap_unsolicited_responses_total", "Idle connections to nodes that were closed because data arrived on them, such as a second response.")
 	connectionsDesc      = newDesc("maddergap_connections", "Open connections, by kind: client, known (clients of these), node.", "kind")
 	longestIterationDesc = newDesc("maddergap_turn_longest_seconds", "The longest event loop iteration within this minute and the last, and the longest of each phase.", "part")
-	clientBuffersDesc    = newDesc("maddergap_client_buffers_bytes", "Bytes buffered for all client connections.")
+	clientBuffersDesc    = newDesc("maddergap_client_buffers_bytes", "Capacity of the buffers in use, in both directions.")
 	lagDesc              = newDesc("maddergap_lag_seconds", "How much later than requested the event loop was woken lately; taken twice from the deadlines.")
 	withheldDesc         = newDesc("maddergap_attempts_withheld_total", "Attempts withheld, by the invariant that they would have violated.", "rule")
 	violatedDesc         = newDesc("maddergap_invariants_broken_total", "Invariants found violated after the fact, by rule.", "rule")
--- a/internal/gateway/actions.go
+++ b/internal/gateway/actions.go
@@ -6,7 +6,7 @@
 // Operations on connections.
 const (
 	Dial       Op = iota // connect to Addr, then call Connected or Closed
-	Flush                // write the bytes that PendingOutput returns and call Wrote
+	Flush                // write the bytes that PendingOutput returns and call Wrote, until none are left or the socket is full
 	Read                 // read once without waiting, and call Data, EOF or Closed if there is something to report
 	Pause                // stop reading
 	Resume               // start reading again
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -54,7 +54,7 @@
 
 // requestWritten reports whether the whole request was written to the connection.
 func (a *nodeAttempt) requestWritten() bool {
-	return a.fullyQueued && len(a.conn.pending()) == 0
+	return a.fullyQueued && a.conn.unwritten() == 0
 }
 
 // awaitsResponse reports whether the whole request was written and no response has begun.
@@ -124,9 +124,8 @@
 		return
 	}
 	attempt.ended = true
-	g.buffers.responseBytes -= int64(len(attempt.responseBody))
-	g.buffers.put(attempt.responseBody)
-	attempt.responseBody = nil
+	g.buffers.responseBytes -= int64(cap(attempt.responseBody))
+	g.buffers.release(&attempt.responseBody)
 	event := scheduler.AttemptEnded{
 		ID:             attempt.identity.id,
 		Attempt:        attempt.number,
--- a/internal/gateway/buffered_protocol.go
+++ b/internal/gateway/buffered_protocol.go
@@ -50,12 +50,8 @@
 // beginResponse begins to buffer a response. It returns false if the announced length exceeds
 // the limit. A response that is delimited by the end of the connection is complete after an
 // EOF, but not after a reset or a timeout.
-func (b bufferedProtocol) beginResponse(g *Gateway, _ *request, attempt *nodeAttempt) bool {
-	if !b.beginUnwantedResponse(attempt) {
-		return false
-	}
-	attempt.responseBody = g.buffers.get()
-	return true
+func (b bufferedProtocol) beginResponse(_ *Gateway, _ *request, attempt *nodeAttempt) bool {
+	return b.beginUnwantedResponse(attempt)
 }
 
 // beginUnwantedResponse sets the same limits as beginResponse, but allocates no buffer.
@@ -68,9 +64,11 @@
 
 func (b bufferedProtocol) forwardResponseData(g *Gateway, _ *request, attempt *nodeAttempt, data []byte) bool {
 	limit, totalLimit := b.p.MaxResponseBytes()
-	g.buffers.responseBytes += int64(len(data)) // subtracted when the attempt ends
-	attempt.responseBody = append(attempt.responseBody, data...)
-	return int64(len(attempt.responseBody)) <= limit && g.buffers.responseBytes <= totalLimit
+	if int64(len(attempt.responseBody)+len(data)) > limit {
+		return false
+	}
+	g.appendToResponse(attempt, data)
+	return g.limitResponses(attempt, totalLimit)
 }
 
 func (b bufferedProtocol) endResponse(g *Gateway, req *request, attempt *nodeAttempt) {
@@ -79,9 +77,11 @@
 	req.response.status = attempt.conn.response.Status
 	g.counts.Served++
 	client := req.client
-	output := http1.AppendStatus(g.buffers.orNew(client.output), req.response.status)
+	output := g.buffers.orNew(client.output, maxLocalHeaderBytes+len(attempt.responseBody))
+	output = http1.AppendStatus(output, req.response.status)
 	output = http1.AppendIntField(output, "Content-Length", int64(len(attempt.responseBody)))
-	client.output = append(g.appendHeaderEnd(output, client, req), attempt.responseBody...)
+	output = append(g.appendHeaderEnd(output, client, req), attempt.responseBody...)
+	g.buffers.set(&client.output, output)
 	g.endAttempt(attempt, scheduler.OK)
 	g.reportRequestEnd(req, Served)
 	g.handleResponseQueued(req)
--- a/internal/gateway/client_conn.go
+++ b/internal/gateway/client_conn.go
@@ -66,11 +66,11 @@
 	// the connection firstRequestGrace before it closes it.
 	mayHaveUnreadRequest bool
 
-	upload         transferProgress // progress of the request body
-	download       transferProgress // progress of the response
-	readDeadline   Time             // time by which the client has to read more of the pending bytes, if there are any
-	totalWritten   int64            // number of bytes written since the connection was accepted
-	accountedBytes int              // share of this connection in bufferPool.clientBytes
+	upload       transferProgress // progress of the request body
+	download     transferProgress // progress of the response
+	readDeadline Time             // time by which the client has to read more of the pending bytes, if there are any
+	totalWritten int64            // number of bytes written since the connection was accepted
+	receiving    receivingState   // place in Gateway.receiving, while a request arrives
 }
 
 // advancePhase advances the connection to a phase, unless it is already past that phase.
@@ -84,10 +84,9 @@
 
 func (c *clientConn) handleData(g *Gateway, data []byte) {
 	c.mayHaveUnreadRequest = false
-	g.storeUnread(c, g.consumeClientData(c, c.withUnread(data)))
-	if !c.closed {
-		g.accountClientBytes(c)
-	}
+	g.storeUnread(c, g.consumeClientData(c, g.withUnread(&c.bufferedConn, data)))
+	g.updateReceiving(c)
+	g.limitReceiving()
 }
 
 // handleWritten restarts the timeout for reading the response, or stops it if everything is
@@ -95,7 +94,6 @@
 func (c *clientConn) handleWritten(g *Gateway, n int) {
 	c.totalWritten += int64(n)
 	c.download.bytes += int64(n)
-	g.accountClientBytes(c)
 	allWritten := len(c.pending()) == 0
 	if allWritten {
 		c.download = transferProgress{}
@@ -167,8 +165,7 @@
 			ReadDeadline: c.readDeadline,
 		})
 	}
-	g.buffers.clientBytes -= int64(c.accountedBytes)
-	c.accountedBytes = 0
+	g.receiving.remove(c)
 	g.clientConns--
 	if c.admitted {
 		g.admission.Closed(g.clock.now, uint64(c.id))
@@ -214,7 +211,7 @@
 	if c.phase >= clientClosing || g.intake >= intakeClosed || c.peer == peerDisconnected {
 		// No further request is read. Pipelined requests are discarded without a response; the
 		// client may repeat them on another connection (RFC 9112 section 9.3.2).
-		c.unread = c.unread[:0]
+		g.buffers.release(&c.unread)
 	}
 	if c.phase < clientDiscarding {
 		g.resumeReading(c)
@@ -222,6 +219,7 @@
 	if len(c.unread) > 0 {
 		g.storeUnread(c, g.consumeClientData(c, c.unread))
 	}
+	g.updateReceiving(c)
 	if !c.closed && c.req == nil && len(c.pending()) == 0 {
 		g.handleClientIdle(c)
 	}
--- a/internal/gateway/client_flow.go
+++ b/internal/gateway/client_flow.go
@@ -43,20 +43,7 @@
 // bufferAllowance returns how many bytes of a response or a request body may be buffered for a
 // connection at present. A transfer is paused above this number, and resumed at half of it.
 func (g *Gateway) bufferAllowance() int {
-	return g.admission.BufferAllowance(g.buffers.clientBytes, g.config.Limits.ConnBuffer)
-}
-
-// accountClientBytes updates the number of bytes buffered for clients after a change at c.
-func (g *Gateway) accountClientBytes(c *clientConn) {
-	n := len(c.unread) + len(c.output)
-	if req := c.req; req != nil {
-		n += len(req.body.data)
-		if req.listing != nil {
-			n += req.listing.bytes
-		}
-	}
-	g.buffers.clientBytes += int64(n - c.accountedBytes)
-	c.accountedBytes = n
+	return g.admission.BufferAllowance(g.buffers.totalBytes(), g.config.Limits.ConnBuffer)
 }
 
 // flushClient asks the driver to write the pending bytes to a client, and starts the timeout
@@ -65,7 +52,6 @@
 	if c.closed {
 		return
 	}
-	g.accountClientBytes(c)
 	if !c.flushPending && len(c.pending()) > 0 {
 		if c.download.startedAt == 0 {
 			c.download = transferProgress{startedAt: g.clock.now}
@@ -88,4 +74,5 @@
 	if len(c.unread) > 0 {
 		g.storeUnread(c, g.consumeClientData(c, c.unread))
 	}
+	g.updateReceiving(c)
 }
--- a/internal/gateway/client_input.go
+++ b/internal/gateway/client_input.go
@@ -106,13 +106,13 @@
 
 // bufferPipelined returns the input that a client has pipelined, which is processed after the
 // current request. It pauses reading from the client, or discards the input if EOF means a
-// disconnect and the input exceeds maxPipelinedBytes.
+// disconnect and the input exceeds maxPipelinedBytes or the memory for it is used up.
 func (g *Gateway) bufferPipelined(c *clientConn, data []byte) (unconsumed []byte) {
 	switch {
 	case !g.protocol.eofMeansDisconnect():
 		g.pauseReading(c)
 		return data
-	case len(data) <= maxPipelinedBytes:
+	case len(data) <= maxPipelinedBytes && g.admission.MayBufferPipelined(g.buffers.totalBytes()):
 		return data
 	}
 	c.advancePhase(clientOverflowed)
--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -44,26 +44,30 @@
 func (c *bufferedConn) pending() []byte { return c.output[c.written:] }
 
 // withUnread returns the bytes that were received before and not consumed, followed by data.
-func (c *bufferedConn) withUnread(data []byte) []byte {
+func (g *Gateway) withUnread(c *bufferedConn, data []byte) []byte {
 	if len(c.unread) == 0 {
 		return data
 	}
-	c.unread = append(c.unread, data...)
+	g.buffers.set(&c.unread, append(c.unread, data...))
 	return c.unread
 }
 
-// storeUnread keeps the unconsumed bytes, which are the tail of the slice that withUnread returned.
+// storeUnread keeps the unconsumed bytes, which are the tail of the slice that withUnread returned. A few
+// bytes do not stay in a large buffer.
 func (g *Gateway) storeUnread(c connection, unconsumed []byte) {
 	base := c.base()
 	switch {
 	case base.closed:
 	case len(unconsumed) == 0:
-		g.buffers.put(base.unread)
-		base.unread = nil
-	case len(base.unread) > 0:
-		base.unread = base.unread[:copy(base.unread, unconsumed)]
+		g.buffers.release(&base.unread)
+	case len(base.unread) == 0:
+		g.buffers.set(&base.unread, append(g.buffers.get(len(unconsumed)), unconsumed...))
+	case cap(base.unread) > maxSmallBuffer && len(unconsumed) <= initialBufferBytes:
+		small := append(g.buffers.get(len(unconsumed)), unconsumed...)
+		g.buffers.release(&base.unread)
+		g.buffers.set(&base.unread, small)
 	default:
-		base.unread = append(g.buffers.get(), unconsumed...)
+		base.unread = base.unread[:copy(base.unread, unconsumed)]
 	}
 }
 
@@ -82,8 +86,8 @@
 // discardOutput discards the pending output, and releases its buffer.
 func (g *Gateway) discardOutput(c connection) {
 	base := c.base()
-	g.buffers.put(base.output)
-	base.output, base.written = nil, 0
+	g.buffers.release(&base.output)
+	base.written = 0
 }
 
 // flush asks the driver to write the pending output, if there is any.
@@ -163,7 +167,6 @@
 	c.handleRemoved(g)
 	g.conns.remove(base.id, closedByDriver)
 	g.timers.remove(&base.timer)
-	g.buffers.put(base.unread)
-	g.buffers.put(base.output)
-	base.unread, base.output, base.written = nil, nil, 0
+	g.buffers.release(&base.unread)
+	g.discardOutput(c)
 }
--- a/internal/gateway/conn_events.go
+++ b/internal/gateway/conn_events.go
@@ -21,7 +21,7 @@
 }
 
 // PendingOutput returns the bytes that are to be written to a connection, or nil if there are
-// none. The driver gets all output from it. Before the first byte of an attempt, it repeats the
+// none. After a write that took all of them, there may be more. The driver gets all output from it. Before the first byte of an attempt, it repeats the
 // invariant checks that were made when the attempt was started. If a check fails now, the
 // attempt is withheld, and PendingOutput returns nil.
 func (g *Gateway) PendingOutput(now Time, id ConnID) []byte {
@@ -32,10 +32,14 @@
 	}
 	base := c.base()
 	base.flushPending = false
-	if node, ok := c.(*nodeConn); ok && !g.mayWrite(node) {
+	node, ok := c.(*nodeConn)
+	switch {
+	case !ok:
+		return base.pending()
+	case !g.mayWrite(node):
 		return nil
 	}
-	return base.pending()
+	return node.nextOutput()
 }
 
 // Wrote is called when the first n of the bytes that PendingOutput returned were written.
@@ -45,7 +49,11 @@
 	if c == nil || n <= 0 {
 		return
 	}
-	g.removeWritten(c, n)
+	if node, ok := c.(*nodeConn); ok && len(node.pending()) == 0 {
+		node.body = node.body[min(n, len(node.body)):]
+	} else {
+		g.removeWritten(c, n)
+	}
 	c.handleWritten(g, n)
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -63,6 +63,7 @@
 	nodes        nodeTable
 	requests     requestTable
 	buffers      bufferPool
+	receiving    receivingClients
 
 	counts     Counts
 	span       Span // argument of the observer's calls, reused to avoid allocations
@@ -100,6 +101,7 @@
 		nodes:     newNodeTable(origin),
 		requests:  newRequestTable(),
 	}
+	g.buffers.setLimit(c.Admission.Buffers.TotalBytes)
 	if observer != nil {
 		g.invariants.OnViolation = g.reportViolation
 	}
@@ -117,6 +119,7 @@
 	}
 	g.routes = route.NewTable(c, g.routes)
 	g.config = c
+	g.buffers.setLimit(c.Admission.Buffers.TotalBytes)
 	return nil
 }
 
--- a/internal/gateway/invariant_checks.go
+++ b/internal/gateway/invariant_checks.go
@@ -133,6 +133,7 @@
 	attempt := c.attempt
 	c.attempt = nil
 	g.discardOutput(c)
+	c.body = nil
 	g.endAttempt(attempt, scheduler.NotSent)
 	g.makeIdle(c)
 }
--- a/internal/gateway/listing.go
+++ b/internal/gateway/listing.go
@@ -42,7 +42,7 @@
 		g.respondLocally(req, 413, reasonListingBodyTooLong)
 		return
 	}
-	req.body.data = append(req.body.data, data...)
+	g.appendToBody(req, data)
 	if req.body.complete {
 		g.beginListing(req)
 	}
@@ -96,10 +96,10 @@
 	part.location.Shard = shard
 	part.listing = parent.listing
 	part.listingPart = index
-	part.rawHeader = append(g.buffers.get(), parent.rawHeader...)
+	g.buffers.set(&part.rawHeader, append(g.buffers.get(len(parent.rawHeader)), parent.rawHeader...))
 	// ParseRequest cannot fail, as the parent's header was valid.
 	http1.ParseRequest(part.rawHeader, &part.header, g.config.HeaderLimits)
-	part.body.data = append(g.buffers.get(), parent.body.data...)
+	g.appendToBody(part, parent.body.data)
 	part.body.received = int64(len(part.body.data))
 	part.body.complete = true
 	part.body.continueHandled = true
@@ -118,6 +118,7 @@
 
 // cancelListing cancels a listing that has no response yet, and its parts; see cancelRequest.
 func (g *Gateway) cancelListing(req *request, outcome Outcome) {
+	defer g.releaseBodies(req.listing)
 	req.listing.parent = nil
 	req.response.final = true
 	for i, part := range req.listing.parts {
@@ -137,13 +138,22 @@
 		l.errorStatus, l.errorReason = 507, webdav.ErrListingTooLarge.Error()
 		return false
 	}
-	l.bodies[part.listingPart] = append(l.bodies[part.listingPart], data...)
-	if l.parent != nil && l.parent.client != nil {
-		g.accountClientBytes(l.parent.client)
+	body := &l.bodies[part.listingPart]
+	g.buffers.set(body, append(*body, data...))
+	if !g.admission.MayBufferResponse(g.buffers.totalBytes()) {
+		l.errorStatus, l.errorReason = 503, reasonNoBuffers
+		return false
 	}
 	return true
 }
 
+// releaseBodies releases the responses to the parts of a listing that has its own response, or was cancelled.
+func (g *Gateway) releaseBodies(l *listing) {
+	for i := range l.bodies {
+		l.discardPart(&g.buffers, i)
+	}
+}
+
 // endPart records the final response of a part. When all parts have one, it answers the
 // listing, unless that was cancelled.
 func (g *Gateway) endPart(part *request) {
@@ -180,6 +190,7 @@
 func (g *Gateway) respondWithListing(l *listing) {
 	req := l.parent
 	l.parent = nil // the request object may be reused after the response
+	defer g.releaseBodies(l)
 	if l.errorStatus != 0 {
 		g.respondLocally(req, l.errorStatus, l.errorReason)
 		return
--- a/internal/gateway/local_response.go
+++ b/internal/gateway/local_response.go
@@ -7,6 +7,9 @@
 	"maddergap/internal/webdav"
 )
 
+// maxLocalHeaderBytes is more than the header of any response of the gateway's own.
+const maxLocalHeaderBytes = 512
+
 // Texts of the gateway's own responses to requests that the scheduler rejects or fails.
 const (
 	reasonRejected = "not now; trying again does no harm"
@@ -107,7 +110,7 @@
 		g.recycle(req)
 		return
 	}
-	b := http1.AppendStatus(g.buffers.orNew(c.output), status)
+	b := http1.AppendStatus(g.buffers.orNew(c.output, maxLocalHeaderBytes+len(body)), status)
 	if req.id != 0 {
 		b = g.appendRequestIDField(b, req)
 	}
@@ -123,7 +126,7 @@
 	if req.method != "HEAD" {
 		b = append(b, body...)
 	}
-	c.output = b
+	g.buffers.set(&c.output, b)
 	g.handleResponseQueued(req)
 }
 
--- a/internal/gateway/membership_source.go
+++ b/internal/gateway/membership_source.go
@@ -95,7 +95,7 @@
 }
 
 func (g *Gateway) writeToDiscovery(c *discoveryConn, data []byte) {
-	c.output = append(g.buffers.orNew(c.output), data...)
+	g.buffers.set(&c.output, append(g.buffers.orNew(c.output, len(data)), data...))
 	g.flush(c)
 }
 
--- a/internal/gateway/node_conn.go
+++ b/internal/gateway/node_conn.go
@@ -38,7 +38,12 @@
 	respondedAt Time          // when the last response on the connection was complete; 0: there was none
 	idleElement *list.Element // element of nodeTable.idleByAge; nil: the connection is not idle
 
+	// body is the rest of a request body that is written after output. It is part of the buffer of the
+	// request, which the attempt keeps from being reused.
+	body []byte
+
 	response         http1.Response // header of the attempt's response, if state is nodeReadingBody
+	fieldBytes       int64          // size of the field table of response, as counted in bufferPool
 	responseBody     http1.BodyDecoder
 	interimResponses int // number of 1xx responses to the attempt
 }
@@ -49,6 +54,26 @@
 	return c.addr == c.node.addr && c.incarnation == c.node.started
 }
 
+// unwritten returns the number of bytes that are still to be written.
+func (c *nodeConn) unwritten() int { return len(c.pending()) + len(c.body) }
+
+// nextOutput returns the bytes that are written next.
+func (c *nodeConn) nextOutput() []byte {
+	if pending := c.pending(); len(pending) > 0 {
+		return pending
+	}
+	return c.body
+}
+
+// releaseFields ends the use of the response header. A field table of the usual size is kept for the next
+// response, as a part of the connection.
+func (c *nodeConn) releaseFields(g *Gateway) {
+	g.buffers.countFields(&c.fieldBytes, nil)
+	if cap(c.response.Fields) > maxPooledFields {
+		c.response.Fields = nil
+	}
+}
+
 // sendAttempt sends the attempt of a connection that has become ready for it, unless the request
 // has its final response or the time to start has passed.
 func (g *Gateway) sendAttempt(c *nodeConn) {
@@ -76,7 +101,7 @@
 }
 
 func (c *nodeConn) handleData(g *Gateway, data []byte) {
-	g.storeUnread(c, g.consumeNodeData(c, c.withUnread(data)))
+	g.storeUnread(c, g.consumeNodeData(c, g.withUnread(&c.bufferedConn, data)))
 }
 
 // handleWritten records the first write of an attempt, and resumes a client whose upload
@@ -173,7 +198,11 @@
 	}
 }
 
-func (c *nodeConn) handleRemoved(g *Gateway) { g.nodes.connClosed(c.node) }
+func (c *nodeConn) handleRemoved(g *Gateway) {
+	c.body = nil
+	c.releaseFields(g)
+	g.nodes.connClosed(c.node)
+}
 
 // handleNodeConnStalled is called when a system call on a connection is delayed by a local
 // error; see Stalled. It notifies the scheduler, so that the delay does not count against the
--- a/internal/gateway/node_response.go
+++ b/internal/gateway/node_response.go
@@ -38,7 +38,9 @@
 	if headerLength == 0 {
 		return data, false
 	}
-	if err := http1.ParseResponse(data[:headerLength], &c.response, attempt.identity.method, g.config.HeaderLimits); err != nil {
+	err := http1.ParseResponse(data[:headerLength], &c.response, attempt.identity.method, g.config.HeaderLimits)
+	g.buffers.countFields(&c.fieldBytes, c.response.Fields)
+	if err != nil {
 		g.abortNodeConn(c, scheduler.Failed)
 		return nil, false
 	}
@@ -157,6 +159,7 @@
 		g.endAttempt(attempt, attempt.outcome)
 	}
 	if reusable {
+		c.releaseFields(g)
 		g.makeIdle(c)
 	} else {
 		g.closeConn(c, Close)
--- a/internal/gateway/observer.go
+++ b/internal/gateway/observer.go
@@ -108,7 +108,7 @@
 	Invariants          invariant.Counts // attempts withheld, and invariants violated
 
 	Clients, NodeConns int           // open connections
-	BufferedBytes      int64         // bytes buffered for clients
+	BufferedBytes      int64         // capacity of the buffers in use
 	Lag                time.Duration // estimated delay of the calls of Advance; see lagEstimate
 }
 
@@ -116,7 +116,7 @@
 func (g *Gateway) Counts() Counts {
 	c := g.counts
 	c.Clients, c.NodeConns = g.clientConns, g.nodes.conns
-	c.BufferedBytes = g.buffers.clientBytes
+	c.BufferedBytes = g.buffers.usedBytes
 	c.Lag = g.lag.at(g.clock.now)
 	c.Admitted = g.admission.Counts()
 	c.Invariants = g.invariants.Counts()
--- a/internal/gateway/random_histories_test.go
+++ b/internal/gateway/random_histories_test.go
@@ -231,6 +231,9 @@
 		for step := range rapid.IntRange(5, 60).Draw(rt, "steps") {
 			x.event(step)
 			x.checkRequests()
+			if problem := x.gateway.accountingError(); problem != "" {
+				rt.Fatal(problem)
+			}
 		}
 		x.advanceTime(30 * time.Second)
 		x.checkNoRequestsRemain()
--- a/internal/gateway/random_races_test.go
+++ b/internal/gateway/random_races_test.go
@@ -264,6 +264,9 @@
 				x.event()
 			}
 			x.endBatch()
+			if problem := x.gateway.accountingError(); problem != "" {
+				rt.Fatal(problem)
+			}
 		}
 		if x.stopped && rapid.Bool().Draw(rt, "abort") {
 			x.gateway.AbortRemaining(x.now)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -20,6 +20,7 @@
 
 	rawHeader      []byte // buffer that header points into
 	header         http1.Request
+	fieldBytes     int64 // size of the field table of header, as counted in bufferPool
 	location       route.Location
 	classification route.Classification
 	volume         *config.Volume // from the configuration in force when the request arrived
@@ -121,7 +122,8 @@
 	if req.recycled || req.inUse() {
 		return
 	}
-	g.buffers.put(req.rawHeader)
-	g.buffers.put(req.body.data)
+	g.buffers.release(&req.rawHeader)
+	g.buffers.release(&req.body.data)
+	g.buffers.countFields(&req.fieldBytes, nil)
 	g.requests.recycle(req)
 }
--- a/internal/gateway/request_lifecycle.go
+++ b/internal/gateway/request_lifecycle.go
@@ -15,9 +15,11 @@
 	req.client = c
 	c.req = req
 	req.headerReceivedAt = g.clock.now
-	req.rawHeader = append(g.buffers.get(), header...)
+	g.buffers.set(&req.rawHeader, append(g.buffers.get(len(header)), header...))
 	g.setDeadline(c, never)
-	if err := http1.ParseRequest(req.rawHeader, &req.header, g.config.HeaderLimits); err != nil {
+	err := http1.ParseRequest(req.rawHeader, &req.header, g.config.HeaderLimits)
+	g.buffers.countFields(&req.fieldBytes, req.header.Fields)
+	if err != nil {
 		g.rejectMalformedHeader(c, req, err)
 		return
 	}
@@ -36,7 +38,7 @@
 	// The response to the previous request may still be in the output buffer. Admission counts
 	// at most one request of a connection, so the previous one ends here.
 	g.reportAdmittedRequestEnd(c)
-	if ok, reason := g.admission.BeginRequest(g.clock.now, uint64(c.id), g.buffers.clientBytes, req.body.complete); !ok {
+	if ok, reason := g.admission.BeginRequest(g.clock.now, uint64(c.id), g.buffers.totalBytes(), req.body.complete); !ok {
 		c.advancePhase(clientClosing)
 		// Counted and logged as a rejected connection, as the connection ends with the response.
 		g.recordRejection(c.remote, reason, true)
@@ -77,11 +79,14 @@
 	})
 }
 
+const continueResponse = "HTTP/1.1 100 Continue\r\n\r\n"
+
 // sendContinue sends 100 (Continue) to a client that waits for it (RFC 9110 section 10.1.1),
 // and starts the timer for the body if that is not complete yet.
 func (g *Gateway) sendContinue(c *clientConn, req *request) {
 	if !req.body.continueHandled && !req.body.complete {
-		c.output = append(c.output, "HTTP/1.1 100 Continue\r\n\r\n"...)
+		output := g.buffers.orNew(c.output, len(continueResponse))
+		g.buffers.set(&c.output, append(output, continueResponse...))
 		g.flushClient(c)
 	}
 	req.body.continueHandled = true
@@ -128,7 +133,13 @@
 		g.forwardBody(req, data)
 		return
 	}
-	req.body.data = append(req.body.data, data...)
+	g.appendToBody(req, data)
+}
+
+// appendToBody adds a piece to the buffered part of a request body.
+func (g *Gateway) appendToBody(req *request, data []byte) {
+	body := &req.body.data
+	g.buffers.set(body, append(g.buffers.orNew(*body, len(data)), data...))
 }
 
 // submitWhenBuffered submits a request once its body is complete or fills the buffer. If the
--- a/internal/gateway/request_table.go
+++ b/internal/gateway/request_table.go
@@ -5,6 +5,9 @@
 	"slices"
 )
 
+// maxPooledFields is the capacity of the largest field table that is kept with a free request.
+const maxPooledFields = 32
+
 // requestTable holds the requests that were submitted to the scheduler and are still in
 // use, and free request objects for reuse. Ids are consecutive from 1.
 type requestTable struct {
@@ -44,7 +47,9 @@
 	if len(t.free) < maxPooled {
 		fields := req.header.Fields[:0]
 		*req = request{recycled: true}
-		req.header.Fields = fields
+		if cap(fields) <= maxPooledFields {
+			req.header.Fields = fields
+		}
 		t.free = append(t.free, req)
 	}
 }
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -52,21 +52,35 @@
 	g.flush(c)
 }
 
+// maxCopiedBody is the size in bytes of the largest complete body that is copied behind its header, so
+// that both are sent with one write.
+const maxCopiedBody = 2 << 10
+
 // encodeRequest encodes the header of the request that a connection carries, and as much of
-// the body as is buffered. It replaces the content of the connection's output buffer.
+// the body as is buffered. It replaces the content of the connection's output buffer. A long body that
+// is complete does not change any more, and is sent from the request's own buffer.
 func (g *Gateway) encodeRequest(c *nodeConn, req *request) {
 	attempt := c.attempt
 	c.output = c.output[:0]
 	c.written = 0
-	b := g.protocol.appendRequest(g, g.buffers.orNew(c.output), req, attempt)
-	c.output = append(appendRequestFraming(b, req), "\r\n"...)
+	c.body = nil
+	size := len(req.rawHeader) + maxAddedHeaderBytes
+	b := g.protocol.appendRequest(g, g.buffers.orNew(c.output, size), req, attempt)
+	g.buffers.set(&c.output, append(appendRequestFraming(b, req), "\r\n"...))
 	attempt.fullyQueued = req.body.complete
 	attempt.chunked = !req.body.complete && req.header.ContentLength < 0
-	if len(req.body.data) > 0 {
-		appendBody(c, req.body.data)
+	switch body := req.body.data; {
+	case len(body) == 0:
+	case req.body.complete && len(body) > maxCopiedBody:
+		c.body = body
+	default:
+		g.appendBody(c, body)
 	}
 }
 
+// maxAddedHeaderBytes is about the size of the header fields that the gateway adds to a request.
+const maxAddedHeaderBytes = 512
+
 // appendRequestFraming appends the header field that delimits the body of a request, if one
 // is needed: Content-Length or Transfer-Encoding.
 func appendRequestFraming(b []byte, req *request) []byte {
@@ -87,11 +101,11 @@
 
 // appendBody appends a piece of a request body to the output buffer of a connection, as a chunk
 // if the attempt uses chunked transfer coding.
-func appendBody(c *nodeConn, data []byte) {
+func (g *Gateway) appendBody(c *nodeConn, data []byte) {
 	if c.attempt.chunked {
-		c.output = http1.AppendChunk(c.output, data)
+		g.buffers.set(&c.output, http1.AppendChunk(c.output, data))
 	} else {
-		c.output = append(c.output, data...)
+		g.buffers.set(&c.output, append(c.output, data...))
 	}
 }
 
@@ -100,13 +114,13 @@
 func (g *Gateway) forwardBody(req *request, data []byte) {
 	attempt := req.attempts.uploading
 	c := attempt.conn
-	c.output = g.buffers.orNew(c.output)
+	g.buffers.set(&c.output, g.buffers.orNew(c.output, len(data)))
 	if len(data) > 0 {
-		appendBody(c, data)
+		g.appendBody(c, data)
 	}
 	if req.body.complete {
 		if attempt.chunked {
-			c.output = http1.AppendLastChunk(c.output)
+			g.buffers.set(&c.output, http1.AppendLastChunk(c.output))
 		}
 		attempt.fullyQueued = true
 		req.attempts.uploading = nil
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -79,7 +79,7 @@
 				g.abortNodeConn(c, scheduler.Cancelled)
 			}
 		case *clientConn:
-			if g.rejectIncompleteRequest(c) {
+			if g.rejectIncompleteRequest(c, reasonStopped) {
 				incomplete++
 			}
 		}
@@ -89,7 +89,7 @@
 
 // rejectIncompleteRequest rejects the request that is arriving on a connection, if there is one. It
 // ends a connection on which no request has begun.
-func (g *Gateway) rejectIncompleteRequest(c *clientConn) (rejected bool) {
+func (g *Gateway) rejectIncompleteRequest(c *clientConn, reason string) (rejected bool) {
 	switch {
 	case c.phase >= clientClosing && c.req == nil: // its last response is being written, or was written
 		return false
@@ -97,10 +97,10 @@
 		if c.req.id != 0 || c.req.body.complete || c.req.response.final {
 			return false // it was submitted, or is a listing whose parts were submitted
 		}
-		g.respondLocally(c.req, 503, reasonStopped)
+		g.respondLocally(c.req, 503, reason)
 		return true
 	case c.headerStartedAt > 0:
-		g.respondWithoutHeader(c, 503, reasonStopped)
+		g.respondWithoutHeader(c, 503, reason)
 		return true
 	case len(c.pending()) == 0:
 		g.lingeringClose(c)
--- a/internal/gateway/unsent_response.go
+++ b/internal/gateway/unsent_response.go
@@ -16,7 +16,7 @@
 	case req.response.source != attempt:
 		return
 	case req.listing != nil:
-		req.listing.discardPart(req.listingPart)
+		req.listing.discardPart(&g.buffers, req.listingPart)
 	case req.client == nil || !g.withdrawOutput(req.client, req.response.outputStart):
 		return
 	}
@@ -45,7 +45,7 @@
 
 // discardPart discards the bytes received in response to a part of the listing. A part is the request
 // that the gateway sends for the entries of one shard; index is its index in l.parts.
-func (l *listing) discardPart(index int) {
+func (l *listing) discardPart(buffers *bufferPool, index int) {
 	l.bytes -= len(l.bodies[index])
-	l.bodies[index] = nil
+	buffers.release(&l.bodies[index])
 }
--- a/internal/gateway/webdav_protocol.go
+++ b/internal/gateway/webdav_protocol.go
@@ -167,7 +167,7 @@
 // writeResponseHeader writes the header of a node's response to a client.
 func (g *Gateway) writeResponseHeader(c *clientConn, req *request, r *http1.Response) {
 	req.response.outputStart = c.outputEnd()
-	b := http1.AppendStatus(g.buffers.orNew(c.output), r.Status)
+	b := http1.AppendStatus(g.buffers.orNew(c.output, initialBufferBytes), r.Status)
 	b = http1.AppendEndToEndFields(b, &r.Message, "x-request-id")
 	b = g.appendRequestIDField(b, req)
 	switch {
@@ -184,7 +184,7 @@
 	default:
 		c.advancePhase(clientClosing) // the body is delimited by the end of the connection
 	}
-	c.output = g.appendHeaderEnd(b, c, req)
+	g.buffers.set(&c.output, g.appendHeaderEnd(b, c, req))
 	g.flushClient(c)
 }
 
@@ -196,12 +196,13 @@
 		return true
 	}
 	c := req.client
-	c.output = g.buffers.orNew(c.output)
+	output := g.buffers.orNew(c.output, len(data))
 	if req.response.chunked {
-		c.output = http1.AppendChunk(c.output, data)
+		output = http1.AppendChunk(output, data)
 	} else {
-		c.output = append(c.output, data...)
+		output = append(output, data...)
 	}
+	g.buffers.set(&c.output, output)
 	g.flushClient(c)
 	return true
 }
@@ -217,7 +218,8 @@
 	}
 	g.learnSize(req, &attempt.conn.response)
 	if req.response.chunked {
-		req.client.output = http1.AppendLastChunk(req.client.output)
+		output := g.buffers.orNew(req.client.output, initialBufferBytes)
+		g.buffers.set(&req.client.output, http1.AppendLastChunk(output))
 	}
 	g.endAttempt(attempt, scheduler.OK)
 	g.reportRequestEnd(req, Served)
--- a/internal/platform/bounds.go
+++ b/internal/platform/bounds.go
@@ -22,7 +22,8 @@
 	MaxNodeConns int
 	// ReservedDescriptors is the number of descriptors for anything but client and node connections.
 	ReservedDescriptors int
-	// ClientBufferBytes is the maximum size of all buffers for data from and to clients.
+	// ClientBufferBytes is the capacity of all buffers from which on no further request begins. Responses
+	// may take as much again; see admission.Buffers.
 	ClientBufferBytes int64
 	// MaxResponseBytes is the maximum size of one response. It has to be larger than the protocol
 	// specifies, since nodes send responses that exceed that size.
