--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -97,7 +97,7 @@
 func (g *Gateway) newAttempt(req *request, nodeName string, arriveBefore Time) *nodeAttempt {
 	attempt := &nodeAttempt{
 		req:          refTo(req),
-		identity:     g.identityOf(req),
+		identity:     identityOf(req),
 		number:       req.attempts.count,
 		nodeName:     nodeName,
 		startedAt:    g.clock.now,
--- a/internal/gateway/buffered_protocol.go
+++ b/internal/gateway/buffered_protocol.go
@@ -26,7 +26,7 @@
 	}
 	req.info = info
 	req.body.bufferFully = true
-	if req.header.ContentLength > int64(g.config.Limits.BodyBuffer) {
+	if req.header.ContentLength > int64(req.config.Limits.BodyBuffer) {
 		g.rejectLongBody(c, req)
 		return
 	}
--- a/internal/gateway/client_end.go
+++ b/internal/gateway/client_end.go
@@ -29,7 +29,7 @@
 // respondWithoutHeader answers a client that has not sent the complete header of its request, and
 // ends the connection. As there is no request yet, it creates one for the response.
 func (g *Gateway) respondWithoutHeader(c *clientConn, status int, reason string) {
-	req := g.requests.create()
+	req := g.requests.create(g.config, g.routes)
 	req.client = c
 	c.req = req
 	req.body.complete = true
--- a/internal/gateway/client_input.go
+++ b/internal/gateway/client_input.go
@@ -101,7 +101,7 @@
 	if uploading := req.attempts.uploading; uploading != nil {
 		return len(uploading.conn.pending()) > g.bufferAllowance()
 	}
-	return req.id != 0 && len(req.body.data) >= g.config.Limits.BodyBuffer
+	return req.id != 0 && len(req.body.data) >= req.config.Limits.BodyBuffer
 }
 
 // bufferPipelined returns the input that a client has pipelined, which is processed after the
--- a/internal/gateway/invariant_checks.go
+++ b/internal/gateway/invariant_checks.go
@@ -32,8 +32,8 @@
 }
 
 // class returns the configured class of a request.
-func (g *Gateway) class(req *request) *scheduler.Class {
-	return &g.config.Scheduler.Classes[req.info.Arrival.Class]
+func (r *request) class() *scheduler.Class {
+	return &r.config.Scheduler.Classes[r.info.Arrival.Class]
 }
 
 // priorAttempts returns the state of the attempts that a request had before this one.
--- a/internal/gateway/listing.go
+++ b/internal/gateway/listing.go
@@ -38,7 +38,7 @@
 
 // receiveListingBody buffers a piece of the body of a PROPFIND.
 func (g *Gateway) receiveListingBody(req *request, data []byte) {
-	if len(req.body.data)+len(data) > g.config.Limits.BodyBuffer {
+	if len(req.body.data)+len(data) > req.config.Limits.BodyBuffer {
 		g.respondLocally(req, 413, reasonListingBodyTooLong)
 		return
 	}
@@ -57,7 +57,7 @@
 		return
 	}
 	g.admission.RequestAccepted(g.clock.now, uint64(req.client.id))
-	req.volume = &g.config.Volumes[req.location.Volume]
+	req.volume = &req.config.Volumes[req.location.Volume]
 	shards := req.volume.Shards
 	if depth == "0" {
 		shards = shards[:1] // every shard holds the root of the volume
@@ -79,7 +79,7 @@
 		return
 	}
 	var names []string
-	for _, v := range g.config.Volumes {
+	for _, v := range req.config.Volumes {
 		names = append(names, v.Name)
 	}
 	req.response.reason = "list of volumes"
@@ -89,7 +89,7 @@
 
 // newListingPart returns the request to one shard of a listing, which is a copy of its parent.
 func (g *Gateway) newListingPart(parent *request, index, shard int) *request {
-	part := g.requests.create()
+	part := g.requests.create(parent.config, parent.routes)
 	part.method = parent.method
 	part.location = parent.location
 	part.volume = parent.volume
@@ -97,8 +97,9 @@
 	part.listing = parent.listing
 	part.listingPart = index
 	g.buffers.set(&part.rawHeader, append(g.buffers.get(len(parent.rawHeader)), parent.rawHeader...))
-	// ParseRequest cannot fail, as the parent's header was valid.
-	http1.ParseRequest(part.rawHeader, &part.header, g.config.HeaderLimits)
+	// ParseRequest cannot fail, as the parent's header was valid by the same limits.
+	http1.ParseRequest(part.rawHeader, &part.header, part.config.HeaderLimits)
+	g.buffers.countFields(&part.fieldBytes, part.header.Fields)
 	g.appendToBody(part, parent.body.data)
 	part.body.received = int64(len(part.body.data))
 	part.body.complete = true
@@ -107,15 +108,20 @@
 	part.trace.parent = parent.trace.span
 	part.trace.sampled = parent.trace.sampled
 	g.ids.fillRandom(part.trace.span[:])
-	part.classification = g.routes.Classify(route.RequestHeader{
-		Method:        part.method,
-		Location:      part.location,
-		ContentLength: part.body.received,
-		Prefer:        string(part.header.Get("prefer")),
-	})
+	part.classification = part.classifyListing()
 	return part
 }
 
+// classifyListing is like classify for a part of a listing, which has no key of its own and no range.
+func (r *request) classifyListing() route.Classification {
+	return r.routes.Classify(route.RequestHeader{
+		Method:        r.method,
+		Location:      r.location,
+		ContentLength: r.body.received,
+		Prefer:        string(r.header.Get("prefer")),
+	})
+}
+
 // cancelListing cancels a listing that has no response yet, and its parts; see cancelRequest.
 func (g *Gateway) cancelListing(req *request, outcome Outcome) {
 	defer g.releaseBodies(req.listing)
@@ -134,7 +140,7 @@
 // exceeds Limits.ListingBytes.
 func (g *Gateway) receivePartData(part *request, data []byte) bool {
 	l := part.listing
-	if l.bytes += len(data); l.bytes > g.config.Limits.ListingBytes {
+	if l.bytes += len(data); l.bytes > part.config.Limits.ListingBytes {
 		l.errorStatus, l.errorReason = 507, webdav.ErrListingTooLarge.Error()
 		return false
 	}
@@ -203,7 +209,7 @@
 		})
 		return
 	}
-	body, err := webdav.MergeMultistatus(l.bodies, g.config.Limits.ListingBytes)
+	body, err := webdav.MergeMultistatus(l.bodies, req.config.Limits.ListingBytes)
 	switch {
 	case errors.Is(err, webdav.ErrListingTooLarge):
 		g.respondLocally(req, 507, err.Error())
--- a/internal/gateway/node_response.go
+++ b/internal/gateway/node_response.go
@@ -34,11 +34,11 @@
 // the bytes after the header, and whether they can be processed now.
 func (g *Gateway) consumeResponseHeader(c *nodeConn, data []byte) (unconsumed []byte, more bool) {
 	attempt := c.attempt
-	headerLength := g.config.HeaderLimits.FindHeaderEnd(data, &c.headerScanned)
+	headerLength := attempt.identity.headerLimits.FindHeaderEnd(data, &c.headerScanned)
 	if headerLength == 0 {
 		return data, false
 	}
-	err := http1.ParseResponse(data[:headerLength], &c.response, attempt.identity.method, g.config.HeaderLimits)
+	err := http1.ParseResponse(data[:headerLength], &c.response, attempt.identity.method, attempt.identity.headerLimits)
 	g.buffers.countFields(&c.fieldBytes, c.response.Fields)
 	if err != nil {
 		g.abortNodeConn(c, scheduler.Failed)
--- a/internal/gateway/observer.go
+++ b/internal/gateway/observer.go
@@ -196,7 +196,7 @@
 	}
 	if req.id != 0 {
 		g.span.Start = req.submittedAt
-		g.span.Volume, g.span.Class = req.info.Arrival.Volume, g.class(req).Name
+		g.span.Volume, g.span.Class = req.info.Arrival.Volume, req.class().Name
 	}
 	g.observer.Request(&g.span)
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -18,13 +18,18 @@
 	client *clientConn
 	method string
 
-	rawHeader      []byte // buffer that header points into
-	header         http1.Request
-	fieldBytes     int64 // size of the field table of header, as counted in bufferPool
+	rawHeader  []byte // buffer that header points into
+	header     http1.Request
+	fieldBytes int64 // size of the field table of header, as counted in bufferPool
+	// config and routes were in force when the header of the request was read. All that the request
+	// takes from a configuration is from these, since an index or a limit of one configuration means
+	// nothing in another.
+	config         *config.Config
+	routes         *route.Table
 	location       route.Location
 	classification route.Classification
-	volume         *config.Volume // from the configuration in force when the request arrived
-	info           RequestInfo    // from the protocol; info.Arrival is the event for the scheduler
+	volume         *config.Volume
+	info           RequestInfo // from the protocol; info.Arrival is the event for the scheduler
 
 	headerReceivedAt Time
 	submittedAt      Time
--- a/internal/gateway/request_lifecycle.go
+++ b/internal/gateway/request_lifecycle.go
@@ -11,13 +11,13 @@
 // beginRequest is called with the complete header of a request. It parses the header,
 // asks admission whether to accept the request, and passes an accepted one to the protocol.
 func (g *Gateway) beginRequest(c *clientConn, header []byte) {
-	req := g.requests.create()
+	req := g.requests.create(g.config, g.routes)
 	req.client = c
 	c.req = req
 	req.headerReceivedAt = g.clock.now
 	g.buffers.set(&req.rawHeader, append(g.buffers.get(len(header)), header...))
 	g.setDeadline(c, never)
-	err := http1.ParseRequest(req.rawHeader, &req.header, g.config.HeaderLimits)
+	err := http1.ParseRequest(req.rawHeader, &req.header, req.config.HeaderLimits)
 	g.buffers.countFields(&req.fieldBytes, req.header.Fields)
 	if err != nil {
 		g.rejectMalformedHeader(c, req, err)
@@ -68,14 +68,14 @@
 
 // classify returns the class, ordering key, timeout and cost of a request. length is that of
 // its body in bytes; -1: not known.
-func (g *Gateway) classify(req *request, length int64) route.Classification {
-	return g.routes.Classify(route.RequestHeader{
-		Method:         req.method,
-		Location:       req.location,
+func (r *request) classify(length int64) route.Classification {
+	return r.routes.Classify(route.RequestHeader{
+		Method:         r.method,
+		Location:       r.location,
 		ContentLength:  length,
-		Range:          string(req.header.Get("range")),
-		Prefer:         string(req.header.Get("prefer")),
-		IdempotencyKey: string(req.header.Get("idempotency-key")),
+		Range:          string(r.header.Get("range")),
+		Prefer:         string(r.header.Get("prefer")),
+		IdempotencyKey: string(r.header.Get("idempotency-key")),
 	})
 }
 
@@ -145,7 +145,7 @@
 // submitWhenBuffered submits a request once its body is complete or fills the buffer. If the
 // whole body has to be buffered, a body that is longer than the buffer is rejected.
 func (g *Gateway) submitWhenBuffered(c *clientConn, req *request) {
-	limit := g.config.Limits.BodyBuffer
+	limit := req.config.Limits.BodyBuffer
 	switch {
 	case req.id != 0 || req.response.final:
 	case req.body.bufferFully && len(req.body.data) > limit:
--- a/internal/gateway/request_ref.go
+++ b/internal/gateway/request_ref.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"maddergap/internal/http1"
 	"maddergap/scheduler"
 )
 
@@ -32,24 +33,27 @@
 // requestIdentity holds the properties of a request that an attempt needs also after the
 // request has ended. They do not change during the attempt.
 type requestIdentity struct {
-	id       uint64
-	method   string
-	path     string
-	volume   string
-	class    *scheduler.Class
-	trace    traceContext
-	deadline Time
+	id     uint64
+	method string
+	path   string
+	volume string
+	class  *scheduler.Class
+	// headerLimits bounds the header of the response.
+	headerLimits http1.Limits
+	trace        traceContext
+	deadline     Time
 }
 
-func (g *Gateway) identityOf(req *request) requestIdentity {
+func identityOf(req *request) requestIdentity {
 	return requestIdentity{
-		id:       req.id,
-		method:   req.method,
-		path:     req.location.Path,
-		volume:   req.info.Arrival.Volume,
-		class:    g.class(req),
-		trace:    req.trace,
-		deadline: req.deadline,
+		id:           req.id,
+		method:       req.method,
+		path:         req.location.Path,
+		volume:       req.info.Arrival.Volume,
+		class:        req.class(),
+		headerLimits: req.config.HeaderLimits,
+		trace:        req.trace,
+		deadline:     req.deadline,
 	}
 }
 
--- a/internal/gateway/request_table.go
+++ b/internal/gateway/request_table.go
@@ -3,6 +3,9 @@
 import (
 	"maps"
 	"slices"
+
+	"maddergap/internal/config"
+	"maddergap/internal/route"
 )
 
 // maxPooledFields is the capacity of the largest field table that is kept with a free request.
@@ -19,7 +22,13 @@
 func newRequestTable() requestTable { return requestTable{byID: map[uint64]*request{}} }
 
 // create returns a new request, which has no id yet.
-func (t *requestTable) create() *request {
+func (t *requestTable) create(c *config.Config, routes *route.Table) *request {
+	req := t.takeFree()
+	req.config, req.routes = c, routes
+	return req
+}
+
+func (t *requestTable) takeFree() *request {
 	last := len(t.free) - 1
 	if last < 0 {
 		return &request{}
--- a/internal/gateway/webdav_protocol.go
+++ b/internal/gateway/webdav_protocol.go
@@ -30,7 +30,7 @@
 	}
 	path, _, err := route.SplitTarget(string(header.Target))
 	if err == nil {
-		req.location, err = g.routes.Locate(path)
+		req.location, err = req.routes.Locate(path)
 	}
 	if err != nil {
 		status := 400
@@ -40,7 +40,7 @@
 		g.respondLocally(req, status, err.Error())
 		return
 	}
-	decision := webdav.Decide(g.routes, req.method, req.location, string(header.Get("depth")), string(header.Get("destination")), string(header.Host))
+	decision := webdav.Decide(req.routes, req.method, req.location, string(header.Get("depth")), string(header.Get("destination")), string(header.Host))
 	g.applyWebDAVDecision(c, req, decision)
 }
 
@@ -51,7 +51,7 @@
 	case webdav.Options:
 		g.respondToOptions(req)
 	case webdav.ListRoot, webdav.MergeListings:
-		if req.header.ContentLength > int64(g.config.Limits.BodyBuffer) {
+		if req.header.ContentLength > int64(req.config.Limits.BodyBuffer) {
 			g.respondLocally(req, 413, reasonListingBodyTooLong)
 			return
 		}
@@ -81,9 +81,9 @@
 // the request is sent to a node. Otherwise the client might send the body only to have the
 // request rejected.
 func (g *Gateway) beginForward(c *clientConn, req *request) {
-	req.volume = &g.config.Volumes[req.location.Volume]
-	req.classification = g.classify(req, req.header.ContentLength)
-	if req.header.ContentLength > int64(g.config.Limits.BodyBuffer) && req.header.ExpectContinue {
+	req.volume = &req.config.Volumes[req.location.Volume]
+	req.classification = req.classify(req.header.ContentLength)
+	if req.header.ContentLength > int64(req.config.Limits.BodyBuffer) && req.header.ExpectContinue {
 		g.submit(req)
 		return
 	}
@@ -96,7 +96,7 @@
 func (webdavProtocol) prepareArrival(g *Gateway, req *request) *http1.Error {
 	if req.listing == nil && req.body.complete && req.header.ContentLength < 0 {
 		// The body is chunked, and its length is known only now.
-		req.classification = g.classify(req, req.body.received)
+		req.classification = req.classify(req.body.received)
 	}
 	class := &req.classification
 	req.info.Arrival = scheduler.Arrival{
