A reload changes the plan of a volume that is in use

Operators who gave a volume another plan by SIGHUP saw the reload accepted, but reserve, limit and weight stayed as they were while the volume had a request every ten seconds. The scheduler keeps the plan of a volume's first request, and nothing told it of the change.

Gateway.Reload now notifies the scheduler of each volume's plan (PlanAssigned). The buckets keep what they hold, up to the new capacity.

TestReloadChangesPlanOfVolumeInUse fails without the notification (200 over the limit) and passes now; TestAssignedPlanAppliesAtOnce for the scheduler.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -120,6 +120,9 @@
 	g.routes = route.NewTable(c, g.routes)
 	g.config = c
 	g.buffers.setLimit(c.Admission.Buffers.TotalBytes)
+	for i := range c.Volumes {
+		g.scheduler.notify(scheduler.PlanAssigned{Volume: c.Volumes[i].Name, Plan: c.Volumes[i].Plan})
+	}
 	return nil
 }
 
--- a/internal/gateway/reload_test.go
+++ b/internal/gateway/reload_test.go
@@ -123,3 +123,21 @@
 	h.deliver(c, getRequest("/feed-a/s/x", "x: "+strings.Repeat("y", 600)))
 	h.wantContains("the response to the next request", h.takeWritten(c), "431 ")
 }
+
+// Verifies that a reload that gives a volume another plan takes effect while the volume is in use.
+func TestReloadChangesPlanOfVolumeInUse(t *testing.T) {
+	withLimit := strings.Replace(harnessConfig, "plan p rate", "plan limited rate 1 limit 0.5 burst 0.5\nplan p rate", 1)
+	h := newHarnessWithConfig(t, withLimit)
+	c := h.connectClient(getRequest("/feed-a/s/x"))
+	h.deliver(h.nodeConn(0), okResponse("x"))
+	h.wantContains("the response", h.takeWritten(c), "200 OK")
+	changed, err := config.Parse("harness", []byte(strings.Replace(withLimit, "feed-a plan p", "feed-a plan limited", 1)))
+	if err == nil {
+		err = h.gateway.Reload(changed)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	h.deliver(c, getRequest("/feed-a/s/x"))
+	h.wantContains("the response to a request over the limit", h.takeWritten(c), "503 ")
+}
--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -79,7 +79,7 @@
 func (o Outcome) ProvesNotRun() bool { return o == QueueFull || o == ConnectFailed || o == NotSent }
 
 // Event is an input of Handle: an Arrival, EndpointUpdate, AttemptEnded, ResponseStarted,
-// AttemptStalled, AttemptResumed, ClientDisconnected or TimerFired. Events about requests or attempts
+// AttemptStalled, AttemptResumed, ClientDisconnected, PlanAssigned or TimerFired. Events about requests or attempts
 // that are unknown or already over are ignored.
 type Event interface{ event() }
 
@@ -90,7 +90,8 @@
 	// Shard is the shard that holds the request's data, -1 for a new object, which any node may store.
 	Shard int
 	// Plan and Class are indexes into Settings. A request whose class is out of range is rejected; a
-	// plan out of range is replaced by the nearest one. A volume keeps the plan of its first request.
+	// plan out of range is replaced by the nearest one. A volume keeps the plan of its first request, up
+	// to a PlanAssigned.
 	Plan  int
 	Class int
 	// Key is the ordering key, empty for none. Requests of ordered classes with the same key run one
@@ -165,6 +166,13 @@
 // attempt in flight is still reported with AttemptEnded.
 type ClientDisconnected struct{ ID uint64 }
 
+// PlanAssigned reports that the configuration gives a volume a plan, an index into Settings. A volume
+// without requests gets its plan with the first one.
+type PlanAssigned struct {
+	Volume string
+	Plan   int
+}
+
 // TimerFired reports that the timer of the last SetTimer fired.
 type TimerFired struct{}
 
@@ -175,4 +183,5 @@
 func (AttemptStalled) event()     {}
 func (AttemptResumed) event()     {}
 func (ClientDisconnected) event() {}
+func (PlanAssigned) event()       {}
 func (TimerFired) event()         {}
--- a/scheduler/limits_test.go
+++ b/scheduler/limits_test.go
@@ -39,3 +39,33 @@
 	assertEqual(t, "response", finalResponses(h.handleAfter(0, newArrival(1, withInstances(10), withUnits(6)))), map[uint64]string{1: "r"})
 	assertEqual(t, "responses to a request that fits", finalResponses(h.handleAfter(0, newArrival(2, withInstances(10), withUnits(2)))), map[uint64]string{})
 }
+
+// Regression test: a volume kept the plan of its first request as long as it had requests, although a
+// reload had given it another plan. The new plan applies at once, and gives no units anew.
+func TestAssignedPlanAppliesAtOnce(t *testing.T) {
+	s := testSettings(func(s *Settings) {
+		s.Plans = append(s.Plans, Plan{Name: "limited", Weight: 3, PriorityFactor: 1, Limit: 8, LimitBurst: 8})
+	})
+	h := newHarness(t, s, nodeA)
+	h.scheduler.members.nodes[0].window = 8
+	longWait := func(a *Arrival) { a.TimeRemaining = time.Minute }
+	send := func(id uint64) {
+		h.handleAfter(0, newArrival(id, longWait))
+		if h.attempts[id] > 0 {
+			h.endAttempt(id, OK)
+		}
+	}
+	send(1)
+	assertEqual(t, "sent without a limit", h.sentIDs(), []uint64{1})
+	h.handleAfter(0, PlanAssigned{Volume: "v", Plan: 1}, PlanAssigned{Volume: "unused", Plan: 1})
+	send(2)
+	assertEqual(t, "sent as the plan changes", h.sentIDs(), []uint64{1})
+	h.runFor(300 * ms) // 8 units per second
+	assertEqual(t, "sent after a unit's time and a half", h.sentIDs(), []uint64{1, 2})
+	assertEqual(t, "weight", h.scheduler.volumes["v"].weight, 0.75)
+	h.endAttempt(2, OK)
+	h.handleAfter(0, PlanAssigned{Volume: "v", Plan: 0}, PlanAssigned{Volume: "v", Plan: 1})
+	send(3)
+	assertEqual(t, "sent after a change and back", h.sentIDs(), []uint64{1, 2})
+	assertEqual(t, "volumes", len(h.scheduler.volumes), 1)
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -113,6 +113,8 @@
 		s.handleAttemptResumed(event)
 	case ClientDisconnected:
 		s.handleClientDisconnected(event)
+	case PlanAssigned:
+		s.handlePlanAssigned(event)
 	case TimerFired:
 		// Every call of Handle dispatches the nodes that are due, so nothing is left to do here.
 	}
--- a/scheduler/volumes.go
+++ b/scheduler/volumes.go
@@ -66,14 +66,40 @@
 }
 
 func (s *Scheduler) newVolume(planIndex int) *volume {
+	v := &volume{streams: map[*node]*stream{}}
+	s.setPlan(v, planIndex)
+	v.reserve.updatedAt, v.limit.updatedAt = s.startedAt, s.startedAt
+	return v
+}
+
+// planAt returns the plan with an index. An index out of range stands for the nearest one.
+func (s *Scheduler) planAt(index int) *Plan {
 	plans := s.settings.Plans
-	plan := &plans[min(max(planIndex, 0), len(plans)-1)]
-	v := &volume{plan: plan, weight: 1 / float64(len(plans)), streams: map[*node]*stream{}}
+	return &plans[min(max(index, 0), len(plans)-1)]
+}
+
+// setPlan sets the plan of a volume and the weight that follows from it.
+func (s *Scheduler) setPlan(v *volume, planIndex int) {
+	v.plan = s.planAt(planIndex)
+	v.weight = 1 / float64(len(s.settings.Plans))
 	if s.shares.totalWeight > 0 {
-		v.weight = max(plan.Weight/s.shares.totalWeight, minNormalizedWeight)
+		v.weight = max(v.plan.Weight/s.shares.totalWeight, minNormalizedWeight)
 	}
-	v.reserve.updatedAt, v.limit.updatedAt = s.startedAt, s.startedAt
-	return v
+}
+
+// handlePlanAssigned changes the plan of a volume that has requests. What its buckets hold stays, up to
+// their new capacity, so that a change of plan gives no units anew. Requests that are queued keep the
+// priority of the former plan.
+func (s *Scheduler) handlePlanAssigned(e PlanAssigned) {
+	v := s.volumes[e.Volume]
+	if v == nil || v.plan == s.planAt(e.Plan) {
+		return
+	}
+	v.limit.fill(s.now)
+	s.setPlan(v, e.Plan)
+	v.reserve.rate, v.reserve.capacity = 0, 0 // in case that the new plan has no reserve
+	s.setReserve(v)
+	v.setLimit()
 }
 
 // setReserve sets the rate and capacity of this instance's share of the reserve. The capacity is that
