scheduler: tables by name have a bound, however fast new names come

The scheduler kept each volume for ten seconds and each key for up to five, and each node's queue an owner per volume.

A key without a cooldown goes with its last request, and a queue deletes empty owners at 256.

--- a/internal/waitqueue/owners.go
+++ b/internal/waitqueue/owners.go
@@ -52,10 +52,25 @@
 	}
 }
 
+// maxEmptyOwners is the number of owners without ready requests that are kept at most, in addition to as
+// many as there are owners with ready requests.
+const maxEmptyOwners = 256
+
+// limitOwners deletes the owners without ready requests when there are many. The caller deletes them now
+// and then, but owners may be added at any rate.
+func (q *Queue[R, P, O]) limitOwners() {
+	if len(q.owners) < q.ownerThreshold {
+		return
+	}
+	q.DeleteEmptyOwners()
+	q.ownerThreshold = 2*len(q.owners) + maxEmptyOwners
+}
+
 // ensureOwnerQueue returns the OwnerQueue of an owner and creates it if there is none.
 func (q *Queue[R, P, O]) ensureOwnerQueue(owner O) *OwnerQueue[R, P, O] {
 	ownerQueue := q.owners[owner]
 	if ownerQueue == nil {
+		q.limitOwners()
 		ownerQueue = &OwnerQueue[R, P, O]{Owner: owner}
 		q.owners[owner] = ownerQueue
 	}
--- a/internal/waitqueue/queue.go
+++ b/internal/waitqueue/queue.go
@@ -37,6 +37,7 @@
 	owners          map[O]*OwnerQueue[R, P, O]
 	pruneThreshold  int               // length of Shared at which empty subqueues are removed
 	freeSubqueues   []*Subqueue[R, P] // removed subqueues kept for reuse
+	ownerThreshold  int               // number of owners at which those without ready requests are deleted
 }
 
 // New returns an empty queue. Each order must be a strict order that reports whether request a is
@@ -50,6 +51,7 @@
 		sharedByProfile: map[P]*Subqueue[R, P]{},
 		owners:          map[O]*OwnerQueue[R, P, O]{},
 		pruneThreshold:  maxEmptySharedSubqueues,
+		ownerThreshold:  maxEmptyOwners,
 	}
 }
 
--- a/internal/waitqueue/waitqueue_test.go
+++ b/internal/waitqueue/waitqueue_test.go
@@ -1,6 +1,7 @@
 package waitqueue
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -259,3 +260,20 @@
 		t.Errorf("%d owners without ready requests remain after DeleteEmptyOwners", len(q.owners))
 	}
 }
+
+// Verifies that owners without requests do not accumulate between two calls of DeleteEmptyOwners.
+func TestManyOwnersAreReleased(t *testing.T) {
+	q := New[*request, int, string](byTag, byLatencyDeadline)
+	for i := range 10_000 {
+		r := &request{owner: fmt.Sprint("v", i)}
+		r.Sequence, r.ExpiresAt = i, Time(i)+time.Second
+		q.Add(r, i)
+		q.MakeReady(r, r.owner, r.profile)
+		if i%10 > 0 { // every tenth stays ready
+			q.Remove(r)
+		}
+		if bound := 3*(i/10+1) + maxEmptyOwners; len(q.owners) > bound {
+			t.Fatalf("%d owners after %d requests, of which a tenth is ready; want at most %d", len(q.owners), i+1, bound)
+		}
+	}
+}
--- a/scheduler/fair_queue_test.go
+++ b/scheduler/fair_queue_test.go
@@ -55,7 +55,7 @@
 	h := newHarness(t, testSettings(), nodeA)
 	h.scheduler.members.nodes[0].virtualTime = 50
 	h.handleAfter(0, newArrival(1, withUnits(6)), newArrival(2, withUnits(6)), newArrival(3, withUnits(6)))
-	nodeStream := h.scheduler.volumes["v"].streams[h.scheduler.members.nodes[0]]
+	nodeStream := h.scheduler.volumes.byName["v"].streams[h.scheduler.members.nodes[0]]
 	if nodeStream.finishTag < 50 {
 		t.Errorf("finish tag is %v, want at least the virtual time 50", nodeStream.finishTag)
 	}
@@ -63,7 +63,7 @@
 		h.endAttempt(id, OK)
 	}
 	h.runFor(volumeIdleTimeout * 2)
-	assertEqual(t, "idle volumes", len(h.scheduler.volumes), 0)
+	assertEqual(t, "idle volumes", len(h.scheduler.volumes.byName), 0)
 }
 
 // Verifies that a request within its volume's reserve is sent before earlier requests beyond the
--- a/scheduler/harness_test.go
+++ b/scheduler/harness_test.go
@@ -31,6 +31,7 @@
 	actions   []Action // returned by the last call of Handle
 	sends     []Send
 	attempts  map[uint64]int // number of attempts, by request id
+	lastID    uint64         // last result of nextID
 }
 
 // newHarness starts a scheduler whose endpoint list holds the given nodes.
--- a/scheduler/key_order.go
+++ b/scheduler/key_order.go
@@ -73,6 +73,9 @@
 		return
 	}
 	if len(order.requests) == 0 {
+		if s.now >= order.cooldownUntil {
+			delete(s.keyOrders, r.Key)
+		}
 		return
 	}
 	next := order.requests[0]
--- a/scheduler/limits_test.go
+++ b/scheduler/limits_test.go
@@ -62,10 +62,10 @@
 	assertEqual(t, "sent as the plan changes", h.sentIDs(), []uint64{1})
 	h.runFor(300 * ms) // 8 units per second
 	assertEqual(t, "sent after a unit's time and a half", h.sentIDs(), []uint64{1, 2})
-	assertEqual(t, "weight", h.scheduler.volumes["v"].weight, 0.75)
+	assertEqual(t, "weight", h.scheduler.volumes.byName["v"].weight, 0.75)
 	h.endAttempt(2, OK)
 	h.handleAfter(0, PlanAssigned{Volume: "v", Plan: 0}, PlanAssigned{Volume: "v", Plan: 1})
 	send(3)
 	assertEqual(t, "sent after a change and back", h.sentIDs(), []uint64{1, 2})
-	assertEqual(t, "volumes", len(h.scheduler.volumes), 1)
+	assertEqual(t, "volumes", len(h.scheduler.volumes.byName), 1)
 }
--- a/scheduler/membership_test.go
+++ b/scheduler/membership_test.go
@@ -51,7 +51,7 @@
 		t.Errorf("%d nodes are kept, want at most 1", n)
 	}
 	h.runFor(20 * time.Second)
-	if n := len(h.scheduler.volumes) + len(h.scheduler.attempts) + len(h.scheduler.requests); n > 0 {
+	if n := len(h.scheduler.volumes.byName) + len(h.scheduler.attempts) + len(h.scheduler.requests); n > 0 {
 		t.Errorf("%d volumes, attempts and requests are kept, want 0", n)
 	}
 }
--- a/scheduler/requests.go
+++ b/scheduler/requests.go
@@ -126,6 +126,7 @@
 	r.Sequence = s.lastSequence
 	s.setDeadlines(r)
 	s.requests[a.ID] = r
+	r.volume.requests++
 	if r.volume.limitNeverAllows(a.Units) {
 		s.expiryReasons[r.ID] = ReasonTenantLimit
 		s.rejectOrFail(r)
@@ -198,7 +199,10 @@
 // its key while an attempt is in flight.
 func (s *Scheduler) complete(r *request) {
 	r.state = completed
-	delete(s.requests, r.ID)
+	if s.requests[r.ID] == r {
+		delete(s.requests, r.ID)
+		r.volume.requests--
+	}
 	s.markDirty(r.node)
 	switch {
 	case r.QueueState() == waitqueue.Absent:
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -32,7 +32,7 @@
 	requests      map[uint64]*request    // requests without a final response, by id
 	expiryReasons map[uint64]Reason      // wait reasons of requests that the last call of Handle ended, see ExpiryReason
 	attempts      map[attemptID]*attempt // attempts without an outcome
-	volumes       map[string]*volume
+	volumes       volumeTable
 	keyOrders     map[string]*keyOrder
 	// unassigned holds the requests that no node may take at present.
 	unassigned   *requestQueue
@@ -65,7 +65,7 @@
 		requests:          map[uint64]*request{},
 		expiryReasons:     map[uint64]Reason{},
 		attempts:          map[attemptID]*attempt{},
-		volumes:           map[string]*volume{},
+		volumes:           newVolumeTable(),
 		keyOrders:         map[string]*keyOrder{},
 		unassigned:        newRequestQueue(),
 		members:           newMembers(),
