One client at full speed no longer delays others; short requests keep a part of the buffers

A connection begins eight requests a millisecond (admission.Turn) and none while more responses are pending than its buffer holds. A quarter of the buffers is kept for requests without a long body.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -163,13 +163,18 @@
 	return ReasonNone
 }
 
-// BeginRequest is called when the request header on a connection is complete. complete reports
-// whether the request body is complete too, and buffered is the size of the buffers of all
-// connections in bytes. BeginRequest reports whether the request may proceed. If not, the
-// caller rejects the request for the returned reason and closes the connection. While the body
-// is incomplete, the connection of an unknown client may be preempted until RequestAccepted is
-// called.
-func (a *Admission) BeginRequest(now Time, id uint64, buffered int64, complete bool) (bool, Reason) {
+// NewRequest describes a request that is about to begin.
+type NewRequest struct {
+	Complete bool  // the body was received completely
+	Long     bool  // the body is or may be longer than Buffers.MinConnBytes
+	Buffered int64 // size of the buffers of all connections in bytes
+}
+
+// BeginRequest is called when the request header on a connection is complete. It reports whether the
+// request may proceed. If not, the caller rejects the request for the returned reason and closes the
+// connection. While the body is incomplete, the connection of an unknown client may be preempted until
+// RequestAccepted is called.
+func (a *Admission) BeginRequest(now Time, id uint64, r NewRequest) (bool, Reason) {
 	a.advance(now)
 	c := a.conns[id]
 	switch {
@@ -177,10 +182,10 @@
 		return c != nil, ReasonNone
 	case !c.client.known && a.unknownRequests >= a.config.MaxConns-a.config.Reserve:
 		return false, ReserveLimit
-	case a.config.Buffers.TotalBytes > 0 && buffered >= a.maxBuffered(c.client.known):
+	case a.config.Buffers.TotalBytes > 0 && r.Buffered >= a.maxBuffered(c.client.known, r.Long):
 		return false, BufferLimit
 	}
-	if complete {
+	if r.Complete {
 		a.setState(c, connBusy)
 	} else {
 		a.setState(c, connReceiving)
@@ -188,14 +193,21 @@
 	return true, ReasonNone
 }
 
+// shortRequestsDivisor is the part of the buffers that is kept for requests without a long body, so that
+// clients with long ones do not keep all others from being served.
+const shortRequestsDivisor = 4
+
 // maxBuffered returns the size of all buffers, in bytes, from which on no further request may
 // begin. The share of the reserved connections is for known clients only.
-func (a *Admission) maxBuffered(known bool) int64 {
+func (a *Admission) maxBuffered(known, long bool) int64 {
 	total := a.config.Buffers.TotalBytes
-	if known {
-		return total
+	if !known {
+		total = total / int64(a.config.MaxConns) * int64(a.config.MaxConns-a.config.Reserve)
+	}
+	if long {
+		total -= total / shortRequestsDivisor
 	}
-	return total / int64(a.config.MaxConns) * int64(a.config.MaxConns-a.config.Reserve)
+	return total
 }
 
 // BufferAllowance returns how many bytes one connection may buffer: bound, or at most
--- a/internal/gateway/client_conn.go
+++ b/internal/gateway/client_conn.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"maddergap/internal/admission"
 	"maddergap/internal/invariant"
 )
 
@@ -48,11 +49,13 @@
 	phase  clientPhase
 	peer   peerState
 
-	req             *request // request under way; nil: none
-	requestCount    int      // number of requests read so far
-	headerStartedAt Time     // time at which the first byte of an incomplete header arrived; 0: none
-	inReadyClients  bool     // set while the connection is in Gateway.readyClients
-	acceptDelay     Time     // how long the connection may have waited to be accepted
+	req             *request       // request under way; nil: none
+	requestCount    int            // number of requests read so far
+	headerStartedAt Time           // time at which the first byte of an incomplete header arrived; 0: none
+	inReadyClients  bool           // set while the connection is in Gateway.readyClients
+	turn            admission.Turn // counts the requests that begin
+	waitsForTurn    bool           // set while the connection is in Gateway.waitingForTurn
+	acceptDelay     Time           // how long the connection may have waited to be accepted
 
 	admitted bool // set while admission counts the connection
 	// requestEndUnreported is set if admission has yet to be notified of the end of a request; see
@@ -109,7 +112,12 @@
 		if len(c.pending()) == 0 && !req.response.final && req.body.complete {
 			g.setDeadline(c, never)
 		}
-	} else if allWritten {
+		return
+	}
+	if c.readingPaused && len(c.pending()) <= g.bufferAllowance()/2 {
+		g.startNextRequest(c) // it waited until the client has read the responses
+	}
+	if allWritten && !c.closed && c.req == nil {
 		g.handleClientIdle(c)
 	}
 }
@@ -120,7 +128,7 @@
 		c.peer = peerDisconnected
 	}
 	switch {
-	case c.phase >= clientDiscarding, c.req == nil && len(c.pending()) == 0 && !c.inReadyClients:
+	case c.phase >= clientDiscarding, c.req == nil && len(c.pending()) == 0 && !c.inReadyClients && !c.waitsForTurn:
 		g.closeConn(c, Close)
 	case c.req != nil && c.peer == peerDisconnected:
 		g.dropClient(c, Close, ClientDisconnected) // no one would read the response
@@ -205,7 +213,7 @@
 // startNextRequest processes the input that a client has pipelined behind its last request.
 func (g *Gateway) startNextRequest(c *clientConn) {
 	c.inReadyClients = false
-	if c.closed || c.req != nil {
+	if c.closed || c.req != nil || c.waitsForTurn {
 		return
 	}
 	if c.phase >= clientClosing || g.intake >= intakeClosed || c.peer == peerDisconnected {
@@ -229,7 +237,7 @@
 // It starts the idle timeout, or ends the connection if no further request is read from it.
 func (g *Gateway) handleClientIdle(c *clientConn) {
 	switch {
-	case c.inReadyClients: // startNextRequest processes pipelined input first
+	case c.inReadyClients, c.waitsForTurn: // startNextRequest processes pipelined input first
 	case c.phase >= clientClosing, g.intake >= intakeClosed, c.peer != peerConnected:
 		g.lingeringClose(c)
 	default:
--- a/internal/gateway/client_input.go
+++ b/internal/gateway/client_input.go
@@ -1,5 +1,7 @@
 package gateway
 
+import "bytes"
+
 // maxPipelinedBytes limits the pipelined input of a client in protocols where EOF means that
 // the client has disconnected. Reading from such a client is not paused while its request is
 // under way: the EOF arrives behind the pipelined input, and while that is unread, the
@@ -44,6 +46,9 @@
 		case inputDiscarded:
 			return nil
 		case inputHeader:
+			if !g.mayBeginRequest(c) {
+				return data
+			}
 			data, more = g.consumeHeader(c, data)
 		case inputBody:
 			data, more = g.consumeBody(c, data)
@@ -59,7 +64,7 @@
 func (g *Gateway) consumeHeader(c *clientConn, data []byte) (unconsumed []byte, more bool) {
 	if data[0] == '\r' || data[0] == '\n' { // RFC 9112 section 2.2: empty lines before a request
 		c.headerScanned = 0
-		return data[1:], true
+		return bytes.TrimLeft(data, "\r\n"), true
 	}
 	if c.headerStartedAt == 0 {
 		c.headerStartedAt = g.clock.now
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -59,11 +59,13 @@
 	conns        connTable
 	timers       timerQueue
 	readyClients []*clientConn // connections whose response is complete and whose next request can be parsed
-	clientConns  int           // number of open client connections
-	nodes        nodeTable
-	requests     requestTable
-	buffers      bufferPool
-	receiving    receivingClients
+	// waitingForTurn holds the connections whose next request begins in a later call of Advance.
+	waitingForTurn, spareTurns []*clientConn
+	clientConns                int // number of open client connections
+	nodes                      nodeTable
+	requests                   requestTable
+	buffers                    bufferPool
+	receiving                  receivingClients
 
 	counts     Counts
 	span       Span // argument of the observer's calls, reused to avoid allocations
@@ -135,12 +137,13 @@
 	g.conns.beginAdvance()
 	g.runTimers()
 	sourceNext := g.advanceMembershipSource()
+	g.startTurns()
 	for g.scheduler.hasEvents() || len(g.readyClients) > 0 {
 		g.startNextRequests()
 		g.runScheduler()
 	}
 	g.conns.endAdvance()
-	next := min(g.scheduler.wakeAt, sourceNext, g.timers.next())
+	next := min(g.scheduler.wakeAt, sourceNext, g.nextTurn(), g.timers.next())
 	g.lag.nextAdvance = next
 	return g.actions.take(), next
 }
--- a/internal/gateway/request_lifecycle.go
+++ b/internal/gateway/request_lifecycle.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 
+	"maddergap/internal/admission"
 	"maddergap/internal/http1"
 	"maddergap/internal/route"
 	"maddergap/scheduler"
@@ -15,6 +16,7 @@
 	req.client = c
 	c.req = req
 	req.headerReceivedAt = g.clock.now
+	c.turn.Begin(g.clock.now)
 	g.buffers.set(&req.rawHeader, append(g.buffers.get(len(header)), header...))
 	g.setDeadline(c, never)
 	err := http1.ParseRequest(req.rawHeader, &req.header, req.config.HeaderLimits)
@@ -38,7 +40,12 @@
 	// The response to the previous request may still be in the output buffer. Admission counts
 	// at most one request of a connection, so the previous one ends here.
 	g.reportAdmittedRequestEnd(c)
-	if ok, reason := g.admission.BeginRequest(g.clock.now, uint64(c.id), g.buffers.totalBytes(), req.body.complete); !ok {
+	newRequest := admission.NewRequest{
+		Complete: req.body.complete,
+		Long:     req.header.Chunked || req.header.ContentLength > int64(g.config.Admission.Buffers.MinConnBytes),
+		Buffered: g.buffers.totalBytes(),
+	}
+	if ok, reason := g.admission.BeginRequest(g.clock.now, uint64(c.id), newRequest); !ok {
 		c.advancePhase(clientClosing)
 		// Counted and logged as a rejected connection, as the connection ends with the response.
 		g.recordRejection(c.remote, reason, true)
