platform: the ids of writes are remembered apart from those of reads

The ring of 8,192 ended ids had reads and writes, and one client at full speed overwrites it in a second or two.

Requests of classes without an effect have a ring of their own; the other one has 32,768 places and keeps hashes (xxhash, which admission uses too).

--- a/cmd/maddergap/leaving_clients_test.go
+++ b/cmd/maddergap/leaving_clients_test.go
@@ -118,3 +118,44 @@
 		})
 	}
 }
+
+// Guards against a second effect when the id of a write comes again after its client has left, and after
+// others have sent so many requests that a table of all ids would have lost it.
+func TestIDComesAgainAfterManyOthers(t *testing.T) {
+	const others, readers = 12000, 8
+	i := startPressed(t, 1024)
+	i.nodes.serviceTime.Store(int64(50 * time.Millisecond))
+	write := requestText(http.MethodPut, "leave-and-again", "1", "2", "body")
+	c := dial(t, i.addr)
+	io.WriteString(c, write)
+	for end := time.Now().Add(5 * time.Second); i.nodes.arrivalsOf("leave-and-again") == 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	c.Close() // the node executes the write
+	time.Sleep(100 * time.Millisecond)
+	i.nodes.serviceTime.Store(0)
+	var running sync.WaitGroup
+	stop := make(chan struct{})
+	for range readers {
+		running.Go(func() {
+			n := 0
+			i.askInTurn(stop, func() string {
+				if n++; n == others/readers {
+					return "" // the last one; the client waits for an answer that does not come
+				}
+				return i.read("o")
+			})
+		})
+	}
+	for end := time.Now().Add(20 * time.Second); i.nodes.count("o") < others-2*readers && time.Now().Before(end); {
+		time.Sleep(10 * time.Millisecond)
+	}
+	close(stop)
+	running.Wait()
+	a := i.ask(write, otherDeadline)
+	t.Logf("%d reads arrived at nodes in between; the id that came again got %d, and its write arrived %d times",
+		i.nodes.count("o"), a.status, i.nodes.arrivalsOf("leave-and-again"))
+	if n := i.nodes.arrivalsOf("leave-and-again"); n != 1 || a.status != http.StatusConflict {
+		t.Errorf("the write arrived %d times and got status %d, want once and 409", n, a.status)
+	}
+}
--- a/cmd/maddergap/pressure_harness_test.go
+++ b/cmd/maddergap/pressure_harness_test.go
@@ -283,3 +283,22 @@
 		return false
 	}
 }
+
+// arrivalsOf returns how often a request has arrived.
+func (n *recordingNodes) arrivalsOf(id string) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.arrivals[id])
+}
+
+// count returns the number of requests that have arrived whose id begins with prefix.
+func (n *recordingNodes) count(prefix string) (count int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for id := range n.arrivals {
+		if strings.HasPrefix(id, prefix) {
+			count++
+		}
+	}
+	return count
+}
--- a/internal/gateway/buffered_protocol.go
+++ b/internal/gateway/buffered_protocol.go
@@ -111,6 +111,6 @@
 
 func (b bufferedProtocol) handleRequestEnd(req *request, outcome Outcome) {
 	if req.id != 0 {
-		b.p.EndRequest(req.info.ID, outcome)
+		b.p.EndRequest(&req.info, outcome)
 	}
 }
--- a/internal/gateway/fake_protocol_test.go
+++ b/internal/gateway/fake_protocol_test.go
@@ -27,7 +27,7 @@
 
 func (fakeProtocol) BeginRequest(*RequestInfo) *http1.Error { return nil }
 
-func (fakeProtocol) EndRequest(string, Outcome) {}
+func (fakeProtocol) EndRequest(*RequestInfo, Outcome) {}
 
 func (fakeProtocol) AppendRequest(b []byte, r *http1.Request, remaining time.Duration) []byte {
 	b = append(append(append(b, r.Method...), " /"...), r.Get("id")...)
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -86,7 +86,7 @@
 	// returns the error with which the request is answered.
 	BeginRequest(info *RequestInfo) *http1.Error
 	// EndRequest releases the id of a request that has ended with the outcome.
-	EndRequest(id string, outcome Outcome)
+	EndRequest(info *RequestInfo, outcome Outcome)
 	// AppendRequest appends the request line and the header fields of an attempt, except the
 	// fields that give the length of the body. remaining is how long the gateway will wait for
 	// the response.
--- a/internal/platform/protocol.go
+++ b/internal/platform/protocol.go
@@ -12,6 +12,7 @@
 
 	"maddergap/internal/gateway"
 	"maddergap/internal/http1"
+	"maddergap/scheduler"
 )
 
 // Protocol parses and writes the platform's messages. It implements gateway.Protocol. It is not safe
@@ -24,6 +25,7 @@
 	classes     map[string]int // class index by name
 	plans       map[string]int // plan index by name
 	classWrites []bool         // whether the requests of a class are writes, by class index; empty if unknown
+	safeClasses []bool         // whether the requests of a class have no effect, by class index
 	ids         *requestIDs
 	limits      requestLimits
 
@@ -48,7 +50,7 @@
 		classes:                   map[string]int{},
 		plans:                     map[string]int{},
 		classWrites:               info.Writes,
-		ids:                       newRequestIDs(maxEndedIDs),
+		ids:                       newRequestIDs(maxEndedReads, maxEndedWrites),
 		limits:                    requestLimits{units: info.MaxUnits, shards: info.Shards, instances: c.Settings.Instances},
 		responseNoProgressTimeout: c.Gateway.Timeouts.Dial,
 		maxResponseBytes:          c.Bounds.MaxResponseBytes,
@@ -57,6 +59,9 @@
 	for i, class := range c.Settings.Classes {
 		p.classes[class.Name] = i
 	}
+	for _, class := range c.Gateway.Scheduler.Classes {
+		p.safeClasses = append(p.safeClasses, class.Effect == scheduler.Safe)
+	}
 	for i, plan := range c.Gateway.Scheduler.Plans {
 		p.plans[plan.Name] = i
 	}
@@ -76,7 +81,9 @@
 
 // EndRequest releases the ID of a request that was rejected, and remembers the ID after any other
 // outcome.
-func (p *Protocol) EndRequest(id string, o gateway.Outcome) { p.ids.end(id, o) }
+func (p *Protocol) EndRequest(r *gateway.RequestInfo, o gateway.Outcome) {
+	p.ids.end(r.ID, p.safeClasses[r.Arrival.Class], o)
+}
 
 // MaxResponseBytes returns the maximum size of one response, and of all responses that are buffered at
 // a time.
--- a/internal/platform/request_ids.go
+++ b/internal/platform/request_ids.go
@@ -1,32 +1,37 @@
 package platform
 
-import "maddergap/internal/gateway"
+import (
+	"github.com/cespare/xxhash/v2"
 
-// maxEndedIDs is the number of IDs of ended requests that are remembered.
-const maxEndedIDs = 8192
+	"maddergap/internal/gateway"
+)
+
+const (
+	// maxEndedReads is the number of IDs of ended requests without an effect that are remembered.
+	maxEndedReads = 8192
+	// maxEndedWrites is the number of IDs of other ended requests that are remembered. They have a table of
+	// their own, so that reads at full speed do not make an instance forget a write.
+	maxEndedWrites = 32768
+)
 
 // requestIDs detects duplicate request IDs. It contains the IDs of the requests in progress and of
-// recently ended requests that may have had an effect. A duplicate of a request in progress would mix
+// recently ended requests that may have run. A duplicate of a request in progress would mix
 // up the responses of two clients. A duplicate of an ended write would execute the write twice. A
-// rejected request was not executed, so its ID may be used again.
-//
-// The IDs of ended requests are in a ring buffer, where a new ID overwrites the oldest. The number of
+// rejected request was not executed, so its ID may be used again. The number of
 // requests in progress is bounded by the number of client connections.
 type requestIDs struct {
-	inProgress map[string]bool
-	remembered map[string]struct{} // IDs in the ring
-	ring       []string            // IDs of ended requests; "" for a free slot
-	next       int                 // index in ring that is overwritten next
+	inProgress    map[string]bool
+	reads, writes *endedIDs
 }
 
-func newRequestIDs(maxEnded int) *requestIDs {
-	return &requestIDs{inProgress: map[string]bool{}, remembered: map[string]struct{}{}, ring: make([]string, maxEnded)}
+func newRequestIDs(maxReads, maxWrites int) *requestIDs {
+	return &requestIDs{inProgress: map[string]bool{}, reads: newEndedIDs(maxReads), writes: newEndedIDs(maxWrites)}
 }
 
 // begin registers the ID of a request in progress. It returns false, and changes nothing, if the ID is
 // a duplicate.
 func (t *requestIDs) begin(id string) bool {
-	if _, remembered := t.remembered[id]; remembered || t.inProgress[id] {
+	if t.inProgress[id] || t.writes.contains(id) || t.reads.contains(id) {
 		return false
 	}
 	t.inProgress[id] = true
@@ -34,21 +39,44 @@
 }
 
 // end records the end of the request with an ID, and remembers the ID unless the request was rejected.
-func (t *requestIDs) end(id string, o gateway.Outcome) {
+// safe reports whether the request has no effect.
+func (t *requestIDs) end(id string, safe bool, o gateway.Outcome) {
 	if !t.inProgress[id] {
 		return
 	}
 	delete(t.inProgress, id)
-	if o != gateway.Rejected {
-		t.remember(id)
+	switch {
+	case o == gateway.Rejected:
+	case safe:
+		t.reads.add(id)
+	default:
+		t.writes.add(id)
 	}
 }
 
-func (t *requestIDs) remember(id string) {
-	if oldest := t.ring[t.next]; oldest != "" {
-		delete(t.remembered, oldest)
+// endedIDs remembers IDs by their hash in a ring, where a new ID overwrites the oldest. Two IDs of the same
+// hash are taken for one, at a probability of 2^-49 for a full ring; the request gets 409 then.
+type endedIDs struct {
+	remembered map[uint64]struct{} // hashes in the ring
+	ring       []uint64            // 0 for a free slot
+	next       int                 // index in ring that is overwritten next
+}
+
+func newEndedIDs(count int) *endedIDs {
+	return &endedIDs{remembered: map[uint64]struct{}{}, ring: make([]uint64, count)}
+}
+
+func (e *endedIDs) contains(id string) bool {
+	_, remembered := e.remembered[xxhash.Sum64String(id)]
+	return remembered
+}
+
+func (e *endedIDs) add(id string) {
+	hash := xxhash.Sum64String(id)
+	if oldest := e.ring[e.next]; oldest != 0 {
+		delete(e.remembered, oldest)
 	}
-	t.ring[t.next] = id
-	t.remembered[id] = struct{}{}
-	t.next = (t.next + 1) % len(t.ring)
+	e.ring[e.next] = hash
+	e.remembered[hash] = struct{}{}
+	e.next = (e.next + 1) % len(e.ring)
 }
