Lines of the log are bounded in bytes; each state of a request whose client leaves has a test

The log's queue had a bound of 8,192 lines, of which each can be as long as a path that a client sends, so that a reader that stops could cost tens of MB: it has a bound of 4 MiB now. TestLogSinkBoundsLongLines fails without it.

TestNothingLeavesForANodeAfterTheClientHasGone goes through a request that waits, dials, is half written, is written, waits for a retry, is in its second attempt, or is listed in parts: nothing is written after the client has gone and no attempt stays.

Two tests over a held link share their harness, and Read and Discard their injected faults.

--- a/cmd/maddergap/pressure_test.go
+++ b/cmd/maddergap/pressure_test.go
@@ -90,7 +90,7 @@
 		}},
 	} {
 		t.Run(pressure.name, func(t *testing.T) {
-			i := startPressed(t, 1024)
+			i := startPressed(t, max(1024, 2**pressureConns))
 			i.nodes.serviceTime.Store(int64(2 * time.Millisecond))
 			i.measure(func(stop <-chan struct{}) {
 				i.eachOf(*pressureConns, stop, func(c net.Conn) { pressure.client(i, c) })
@@ -167,6 +167,10 @@
 		{"unsound requests, in turn", func(i *pressedInstance, stop <-chan struct{}) {
 			i.askInTurn(stop, constant("GET /api HTTP/1.1\r\nHost: h\r\n\r\n"))
 		}},
+		{"long lists in Connection, in turn", func(i *pressedInstance, stop <-chan struct{}) {
+			list := "\r\nConnection: " + strings.Repeat("a,", 3500) + "a\r\n"
+			i.askInTurn(stop, func() string { return strings.Replace(i.read("l"), "\r\n", list, 1) })
+		}},
 		{"noise", func(i *pressedInstance, stop <-chan struct{}) { i.flood(stop, true, constant("\x00noise\xff")) }},
 		{"empty lines", func(i *pressedInstance, stop <-chan struct{}) { i.flood(stop, true, constant("\r\n")) }},
 		{"chunks of one byte", func(i *pressedInstance, stop <-chan struct{}) {
--- a/internal/daemon/log_sink.go
+++ b/internal/daemon/log_sink.go
@@ -12,6 +12,8 @@
 const (
 	// sinkQueueLines is the maximum number of lines that wait to be written.
 	sinkQueueLines = 8192
+	// sinkQueueBytes is the maximum size of these lines. A line can be as long as the paths that clients send.
+	sinkQueueBytes = 4 << 20
 	// sinkCloseTimeout bounds how long Close waits for queued lines to be written.
 	sinkCloseTimeout = 200 * time.Millisecond
 )
@@ -25,6 +27,7 @@
 type LogSink struct {
 	w           io.Writer
 	queue       chan []byte
+	queuedBytes atomic.Int64
 	dropped     atomic.Int64
 	partialLine bool // the output ends in an incomplete line; used by the writing goroutine only
 	close       sync.Once
@@ -41,14 +44,26 @@
 
 // Write queues a line, or drops it if the queue is full. It never blocks and never returns an error.
 func (s *LogSink) Write(line []byte) (int, error) {
-	select {
-	case s.queue <- bytes.Clone(line):
-	default:
+	if !s.enqueue(line) {
 		s.dropped.Add(1)
 	}
 	return len(line), nil
 }
 
+// enqueue queues a line, and reports whether there was room for it.
+func (s *LogSink) enqueue(line []byte) bool {
+	size := int64(len(line))
+	if s.queuedBytes.Add(size) <= sinkQueueBytes {
+		select {
+		case s.queue <- bytes.Clone(line):
+			return true
+		default:
+		}
+	}
+	s.queuedBytes.Add(-size)
+	return false
+}
+
 // Close waits until the queued lines are written, for sinkCloseTimeout at most: otherwise a stopped
 // process whose log nobody reads would never exit. Lines written after Close are lost.
 func (s *LogSink) Close() {
@@ -86,6 +101,7 @@
 
 // writeLine writes a line. If lines were dropped before it, it first writes their number.
 func (s *LogSink) writeLine(line []byte) {
+	defer s.queuedBytes.Add(-int64(len(line)))
 	if n := s.dropped.Load(); n > 0 {
 		count := fmt.Appendf(nil, "{\"level\":\"WARN\",\"msg\":\"log lines dropped\",\"count\":%d}\n", n)
 		if !s.write(count) {
--- a/internal/daemon/log_sink_test.go
+++ b/internal/daemon/log_sink_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"bytes"
 	"strings"
 	"sync"
 	"testing"
@@ -83,6 +84,24 @@
 	<-s.done
 }
 
+// Verifies that long lines that nobody reads occupy a bounded amount of memory.
+func TestLogSinkBoundsLongLines(t *testing.T) {
+	unblock := make(chan struct{})
+	s := NewLogSink(writerFunc(func(p []byte) (int, error) { <-unblock; return len(p), nil }))
+	line := bytes.Repeat([]byte("x"), 4<<10)
+	for range sinkQueueLines {
+		s.Write(line)
+	}
+	if n := s.queuedBytes.Load(); n > sinkQueueBytes || n < sinkQueueBytes-2*int64(len(line)) || s.dropped.Load() == 0 {
+		t.Errorf("%d bytes are queued and %d lines dropped, want about %d bytes", n, s.dropped.Load(), sinkQueueBytes)
+	}
+	close(unblock)
+	s.Close()
+	if n := s.queuedBytes.Load(); n != 0 {
+		t.Errorf("%d bytes are counted after the close, want 0", n)
+	}
+}
+
 type writerFunc func(p []byte) (int, error)
 
 func (f writerFunc) Write(p []byte) (int, error) { return f(p) }
--- a/internal/e2e/client_disconnect_test.go
+++ b/internal/e2e/client_disconnect_test.go
@@ -49,7 +49,7 @@
 // Regression test: a write whose node was cut off for a moment stayed on its way after its client had
 // disconnected, and the node executed it when it could be reached again.
 func TestWriteDoesNotArriveAfterClientHasLeft(t *testing.T) {
-	test := func(t *testing.T, node *forgetfulNode, instance *testInstance, write string) {
+	testOverHeldLink(t, "1500m", webdavConfig, func(t *testing.T, node *forgetfulNode, instance *testInstance, write string) {
 		node.link.setHeld(true)
 		c, _ := instance.send(write)
 		time.Sleep(100 * time.Millisecond)
@@ -61,19 +61,5 @@
 		if n := node.writesArrived(); n != 0 {
 			t.Errorf("the write arrived %d times after its client had left, want never", n)
 		}
-	}
-	t.Run("platform", func(t *testing.T) {
-		node := startForgetfulNode(t)
-		d := startDiscovery(t)
-		d.setEndpoints(node.endpoint())
-		instance := startPlatformReady(t, d, platformOptions{})
-		instance.readBody()
-		test(t, node, instance.testInstance, instance.newWrite(0, "1500m").text)
-	})
-	t.Run("WebDAV", func(t *testing.T) {
-		node := startForgetfulNode(t)
-		instance := startWebDAVWithConfig(t, webdavConfig, node.link.addr)
-		instance.roundTrip(getRequest("/feed-a/x"))
-		test(t, node, instance.testInstance, putRequest("/feed-a/x", "payload"))
 	})
 }
--- a/internal/e2e/deduplication_test.go
+++ b/internal/e2e/deduplication_test.go
@@ -111,17 +111,23 @@
 			t.Errorf("the write arrived %d times after the exit, want never", n)
 		}
 	}
+	testOverHeldLink(t, "30000m", strings.Replace(webdavConfig, "stop-time 5s", "stop-time 300ms", 1), test)
+}
+
+// testOverHeldLink runs a test with an instance of each protocol and a write to a node that is reached through
+// a link. platformDeadline is that of the write on a platform; webdavText is the other configuration.
+func testOverHeldLink(t *testing.T, platformDeadline, webdavText string, test func(t *testing.T, node *forgetfulNode, instance *testInstance, write string)) {
 	t.Run("platform", func(t *testing.T) {
 		node := startForgetfulNode(t)
 		d := startDiscovery(t)
 		d.setEndpoints(node.endpoint())
 		instance := startPlatformReady(t, d, platformOptions{})
 		instance.readBody()
-		test(t, node, instance.testInstance, instance.newWrite(0, "30000m").text)
+		test(t, node, instance.testInstance, instance.newWrite(0, platformDeadline).text)
 	})
 	t.Run("WebDAV", func(t *testing.T) {
 		node := startForgetfulNode(t)
-		instance := startWebDAVWithConfig(t, strings.Replace(webdavConfig, "stop-time 5s", "stop-time 300ms", 1), node.link.addr)
+		instance := startWebDAVWithConfig(t, webdavText, node.link.addr)
 		instance.roundTrip(getRequest("/feed-a/x"))
 		test(t, node, instance.testInstance, putRequest("/feed-a/x", "payload"))
 	})
--- a/internal/eventloop/connections.go
+++ b/internal/eventloop/connections.go
@@ -60,7 +60,7 @@
 	registered uint32 // epoll events that the socket is registered for; valid if inEpoll
 	inEpoll    bool
 	stalled    bool // set while a failed call waits to be retried
-	discards bool // set when the gateway has asked to drop the input
+	discards   bool // set when the gateway has asked to drop the input
 	// closeWritePending is set if shutting down the sending side failed and has to be retried.
 	closeWritePending bool
 }
--- a/internal/gateway/client_disconnect_test.go
+++ b/internal/gateway/client_disconnect_test.go
@@ -110,3 +110,81 @@
 	}
 	h.wantOutcomes(map[Outcome]int{Served: 2})
 }
+
+// Verifies that nothing leaves for a node, and nothing stays on its way to one, once the client has gone, in
+// each state of a request: while it waits for a node, while a connection is dialed, when it is half written,
+// when it is written, before a retry, in its second attempt, and in the parts of a listing.
+func TestNothingLeavesForANodeAfterTheClientHasGone(t *testing.T) {
+	const failure = "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n"
+	read, write := getRequest("/feed-a/s/x"), putRequest("/feed-a/s/x", strings.Repeat("b", 10<<10))
+	for _, test := range []struct {
+		state   string
+		request string
+		prepare func(h *harness, request string) ConnID
+	}{
+		{"waits for a node", read, func(h *harness, request string) ConnID {
+			for range 8 { // fill the window of the node
+				h.connectClient(getRequest("/feed-a/s/other"))
+			}
+			return h.connectClient(request)
+		}},
+		{"dials", write, func(h *harness, request string) ConnID {
+			h.deferConnects = true
+			return h.connectClient(request)
+		}},
+		{"is half written", write, func(h *harness, request string) ConnID {
+			h.deferConnects = true
+			c := h.connectClient(request)
+			n := h.nodeConn(0)
+			h.blocked[n] = true
+			h.gateway.Connected(h.now, n)
+			h.runActions()
+			h.gateway.Wrote(h.now, n, len(h.gateway.PendingOutput(h.now, n)))
+			h.gateway.Wrote(h.now, n, 100)
+			return c
+		}},
+		{"is written", write, (*harness).connectClient},
+		{"waits for a retry", read, func(h *harness, request string) ConnID {
+			c := h.connectClient(request)
+			h.deliver(h.nodeConn(0), failure)
+			return c
+		}},
+		{"is retried", read, func(h *harness, request string) ConnID {
+			c := h.connectClient(request)
+			h.deliver(h.nodeConn(0), failure)
+			h.advanceTime(100 * time.Millisecond)
+			if h.gateway.Counts().Attempts != 2 {
+				t.Fatalf("%d attempts, want 2", h.gateway.Counts().Attempts)
+			}
+			return c
+		}},
+		{"is listed", "PROPFIND /feed-b/ HTTP/1.1\r\nHost: h\r\nDepth: 1\r\nContent-Length: 0\r\n\r\n", (*harness).connectClient},
+	} {
+		t.Run(test.state, func(t *testing.T) {
+			h := newHarness(t, "")
+			c := test.prepare(h, test.request)
+			others := h.gateway.nodes.conns
+			h.gateway.Closed(h.now, c)
+			h.runActions()
+			for _, conn := range h.dialed {
+				h.takeWritten(conn)
+				delete(h.blocked, conn)
+				if n := h.findNodeConn(conn); n != nil && n.attempt != nil && !strings.Contains(n.attempt.identity.path, "/s/other") {
+					t.Errorf("the node has an attempt of %s, state %v, after its client has gone", n.attempt.identity.path, n.state)
+				}
+				h.gateway.Connected(h.now, conn) // of those that were dialed
+			}
+			if others == 0 {
+				t.Error("the request had no connection, and none was there")
+			}
+			h.deferConnects = false
+			h.advanceTime(500 * time.Millisecond)
+			for _, conn := range h.dialed {
+				if got := h.takeWritten(conn); strings.Contains(got, "/feed-a/s/x") || strings.Contains(got, "PROPFIND") {
+					t.Errorf("%.60q was written to a node after its client had gone", got)
+				}
+			}
+			h.checkAccounting()
+		})
+	}
+}
--- a/internal/syscalls/faulty.go
+++ b/internal/syscalls/faulty.go
@@ -123,25 +123,20 @@
 }
 
 // Read is Calls.Read with injected faults.
-func (f *Faulty) Read(fd int, p []byte) (int, error) {
-	if errno, applies := f.drawFault("read"); applies {
-		if errno != 0 {
-			return -1, errno
-		}
-		p = p[:min(1, len(p))]
-	}
-	return f.Calls.Read(fd, p)
-}
+func (f *Faulty) Read(fd int, p []byte) (int, error) { return f.receive(fd, p, f.Calls.Read) }
 
 // Discard is Calls.Discard with the injected faults of read.
-func (f *Faulty) Discard(fd int, p []byte) (int, error) {
+func (f *Faulty) Discard(fd int, p []byte) (int, error) { return f.receive(fd, p, f.Calls.Discard) }
+
+// receive calls Read or Discard with the injected faults of read.
+func (f *Faulty) receive(fd int, p []byte, call func(int, []byte) (int, error)) (int, error) {
 	if errno, applies := f.drawFault("read"); applies {
 		if errno != 0 {
 			return -1, errno
 		}
 		p = p[:min(1, len(p))]
 	}
-	return f.Calls.Discard(fd, p)
+	return call(fd, p)
 }
 
 // Write is Calls.Write with injected faults.
