--- a/internal/gateway/client_disconnect_test.go
+++ b/internal/gateway/client_disconnect_test.go
@@ -21,11 +21,18 @@
 		t.Error("the connection to the node was not reset")
 	}
 	h.wantOutcomes(map[Outcome]int{ClientDisconnected: 1})
-	for i := range 2 { // the initial concurrency window is 2, and no attempt is under way
+	h.wantCapacityFree()
+}
+
+// wantCapacityFree checks that the node of the harness, to which one connection was dialed, has room for as
+// many requests as its initial concurrency window of 2 allows.
+func (h *harness) wantCapacityFree() {
+	h.t.Helper()
+	for i := range 2 {
 		h.connectClient(getRequest(fmt.Sprint("/feed-a/s/", i)))
 	}
 	if len(h.dialed) != 3 {
-		t.Errorf("%d connections to nodes, want 3", len(h.dialed))
+		h.t.Errorf("%d connections to nodes, want 3", len(h.dialed))
 	}
 }
 
@@ -43,12 +50,7 @@
 		t.Error("the connection to the node was not reset")
 	}
 	h.wantOutcomes(map[Outcome]int{ClientDisconnected: 1})
-	for i := range 2 { // the initial concurrency window is 2, and no attempt is under way
-		h.connectClient(getRequest(fmt.Sprint("/feed-a/s/", i)))
-	}
-	if len(h.dialed) != 3 {
-		t.Errorf("%d connections to nodes, want 3", len(h.dialed))
-	}
+	h.wantCapacityFree()
 }
 
 // Verifies that an attempt continues when the client disconnects while a response arrives that is not
--- a/scheduler/volumes.go
+++ b/scheduler/volumes.go
@@ -15,9 +15,6 @@
 	// instancesPerNodeFactor estimates the number of instances that send to one node, as a multiple of
 	// the largest number of instances that any volume's requests arrive through.
 	instancesPerNodeFactor = 2.0
-	// maxVolumes bounds the volumes that an instance has state of. Names of volumes come with requests,
-	// and one client could otherwise use up the memory with ever new names.
-	maxVolumes = 4096
 	// minNormalizedWeight prevents a division by zero where a plan has weight 0.
 	minNormalizedWeight = 1e-6
 )
@@ -54,51 +51,6 @@
 	element        *list.Element // element of volumeTable.byUse
 }
 
-// volumeTable holds the volumes, at most maxVolumes. Further volumes replace those that have not been used
-// for longest and may be deleted. If none may, the further volumes of a plan share one state, as if they
-// were one volume, and so one share and one limit.
-type volumeTable struct {
-	byName map[string]*volume
-	byUse  list.List         // of *volume; the least recently used is at the front
-	shared map[*Plan]*volume // for volumes without a place in byName
-}
-
-func newVolumeTable() volumeTable {
-	return volumeTable{byName: map[string]*volume{}, shared: map[*Plan]*volume{}}
-}
-
-func (t *volumeTable) add(name string, v *volume) {
-	v.name = name
-	v.element = t.byUse.PushBack(v)
-	t.byName[name] = v
-}
-
-func (t *volumeTable) remove(v *volume) {
-	t.byUse.Remove(v.element)
-	delete(t.byName, v.name)
-}
-
-// hasRoom reports whether the table has room for another volume. It deletes the least recently used one
-// for that if it can.
-func (t *volumeTable) hasRoom(now Time) bool {
-	if len(t.byName) < maxVolumes {
-		return true
-	}
-	oldest := t.byUse.Front().Value.(*volume)
-	if !oldest.mayBeDeleted(now) {
-		return false
-	}
-	t.remove(oldest)
-	return true
-}
-
-// mayBeDeleted reports whether nothing is lost with the state of a volume: it has no requests, and the
-// bucket of its limit is full, since the bucket of a volume that is created again could hold more.
-func (v *volume) mayBeDeleted(now Time) bool {
-	v.limit.fill(now)
-	return v.requests == 0 && v.limit.level >= v.limit.capacity
-}
-
 // upsertVolume returns the volume of an arriving request. It creates the volume if necessary, and
 // updates its shares to the number of instances that the request names.
 func (s *Scheduler) upsertVolume(a Arrival) *volume {
@@ -118,26 +70,6 @@
 	return v
 }
 
-// findOrAddVolume returns the volume of an arriving request, or the one that it shares with others.
-func (s *Scheduler) findOrAddVolume(a Arrival) *volume {
-	t := &s.volumes
-	if v := t.byName[a.Volume]; v != nil {
-		return v
-	}
-	if t.hasRoom(s.now) {
-		v := s.newVolume(a.Plan)
-		t.add(a.Volume, v)
-		return v
-	}
-	plan := s.planAt(a.Plan)
-	v := t.shared[plan]
-	if v == nil {
-		v = s.newVolume(a.Plan)
-		t.shared[plan] = v
-	}
-	return v
-}
-
 func (s *Scheduler) newVolume(planIndex int) *volume {
 	v := &volume{streams: map[*node]*stream{}}
 	s.setPlan(v, planIndex)
@@ -188,25 +120,3 @@
 		v.reserve.level = v.reserve.capacity
 	}
 }
-
-// sweepVolumes deletes idle volumes and streams.
-func (s *Scheduler) sweepVolumes() {
-	for _, v := range s.volumes.byName {
-		s.sweepStreams(v)
-		v.limit.fill(s.now)
-		if s.now-v.lastUsedAt > volumeIdleTimeout && len(v.streams) == 0 && v.mayBeDeleted(s.now) {
-			s.volumes.remove(v)
-		}
-	}
-	for _, v := range s.volumes.shared {
-		s.sweepStreams(v)
-	}
-}
-
-func (s *Scheduler) sweepStreams(v *volume) {
-	for n, nodeStream := range v.streams {
-		if s.now-nodeStream.lastUsedAt > volumeIdleTimeout {
-			delete(v.streams, n)
-		}
-	}
-}
