--- a/cmd/maddergap/helpers_test.go
+++ b/cmd/maddergap/helpers_test.go
@@ -50,8 +50,17 @@
 // startInstance starts an instance with the configuration file conf and waits until it listens on addr.
 // If the instance still runs when the test ends, it is killed.
 func startInstance(t *testing.T, addr, conf string) *exec.Cmd {
+	t.Helper()
+	return startWith(t, "", addr, conf)
+}
+
+// startWith is like startInstance, but runs an executable if exe is not empty.
+func startWith(t *testing.T, exe, addr, conf string) *exec.Cmd {
 	t.Helper()
 	cmd := program(t, "serve", "--config", conf)
+	if exe != "" {
+		cmd = exec.Command(exe, "serve", "--config", conf)
+	}
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/maddergap/pressure_test.go
+++ b/cmd/maddergap/pressure_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"bytes"
 	"fmt"
 	"io"
@@ -9,6 +10,9 @@
 	"sync"
 	"testing"
 	"time"
+
+	"maddergap/internal/fakenode"
+	"maddergap/internal/loopback"
 )
 
 // longBody is as long as many requests of a platform are at most.
@@ -188,3 +192,47 @@
 		})
 	}
 }
+
+// Guards against the same in WebDAV, where the directive "buffers" is the limit: the memory for clients that
+// stop half way through a request stays below it, and others are served.
+func TestMemoryBesideManyWebDAVClients(t *testing.T) {
+	if testing.Short() {
+		t.Skip("the race detector's build, with which CI runs the short tests, needs a multiple of the memory")
+	}
+	const buffersMB, otherRequests = 16, 50
+	node := startNode(t, fakenode.Options{})
+	addr := loopback.Addr(96, 1, 18097)
+	conf := writeDemoConf(t, addr, node, func(text string) string {
+		return strings.Replace(text, "clients 512", fmt.Sprintf("clients %d\nbuffers %dm", 2**pressureConns, buffersMB), 1)
+	})
+	i := &pressedInstance{t: t, addr: addr, cmd: startWith(t, *pressureExe, addr, conf)}
+	idle := i.memoryKB("VmHWM")
+	stop := make(chan struct{})
+	var running sync.WaitGroup
+	running.Go(func() {
+		i.eachOf(*pressureConns, stop, func(c net.Conn) {
+			text := fmt.Sprintf("PUT /feed-a/x HTTP/1.1\r\nHost: h\r\nContent-Length: 200000\r\n\r\n%s", strings.Repeat("b", 150000))
+			writeSlowly(c, text, len(text), 0)
+		})
+	})
+	served := 0
+	for range otherRequests {
+		time.Sleep(*pressureTime / otherRequests)
+		c := dial(t, addr)
+		sendPut(c, "/feed-a/other")
+		c.SetReadDeadline(time.Now().Add(otherDeadline))
+		if status, _ := readStatus(bufio.NewReader(c)); status == 201 || status == 204 {
+			served++
+		}
+		c.Close()
+	}
+	peak := i.memoryKB("VmHWM")
+	close(stop)
+	running.Wait()
+	t.Logf("%d clients that stop half way: peak %.1f MB resident, %.1f MB when idle; %d of %d others served", *pressureConns, float64(peak)/1024, float64(idle)/1024, served, otherRequests)
+	// Responses may take as much again as "buffers" says, and the runtime lets the heap grow to twice of what
+	// is in use before it collects; see docs/operating.md.
+	if bound := idle + 4*buffersMB<<10; peak > bound || served < otherRequests*9/10 {
+		t.Errorf("peak %d KB with %d of %d others served; want at most %d KB and nine tenths served", peak, served, otherRequests, bound)
+	}
+}
