A mistaken directive changes nothing, and is said once

A directive with a mistake leaves the configuration as it was, but for those that may be repeated; a check of several lines is left out if one of its directives is mistaken.

The tests of config and its fuzz seeds pass.

--- a/internal/config/check.go
+++ b/internal/config/check.go
@@ -30,7 +30,7 @@
 		{"volume", len(c.Volumes) > 0},
 		{"route", len(c.Routes) > 0},
 	} {
-		if !required.given {
+		if !required.given && !p.mistaken[required.directive] {
 			p.errorf(0, "no %s is given", required.directive)
 		}
 	}
@@ -58,7 +58,7 @@
 		a.Buffers.TotalBytes = max(defaultClientBufferBytes, defaultBuffersPerClient*minConnBufferBytes*int64(a.MaxConns))
 	}
 	err := a.Check()
-	if err == nil {
+	if err == nil || p.anyMistaken("clients", "admit", "known", "buffers") {
 		return
 	}
 	line := max(p.lineOf["admit"], p.lineOf["known"], p.lineOf["buffers"])
@@ -81,6 +81,9 @@
 // an instance, and that the admission limits of a single worker are consistent.
 func (p *parser) checkProcesses() {
 	c, line := p.c, p.lineOf["processes"]
+	if p.anyMistaken("processes", "heads", "clients", "admit", "known", "buffers") {
+		return
+	}
 	if c.Processes > c.Scheduler.Instances {
 		p.errorf(line, "there are %d processes, each of which is a head, but only %d heads in total", c.Processes, c.Scheduler.Instances)
 		return
@@ -97,6 +100,9 @@
 // number of instances.
 func (p *parser) checkVolumes() {
 	c := p.c
+	if p.anyMistaken("processes", "heads") {
+		return
+	}
 	for _, v := range c.Volumes {
 		line := p.lineOf["volume "+v.Name]
 		if v.Instances < c.Processes {
--- a/internal/config/parse.go
+++ b/internal/config/parse.go
@@ -39,8 +39,9 @@
 	planRefs       []reference    // uses of plans
 	// lineOf contains the line of each directive or name that may occur only once, and the last line of
 	// the directive known.
-	lineOf map[string]int
-	errs   []*Error // mistakes in the order in which they were found
+	lineOf   map[string]int
+	mistaken map[string]bool // directives with a mistake in one of their lines
+	errs     []*Error        // mistakes in the order in which they were found
 }
 
 // reference is the use of a class or plan, which may be defined in a later line.
@@ -51,7 +52,7 @@
 }
 
 func newParser(file string) *parser {
-	return &parser{c: defaults(file), classes: map[string]int{}, plans: map[string]int{}, lineOf: map[string]int{}}
+	return &parser{c: defaults(file), classes: map[string]int{}, plans: map[string]int{}, lineOf: map[string]int{}, mistaken: map[string]bool{}}
 }
 
 // errorf records a mistake in a line, or in the file as a whole if line is 0.
@@ -82,10 +83,26 @@
 		return
 	}
 	args := NewArgs(l)
+	before := *p.c
 	apply(p, l.Number, args)
 	if err := args.Err(); err != nil {
 		p.errorf(l.Number, "%s: %v", name, err)
+		p.mistaken[name] = true
+		if !repeatable[name] {
+			*p.c = before // no check of several lines may take a value that is out of its range
+		}
+	}
+}
+
+// anyMistaken reports whether a directive has a mistake, so that a check that compares it with others
+// would report what only follows from that.
+func (p *parser) anyMistaken(directives ...string) bool {
+	for _, name := range directives {
+		if p.mistaken[name] {
+			return true
+		}
 	}
+	return false
 }
 
 // resolveReferences resolves the uses of classes and plans. It is called after the last line, when all
