--- a/internal/gateway/buffered_response.go
+++ b/internal/gateway/buffered_response.go
@@ -3,13 +3,12 @@
 // appendToResponse adds a piece to a response that is buffered until it is complete. A short response is
 // given a buffer for all of it.
 func (g *Gateway) appendToResponse(attempt *nodeAttempt, data []byte) {
-	size := int64(len(data))
-	if length := attempt.conn.response.ContentLength; length <= maxPooledBuffer {
-		size = max(size, length)
-	}
-	body := &attempt.responseBody
+	body, length := &attempt.responseBody, attempt.conn.response.ContentLength
 	before := cap(*body)
-	g.buffers.set(body, append(g.buffers.orNew(*body, int(size)), data...))
+	if before == 0 && length > 0 && length <= maxPooledBuffer {
+		g.buffers.set(body, g.buffers.get(int(length)))
+	}
+	g.buffers.append(body, data, length)
 	g.buffers.responseBytes += int64(cap(*body) - before) // subtracted when the attempt ends
 }
 
--- a/internal/gateway/buffers.go
+++ b/internal/gateway/buffers.go
@@ -44,10 +44,10 @@
 // totalBytes returns the capacity of all buffers, in use and free.
 func (p *bufferPool) totalBytes() int64 { return p.usedBytes + p.freeBytes }
 
-// get returns an empty buffer for about size bytes. It counts once it is passed to set.
+// get returns an empty buffer for size bytes. It counts once it is passed to set.
 func (p *bufferPool) get(size int) []byte {
 	free := p.classFor(size)
-	if n := len(*free); n > 0 {
+	if n := len(*free); n > 0 && cap((*free)[n-1]) >= size {
 		b := (*free)[n-1]
 		*free = (*free)[:n-1]
 		p.freeBytes -= int64(cap(b))
@@ -70,6 +70,23 @@
 	*variable = b
 }
 
+// append adds data to the buffer of a variable. A buffer that is too small is replaced by one of at least
+// twice its capacity, and reused, so that a long message that comes in many pieces leaves little garbage.
+// expected is the length that the message will have; -1: not known.
+func (p *bufferPool) append(variable *[]byte, data []byte, expected int64) {
+	needed := len(*variable) + len(data)
+	if needed > cap(*variable) {
+		size := 2 * cap(*variable)
+		if expected >= 0 {
+			size = int(min(int64(size), expected))
+		}
+		grown := append(p.get(max(needed, size)), *variable...)
+		p.release(variable)
+		p.set(variable, grown)
+	}
+	p.set(variable, append(*variable, data...))
+}
+
 // release takes back the buffer of a variable, and sets the variable to nil.
 func (p *bufferPool) release(variable *[]byte) {
 	b := *variable
--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -48,7 +48,7 @@
 	if len(c.unread) == 0 {
 		return data
 	}
-	g.buffers.set(&c.unread, append(c.unread, data...))
+	g.buffers.append(&c.unread, data, -1)
 	return c.unread
 }
 
--- a/internal/gateway/listing.go
+++ b/internal/gateway/listing.go
@@ -145,7 +145,7 @@
 		return false
 	}
 	body := &l.bodies[part.listingPart]
-	g.buffers.set(body, append(*body, data...))
+	g.buffers.append(body, data, -1)
 	if !g.admission.MayBufferResponse(g.buffers.totalBytes()) {
 		l.errorStatus, l.errorReason = 503, reasonNoBuffers
 		return false
--- a/internal/gateway/request_lifecycle.go
+++ b/internal/gateway/request_lifecycle.go
@@ -145,8 +145,7 @@
 
 // appendToBody adds a piece to the buffered part of a request body.
 func (g *Gateway) appendToBody(req *request, data []byte) {
-	body := &req.body.data
-	g.buffers.set(body, append(g.buffers.orNew(*body, len(data)), data...))
+	g.buffers.append(&req.body.data, data, req.header.ContentLength)
 }
 
 // submitWhenBuffered submits a request once its body is complete or fills the buffer. If the
