--- a/cmd/maddergap/pressure_harness_test.go
+++ b/cmd/maddergap/pressure_harness_test.go
@@ -41,8 +41,8 @@
 	otherPause    = 20 * time.Millisecond
 	otherDeadline = 1200 * time.Millisecond
 	// lostAfter is when a request counts as lost by the platform's rule: half a second after its deadline.
-	lostAfter = otherDeadline + 500*time.Millisecond
-	nodeShards    = 4
+	lostAfter  = otherDeadline + 500*time.Millisecond
+	nodeShards = 4
 )
 
 // pressureConfig is the format of the instance's configuration. Its arguments are the addresses to listen
